--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test lint model bench slopes soak fuzz format generate
+
+install: $(BIN)/curranthill
+
+$(BIN)/curranthill: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(BIN)/curranthill
+
+demo: install
+	$(BIN)/curranthill demo
+
+test: install
+	$(BIN)/python -m nose2 --start-dir tests --top-level-directory .
+
+lint: install
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff format src tests bench
+
+model:
+	sh spec/check.sh
+
+bench: install
+	$(BIN)/python -m bench.run
+
+slopes: install
+	$(BIN)/python -m bench.slopes
+
+soak: install
+	$(BIN)/python -m bench.soak
+
+fuzz: install
+	HYPOTHESIS_PROFILE=deep $(BIN)/python -m nose2 --start-dir tests --top-level-directory .
+
+generate: install
+	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpclib_python_out=src src/curranthill/protocol/inner.proto
--- /dev/null
+++ b/src/curranthill/commands/__init__.py
@@ -0,0 +1,3 @@
+"""The command lines."""
+
+__all__ = ()
--- /dev/null
+++ b/src/curranthill/commands/configuration.py
@@ -0,0 +1,234 @@
+"""``curranthill config``: check, merge, compare, apply, look back."""
+
+import asyncio
+import getpass
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import typer
+
+from curranthill.clock import SystemClock
+from curranthill.commands.daemons import (
+    EPILOG,
+    FAILED,
+    fail,
+    settings_or_exit,
+)
+from curranthill.commands.tables import show_table
+from curranthill.configuration import (
+    Json,
+    RevisionStore,
+    canonical_json,
+    checked,
+    digest_of,
+    merge,
+    read_folder,
+)
+from curranthill.errors import CurranthillError
+from curranthill.settings import OperatorSettings
+from curranthill.storage import platforms
+
+app = typer.Typer(
+    help='Check, merge, compare and apply the configuration folder.',
+    epilog=EPILOG,
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+
+FolderPath = Annotated[Path, typer.Argument(help='The configuration folder.')]
+OperatorPath = Annotated[
+    Path,
+    typer.Option('--settings', help="The operators' settings file."),
+]
+AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
+
+Result = TypeVar('Result')
+
+
+@app.command(epilog=EPILOG)
+def check(folder: FolderPath) -> None:
+    """Check a folder: each file, the merge and all cross checks."""
+    merged = _merged(folder)
+    try:
+        checked(merged)
+    except CurranthillError as error:
+        fail(error.message)
+    typer.echo('The folder is in order.')
+
+
+@app.command('merge', epilog=EPILOG)
+def merge_folder(
+    folder: FolderPath,
+    *,
+    digest: Annotated[
+        bool,
+        typer.Option('--digest', help="Print the merge's SHA-256 instead."),
+    ] = False,
+) -> None:
+    """Print the merged document as canonical JSON."""
+    content = canonical_json(_merged(folder))
+    typer.echo(digest_of(content) if digest else content.decode())
+
+
+@app.command(epilog=EPILOG)
+def diff(
+    folder: FolderPath,
+    settings: OperatorPath,
+    *,
+    as_json: AsJson = False,
+) -> None:
+    """Show which values differ between a folder and what is in force."""
+    merged = _merged(folder)
+
+    async def in_force(store: RevisionStore) -> Json:  # noqa: WPS430
+        manifest = await store.manifest()
+        return await store.document(manifest) if manifest.revision else {}
+
+    before = _with_store(settings, in_force)
+    rows = _differences(before, merged, '')
+    show_table(('path', 'in_force', 'folder'), rows, as_json=as_json)
+
+
+@app.command(epilog=EPILOG)
+def add(
+    file: Annotated[Path, typer.Argument(help='The file to add or replace.')],
+    settings: OperatorPath,
+) -> None:
+    """Put one file of the folder in force, under its own name."""
+    _change(settings, {file.name: _content(file)})
+
+
+@app.command(epilog=EPILOG)
+def remove(
+    name: Annotated[str, typer.Argument(help='The name of the file.')],
+    settings: OperatorPath,
+) -> None:
+    """Take one file of the folder out of force."""
+    _change(settings, {name: None})
+
+
+@app.command(epilog=EPILOG)
+def apply(folder: FolderPath, settings: OperatorPath) -> None:
+    """Put a whole folder in force; files that it lacks are removed."""
+    contents = _read(folder)
+
+    async def replace(store: RevisionStore) -> int:  # noqa: WPS430
+        manifest = await store.manifest()
+        change: dict[str, bytes | None] = dict.fromkeys(manifest.files)
+        change.update(contents)
+        applied = await store.change(change, getpass.getuser())
+        return applied.revision
+
+    typer.echo(f'Revision {_with_store(settings, replace)} is in force.')
+
+
+@app.command(epilog=EPILOG)
+def history(settings: OperatorPath, *, as_json: AsJson = False) -> None:
+    """List every revision: when, by whom, which merge."""
+
+    async def listed(store: RevisionStore) -> list[Any]:  # noqa: WPS430
+        return [
+            (
+                manifest.revision,
+                time.strftime(
+                    '%Y-%m-%d %H:%M:%S',
+                    time.gmtime(manifest.applied_at_s),
+                ),
+                manifest.author,
+                len(manifest.files),
+                manifest.merged[:12],
+            )
+            for manifest in await store.history()
+        ]
+
+    show_table(
+        ('revision', 'applied_utc', 'author', 'files', 'digest'),
+        _with_store(settings, listed),
+        as_json=as_json,
+    )
+
+
+def _change(settings: Path, change: dict[str, bytes | None]) -> None:
+    async def put(store: RevisionStore) -> int:  # noqa: WPS430
+        applied = await store.change(change, getpass.getuser())
+        return applied.revision
+
+    typer.echo(f'Revision {_with_store(settings, put)} is in force.')
+
+
+def _with_store(
+    path: Path,
+    work: Callable[[RevisionStore], Awaitable[Result]],
+) -> Result:
+    settings = settings_or_exit(OperatorSettings, path)
+
+    async def run() -> Result:  # noqa: WPS430
+        platform = platforms.get(settings.platform.client)(
+            settings.platform.url,
+        )
+        try:
+            return await work(
+                RevisionStore(platform=platform, clock=SystemClock()),
+            )
+        finally:
+            await platform.close()
+
+    try:
+        return asyncio.run(run())
+    except CurranthillError as error:
+        fail(str(error))
+
+
+def _read(folder: Path) -> dict[str, bytes]:
+    try:
+        read = read_folder(folder)
+    except CurranthillError as error:
+        fail(error.message)
+    for line in read.ignored:
+        typer.echo(line, err=True)
+    return read.contents
+
+
+def _merged(folder: Path) -> Json:
+    contents = _read(folder)
+    try:
+        return merge(contents)
+    except CurranthillError as error:
+        fail(error.message)
+
+
+def _content(path: Path) -> bytes:
+    folder = path.resolve().parent
+    try:
+        read = read_folder(folder)
+    except CurranthillError as error:
+        fail(error.message)
+    if path.name not in read.contents:
+        fail(f'{path.name} is no file that a folder takes.', FAILED)
+    return read.contents[path.name]
+
+
+def _differences(before: Any, after: Any, path: str) -> list[tuple[str, ...]]:
+    if isinstance(before, dict) and isinstance(after, dict):
+        rows: list[tuple[str, ...]] = []
+        for key in sorted({*before, *after}):
+            rows.extend(
+                _differences(
+                    before.get(key),
+                    after.get(key),
+                    f'{path}.{key}'.lstrip('.'),
+                ),
+            )
+        return rows
+    if before == after:
+        return []
+    return [(path, _brief(before), _brief(after))]
+
+
+def _brief(value: Any) -> str:
+    return '-' if value is None else canonical_json(value).decode()
+
+
+__all__ = ('app',)
--- /dev/null
+++ b/src/curranthill/commands/demo.py
@@ -0,0 +1,270 @@
+"""The demo: both example deployments, embedded, in one process."""
+
+import asyncio
+import json
+import os
+import time
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import aiohttp
+
+from curranthill.application import Application
+from curranthill.clock import SystemClock
+from curranthill.commands.standin import sites_of
+from curranthill.configuration import (
+    ConfigurationDocument,
+    RevisionStore,
+    checked,
+    merge,
+    read_folder,
+)
+from curranthill.gateway.daemon import GatewayDaemon
+from curranthill.load.measures import fragmentation
+from curranthill.scheduler.daemon import SchedulerDaemon
+from curranthill.settings import (
+    KEY_VARIABLE,
+    GatewaySettings,
+    HostSettings,
+    MembershipSettings,
+    PlacementSettings,
+    PlatformSettings,
+    SchedulerSettings,
+)
+from curranthill.standin import StandinServer
+
+_HOST: Final = '127.0.0.1'
+_READY_S: Final = 20.0
+_JOB_S: Final = 30.0
+
+
+class DemoRow(NamedTuple):
+    """What happened to one request of the demo."""
+
+    workspace: str
+    kind: str
+    accelerators: int
+    data_centre: str
+    state: str
+    completion_s: float
+
+
+class DemoReport(NamedTuple):
+    """One deployment's demo."""
+
+    deployment: str
+    rows: tuple[DemoRow, ...]
+    fragmentation: dict[int, float]
+
+
+class Deployment:
+    """One deployment embedded in this process.
+
+    :param folder: its configuration folder.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        """Read the folder; nothing runs yet."""
+        self.name = folder.parent.name
+        self.contents = read_folder(folder).contents
+        self.document: ConfigurationDocument = checked(merge(self.contents))
+        self.standin = StandinServer(
+            clock=SystemClock(),
+            sites=sites_of(self.document),
+        )
+        self.schedulers: list[SchedulerDaemon] = []
+        self.gateways: list[GatewayDaemon] = []
+        self._apps: list[Application] = []
+
+    async def start(self) -> None:
+        """Start the stand-ins, apply the folder, start every daemon."""
+        await self.standin.start(_HOST)
+        url = f'http://{_HOST}:{self.standin.port}'
+        platform = PlatformSettings(url=url)
+        seeds: tuple[str, ...] = ()
+        for data_centre in self.document.data_centres:
+            host = HostSettings(
+                name=f'{data_centre}-e1',
+                data_centre=data_centre,
+                region=self.document.data_centres[data_centre].region,
+            )
+            membership = MembershipSettings(seeds=seeds)
+            scheduler = SchedulerDaemon(
+                settings=SchedulerSettings(
+                    host=host,
+                    platform=platform,
+                    membership=membership,
+                    placement=PlacementSettings(quick_slots=2),
+                ),
+            )
+            await self._start(scheduler.app)
+            self.schedulers.append(scheduler)
+            seeds = (*seeds, scheduler.node.address)[:3]
+            gateway = GatewayDaemon(
+                settings=GatewaySettings(
+                    host=host,
+                    platform=platform,
+                    membership=MembershipSettings(seeds=seeds),
+                ),
+            )
+            await self._start(gateway.app)
+            self.gateways.append(gateway)
+        await self._apply(self.gateways[0])
+        await self._wait_ready()
+
+    async def stop(self) -> None:
+        """Stop every daemon, then the stand-ins."""
+        for app in reversed(self._apps):
+            await app.stop()
+        await self.standin.stop()
+
+    def url(self, number: int) -> str:
+        """Return the callers' URL of one gateway, in turns."""
+        gateway = self.gateways[number % len(self.gateways)]
+        assert gateway.server is not None  # noqa: S101
+        return f'http://{_HOST}:{gateway.server.port}'
+
+    async def _start(self, app: Application) -> None:
+        await app.start()
+        self._apps.append(app)
+
+    async def _apply(self, gateway: GatewayDaemon) -> None:
+        store = RevisionStore(
+            platform=gateway.node.platform,
+            clock=SystemClock(),
+        )
+        await store.change(self.contents, 'demo')
+
+    async def _wait_ready(self) -> None:
+        """Wait until each data centre has a leader and the revision."""
+        until_s = time.monotonic() + _READY_S
+        while time.monotonic() < until_s:
+            led = all(
+                scheduler.leader and scheduler.leader.term
+                for scheduler in self.schedulers
+            )
+            informed = all(
+                gateway.node.configuration.revision
+                and gateway.node.view.alive('scheduler')
+                for gateway in self.gateways
+            )
+            if led and informed:
+                return
+            await asyncio.sleep(0.1)
+
+
+async def run_demo(folders: list[Path]) -> list[DemoReport]:
+    """Run the demo of each deployment and return what happened."""
+    os.environ.setdefault(KEY_VARIABLE, 'demo-key')
+    reports: list[DemoReport] = []
+    for folder in folders:
+        deployment = Deployment(folder=folder)
+        await deployment.start()
+        try:
+            reports.append(await _exercise(deployment))
+        finally:
+            await deployment.stop()
+    return reports
+
+
+async def _exercise(deployment: Deployment) -> DemoReport:
+    """Ask for each kind once for each workspace, all at the same time."""
+    document = deployment.document
+    asked = [
+        (number, workspace, kind_name)
+        for number, (workspace, kind_name) in enumerate(
+            (workspace, kind_name)
+            for workspace in document.workspaces
+            for kind_name in document.kinds
+        )
+    ]
+    async with aiohttp.ClientSession() as session:
+        work = asyncio.gather(
+            *(
+                _ask(session, deployment, number, workspace, kind_name)
+                for number, workspace, kind_name in asked
+            ),
+        )
+        await asyncio.sleep(1)
+        seen = _free_slots(deployment)
+        rows = await work
+    return DemoReport(
+        deployment=deployment.name,
+        rows=tuple(rows),
+        fragmentation=fragmentation(seen),
+    )
+
+
+async def _ask(
+    session: aiohttp.ClientSession,
+    deployment: Deployment,
+    number: int,
+    workspace: str,
+    kind_name: str,
+) -> DemoRow:
+    document = deployment.document
+    kind = document.kinds[kind_name]
+    url = deployment.url(number)
+    headers = {
+        'Authorization': f'Bearer demo-{workspace}',
+        'Idempotency-Key': f'demo-{number}',
+        'Deadline-S': '30',
+    }
+    run_s = 0.05 if kind.lane == 'quick' else 1.5
+    begun_s = time.monotonic()
+    async with session.post(
+        f'{url}/v1/workspaces/{workspace}/kinds/{kind_name}/requests',
+        headers=headers,
+        json={'run_s': run_s, 'of': kind_name},
+    ) as reply:
+        answer: dict[str, Any] = json.loads(await reply.read())
+        status = reply.status
+    state, place = str(status), ''
+    if status == 202:  # noqa: WPS432
+        state, place = await _follow(session, url, headers, answer['id'])
+    elif status == 200:  # noqa: WPS432
+        state, place = 'answered', str(answer['worker'])
+    shape = document.shapes.get(kind.shape)
+    return DemoRow(
+        workspace=workspace,
+        kind=kind_name,
+        accelerators=shape.accelerators if shape else 1,
+        data_centre=place,
+        state=state,
+        completion_s=time.monotonic() - begun_s,
+    )
+
+
+async def _follow(
+    session: aiohttp.ClientSession,
+    url: str,
+    headers: dict[str, str],
+    job_id: str,
+) -> tuple[str, str]:
+    """Wait for a job and fetch its result; return its state and place."""
+    async with session.get(
+        f'{url}/v1/jobs/{job_id}?wait_s={_JOB_S}',
+        headers=headers,
+    ) as reply:
+        job: dict[str, Any] = await reply.json()
+    if job.get('state') == 'finished':
+        async with session.get(
+            f'{url}/v1/jobs/{job_id}/result',
+            headers=headers,
+        ) as reply:
+            result: dict[str, Any] = await reply.json()
+        if result['job'] != job_id:
+            return 'wrong result', job['data_centre']
+    return str(job.get('state', job)), str(job.get('data_centre', ''))
+
+
+def _free_slots(deployment: Deployment) -> dict[str, list[int]]:
+    """Return the free slots of each worker by rack."""
+    racks: dict[str, list[int]] = {}
+    for entry in deployment.standin.hosts.values():
+        worker = deployment.standin.workers[entry.host]
+        racks.setdefault(entry.rack, []).append(max(0, worker.free_slots()))
+    return racks
+
+
+__all__ = ('DemoReport', 'DemoRow', 'Deployment', 'run_demo')
--- /dev/null
+++ b/src/curranthill/commands/inspect.py
@@ -0,0 +1,205 @@
+"""``curranthill status``, ``jobs``, ``explain`` and ``drain``."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, TypeVar
+
+import typer
+
+from curranthill.clock import SystemClock
+from curranthill.commands.configuration import AsJson, OperatorPath
+from curranthill.commands.daemons import EPILOG, FAILED, fail, settings_or_exit
+from curranthill.commands.tables import show_table
+from curranthill.errors import CurranthillError, PeerError
+from curranthill.jobs import JobStore, birth_of
+from curranthill.protocol import Channels, inner_pb2
+from curranthill.protocol.calls import call_drain, call_explain, call_status
+from curranthill.settings import OperatorSettings, shared_key
+from curranthill.storage import Platform, platforms
+
+CALL_TIMEOUT_S = 2.0
+_STATUSES = ('alive', 'suspect', 'dead', 'left')
+
+Result = TypeVar('Result')
+
+
+class Tools(NamedTuple):
+    """What the operators' commands work with."""
+
+    settings: OperatorSettings
+    platform: Platform
+    channels: Channels
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands of this module to the operators' command."""
+    for command in (status, jobs, explain, drain):
+        app.command(epilog=EPILOG)(command)
+
+
+def status(settings: OperatorPath, *, as_json: AsJson = False) -> None:
+    """Show each process: role, place, revision in force, leadership."""
+    members = _run(settings, _members)
+    show_table(
+        ('name', 'data_centre', 'status', 'revision', 'leads_epoch', 'address'),
+        [
+            (
+                member.name,
+                member.data_centre,
+                _STATUSES[member.status],
+                member.revision,
+                member.leading_epoch or '-',
+                member.address,
+            )
+            for member in sorted(members, key=_member_name)
+        ],
+        as_json=as_json,
+    )
+
+
+def jobs(
+    data_centre: Annotated[str, typer.Argument(help='Whose open jobs.')],
+    settings: OperatorPath,
+    *,
+    as_json: AsJson = False,
+) -> None:
+    """List the open jobs of a data centre."""
+
+    async def listed(tools: Tools) -> list[Any]:  # noqa: WPS430
+        store = JobStore(table=tools.platform.table, clock=SystemClock())
+        return [
+            (
+                stored.job.job_id,
+                stored.job.workspace,
+                stored.job.kind,
+                stored.job.state,
+                stored.job.slots,
+                stored.job.preemptions,
+            )
+            for stored in await store.scan_open(data_centre)
+        ]
+
+    show_table(
+        ('job', 'workspace', 'kind', 'state', 'accelerators', 'preemptions'),
+        _run(settings, listed),
+        as_json=as_json,
+    )
+
+
+def explain(
+    job: Annotated[str, typer.Argument(help='The id of the job.')],
+    settings: OperatorPath,
+) -> None:
+    """Say where a job stands: why it waits and what would let it start."""
+
+    async def ask(tools: Tools) -> list[str]:  # noqa: WPS430
+        store = JobStore(table=tools.platform.table, clock=SystemClock())
+        stored = await store.load(job)
+        home = stored.job.home if stored else birth_of(job)
+        scheduler = await _active(tools, home)
+        reply = await tools.channels.call(
+            scheduler.address,
+            call_explain,
+            inner_pb2.ExplainRequest(job_id=job),
+            CALL_TIMEOUT_S,
+        )
+        lines = list(reply.lines)
+        if not lines and stored is not None:
+            lines = [f'{job} is {stored.job.state}. {stored.job.reason}']
+        return lines
+
+    lines = _run(settings, ask)
+    if not lines:
+        fail('There is no such job.', FAILED)
+    for line in lines:
+        typer.echo(line)
+
+
+def drain(
+    worker: Annotated[str, typer.Argument(help='The name of the worker.')],
+    data_centre: Annotated[str, typer.Argument(help='Where it is.')],
+    settings: OperatorPath,
+) -> None:
+    """Place no new work on a worker; what runs there ends by itself."""
+
+    async def order(tools: Tools) -> bool:  # noqa: WPS430
+        scheduler = await _active(tools, data_centre)
+        reply = await tools.channels.call(
+            scheduler.address,
+            call_drain,
+            inner_pb2.DrainRequest(host=worker),
+            CALL_TIMEOUT_S,
+        )
+        return bool(reply.accepted)
+
+    if not _run(settings, order):
+        fail(f'{data_centre} has no worker named {worker}.', FAILED)
+    typer.echo(f'{worker} takes no new work.')
+
+
+async def _members(tools: Tools) -> list[inner_pb2.Member]:
+    for address in tools.settings.entry_hosts:
+        try:
+            reply = await tools.channels.call(
+                address,
+                call_status,
+                inner_pb2.StatusRequest(),
+                CALL_TIMEOUT_S,
+            )
+        except PeerError:
+            continue
+        return list(reply.members)
+    raise PeerError(
+        'None of the entry hosts in the settings answers.',
+        step='status',
+        peer=', '.join(tools.settings.entry_hosts),
+    )
+
+
+async def _active(tools: Tools, data_centre: str) -> inner_pb2.Member:
+    leaders = [
+        member
+        for member in await _members(tools)
+        if member.data_centre == data_centre and member.leading_epoch
+    ]
+    if not leaders:
+        raise PeerError(
+            f'No active scheduler of {data_centre} is known.',
+            step='find scheduler',
+        )
+    return max(leaders, key=_leading_epoch)
+
+
+def _run(path: Path, work: Callable[[Tools], Awaitable[Result]]) -> Result:
+    settings = settings_or_exit(OperatorSettings, path)
+
+    async def run() -> Result:  # noqa: WPS430
+        tools = Tools(
+            settings=settings,
+            platform=platforms.get(settings.platform.client)(
+                settings.platform.url,
+            ),
+            channels=Channels(key=shared_key(settings.key_file)),
+        )
+        try:
+            return await work(tools)
+        finally:
+            await tools.channels.close()
+            await tools.platform.close()
+
+    try:
+        return asyncio.run(run())
+    except CurranthillError as error:
+        fail(str(error))
+
+
+def _member_name(member: inner_pb2.Member) -> str:
+    return member.name
+
+
+def _leading_epoch(member: inner_pb2.Member) -> int:
+    return member.leading_epoch
+
+
+__all__ = ('register',)
--- /dev/null
+++ b/src/curranthill/commands/operator.py
@@ -0,0 +1,85 @@
+"""The command line of ``curranthill``, for operators."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from curranthill.commands import configuration, inspect
+from curranthill.commands.daemons import EPILOG, FAILED, Version
+from curranthill.commands.demo import DemoReport, run_demo
+from curranthill.commands.tables import show_table
+from curranthill.load.measures import GANG_SIZES
+from curranthill.telemetry import configure_logs
+
+app = typer.Typer(
+    help='Operate curranthill: configuration, status, jobs, workers.',
+    epilog=EPILOG,
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+app.add_typer(configuration.app, name='config')
+inspect.register(app)
+
+AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
+
+
+@app.callback()
+def common(*, version: Version = False) -> None:
+    """Operate curranthill: configuration, status, jobs, workers."""
+
+
+@app.command(epilog=EPILOG)
+def demo(
+    folders: Annotated[
+        list[Path] | None,
+        typer.Argument(help='Configuration folders; both examples if none.'),
+    ] = None,
+    *,
+    as_json: AsJson = False,
+) -> None:
+    """Run example deployments in one process, with stand-ins."""
+    configure_logs(style='readable', level='ERROR', process='demo')
+    chosen = folders or [
+        Path('examples') / name / 'configuration'
+        for name in ('tenggara', 'kalvola')
+    ]
+    reports = asyncio.run(run_demo(chosen))
+    failed = 0
+    for report in reports:
+        failed += _show(report, as_json=as_json)
+    if failed:
+        raise typer.Exit(FAILED)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+def _show(report: DemoReport, *, as_json: bool) -> int:
+    """Print one deployment's demo; return how many requests failed."""
+    if not as_json:
+        typer.echo(f'\n{report.deployment}')
+    show_table(
+        (
+            'workspace',
+            'kind',
+            'accelerators',
+            'where',
+            'state',
+            'completion_s',
+        ),
+        report.rows,
+        as_json=as_json,
+    )
+    if not as_json:
+        shares = ', '.join(
+            f'{size}: {report.fragmentation[size]:.2f}' for size in GANG_SIZES
+        )
+        typer.echo(f'Fragmentation while it ran, by gang size: {shares}')
+    return sum(row.state not in {'finished', 'answered'} for row in report.rows)
+
+
+__all__ = ('app', 'main')
--- /dev/null
+++ b/src/curranthill/configuration/revisions.py
@@ -0,0 +1,188 @@
+"""Revisions of the configuration in the platform's table and object store.
+
+The table's one row says which revision is in force (compare-and-set); the
+contents lie in the object store under their digests and never change.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from curranthill.clock import Clock
+from curranthill.configuration.checks import checked
+from curranthill.configuration.folder import (
+    canonical_json,
+    digest_of,
+    merge,
+)
+from curranthill.configuration.records import Json, Manifest
+from curranthill.errors import ConfigurationError, ConflictError
+from curranthill.storage import ABSENT, Committer, Platform, Row, Write
+
+REVISION_KEY = 'configuration/revision'
+HISTORY_PREFIX = 'configuration/history/'
+
+#: How often a change is put onto another operator's before it is given up.
+REBASE_ATTEMPTS = 20
+
+#: A change: file name -> new content, or nothing to remove the file.
+Change = Mapping[str, bytes | None]
+
+
+class RevisionStore:
+    """Read and move the revision that is in force.
+
+    :param platform: the table and the object store.
+    :param clock: for waits and the time in the history.
+    """
+
+    def __init__(self, *, platform: Platform, clock: Clock) -> None:
+        """Keep the platform's clients."""
+        self._platform = platform
+        self._clock = clock
+        self._committer = Committer(table=platform.table, clock=clock)
+
+    async def manifest(self) -> Manifest:
+        """Return the manifest in force; revision 0 if there is none yet."""
+        return _manifest(await self._platform.table.read(REVISION_KEY))
+
+    async def document(self, manifest: Manifest) -> Json:
+        """Return the merged document of a manifest.
+
+        :raises ConfigurationError: if its object cannot be had.
+        """
+        content = await self._content(manifest.merged)
+        document: Json = json.loads(content)
+        return document
+
+    async def contents(self, manifest: Manifest) -> dict[str, bytes]:
+        """Return each file of a manifest."""
+        return {
+            name: await self._content(digest)
+            for name, digest in manifest.files.items()
+        }
+
+    async def history(self) -> list[Manifest]:
+        """Return all revisions, oldest first."""
+        manifests: list[Manifest] = []
+        after = ''
+        while True:
+            page = await self._platform.table.scan(HISTORY_PREFIX, after, 100)
+            manifests.extend(_manifest(row) for row in page.rows)
+            after = page.after
+            if not after:
+                return manifests
+
+    async def change(self, change: Change, author: str) -> Manifest:
+        """Put a change of some files in force and return the new manifest.
+
+        A change that meets another operator's change of other files is put
+        onto it; where both touch one file, the later is refused.
+
+        :raises ConfigurationError: if the merge would be faulty, or another
+            operator's change of the same file was first.
+        """
+        row = await self._platform.table.read(REVISION_KEY)
+        started_from = _manifest(row)
+        for _ in range(REBASE_ATTEMPTS):
+            base = _manifest(row)
+            _refuse_overlap(change, started_from, base)
+            manifest = await self._prepare(change, base, author)
+            if manifest.files == base.files:
+                return base
+            try:
+                return await self._put(manifest, row)
+            except ConflictError:
+                row = await self._platform.table.read(REVISION_KEY)
+        raise ConfigurationError(
+            'Other changes kept coming first; nothing was applied.',
+            step='change',
+        )
+
+    async def _prepare(
+        self,
+        change: Change,
+        base: Manifest,
+        author: str,
+    ) -> Manifest:
+        contents = await self.contents(base)
+        for name, content in change.items():
+            if content is None:
+                contents.pop(name, None)
+            else:
+                contents[name] = content
+        merged = merge(contents)
+        checked(merged)
+        merged_json = canonical_json(merged)
+        await self._keep(merged_json)
+        files: dict[str, str] = {}
+        for name in sorted(contents, key=str.encode):
+            files[name] = await self._keep(contents[name])
+        return Manifest(
+            revision=base.revision + 1,
+            files=files,
+            merged=digest_of(merged_json),
+            author=author,
+            applied_at_s=self._clock.wall_s(),
+        )
+
+    async def _put(self, manifest: Manifest, row: Row | None) -> Manifest:
+        document: dict[str, Any] = manifest._asdict()
+        version = row.version if row else ABSENT
+        history_key = f'{HISTORY_PREFIX}{manifest.revision:08d}'
+        await self._committer.commit(
+            (
+                Write(history_key, ABSENT, document),
+                Write(REVISION_KEY, version, document),
+            ),
+        )
+        return manifest
+
+    async def _keep(self, content: bytes) -> str:
+        digest = digest_of(content)
+        await self._platform.objects.put(f'configuration/{digest}', content)
+        return digest
+
+    async def _content(self, digest: str) -> bytes:
+        name = f'configuration/{digest}'
+        content = await self._platform.objects.get(name)
+        if content is None or digest_of(content) != digest:
+            raise ConfigurationError(
+                'A revision names content that the store does not have.',
+                step='read content',
+                peer=name,
+            )
+        return content
+
+
+def _manifest(row: Row | None) -> Manifest:
+    if row is None:
+        return Manifest(revision=0, files={}, merged='')
+    known = {
+        name: row.document[name]
+        for name in Manifest._fields
+        if name in row.document
+    }
+    return Manifest(**known)
+
+
+def _refuse_overlap(
+    change: Change,
+    started_from: Manifest,
+    base: Manifest,
+) -> None:
+    for name in change:
+        if started_from.files.get(name) != base.files.get(name):
+            raise ConfigurationError(
+                f'{name}: revision {base.revision} by {base.author} changed'
+                ' this file first; nothing was applied.',
+                step='change',
+            )
+
+
+__all__ = (
+    'HISTORY_PREFIX',
+    'REVISION_KEY',
+    'Change',
+    'RevisionStore',
+)
--- /dev/null
+++ b/src/curranthill/gateway/daemon.py
@@ -0,0 +1,133 @@
+"""The gateway's process, put together."""
+
+from curranthill.application import Application
+from curranthill.clock import Clock
+from curranthill.gateway.allotment import AllotmentLoop
+from curranthill.gateway.jobs import JobDesk
+from curranthill.gateway.keyed import KeyedRuns
+from curranthill.gateway.notify import Notifier
+from curranthill.gateway.server import CallerServer
+from curranthill.jobs import JobStore
+from curranthill.membership import Node, NodeSettings
+from curranthill.routing import (
+    Ejection,
+    RetryBudget,
+    Router,
+    WorkerPool,
+    choices,
+)
+from curranthill.settings import GatewaySettings
+from curranthill.workers import WorkerClients, worker_clients
+
+#: Connections that a worker takes when no configuration says otherwise.
+_CONNECTIONS = 64
+
+
+class GatewayDaemon:
+    """A gateway and all that it needs, owned by one application.
+
+    :param settings: the process's settings.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        clock: Clock | None = None,
+    ) -> None:
+        """Make the parts and order their start and stop."""
+        host = settings.host
+        self.app = Application(name=f'{host.name}/gateway', clock=clock)
+        self.node = Node(
+            app=self.app,
+            settings=NodeSettings(
+                host=host,
+                platform=settings.platform,
+                membership=settings.membership,
+            ),
+            role='gateway',
+        )
+        self.server: CallerServer | None = None
+        self._settings = settings
+        self._clients: WorkerClients | None = None
+        self.app.on_start(self._start)
+        self.app.on_stop(self._stop)
+
+    async def _start(self) -> None:
+        clients = worker_clients.get('http')()
+        self._clients = clients
+        notifier = Notifier(
+            app=self.app,
+            view=self.node.view,
+            channels=self.node.channels,
+        )
+        pool = WorkerPool(
+            clock=self.app.clock,
+            fixed_connections=(
+                _CONNECTIONS // 2 // self._settings.quick.gateways
+            ),
+        )
+        router = self._router(pool, clients)
+        self.server = self._server(router, notifier)
+        allotment = AllotmentLoop(
+            app=self.app,
+            view=self.node.view,
+            channels=self.node.channels,
+            notifier=notifier,
+            directory=self.node.directory,
+            pool=pool,
+            router=router,
+        )
+        await self.node.serve([])
+        await self.node.join()
+        await allotment.start()
+        await self.server.start(self._settings.host.address)
+        self.app.spawn(self.server.sweep(), name='idle connections')
+
+    async def _stop(self) -> None:
+        if self.server is not None:
+            await self.server.drain()
+        await self.node.leave()
+        if self._clients is not None:
+            await self._clients.close()
+        await self.node.close()
+
+    def _router(self, pool: WorkerPool, clients: WorkerClients) -> Router:
+        quick = self._settings.quick
+        clock = self.app.clock
+        return Router(
+            clock=clock,
+            pool=pool,
+            choice=choices.get(quick.choice)(None),
+            ejection=Ejection(clock=clock, healthy_share=quick.healthy_share),
+            retries=RetryBudget(clock=clock, share=quick.retry_share),
+            worker_at=clients.at,
+            queue_bound=quick.queue_per_workspace,
+        )
+
+    def _server(self, router: Router, notifier: Notifier) -> CallerServer:
+        table = self.node.platform.table
+        clock = self.app.clock
+        desk = JobDesk(
+            clock=clock,
+            store=JobStore(
+                table=table,
+                clock=clock,
+                retention_s=self._settings.callers.key_retention_s,
+            ),
+            objects=self.node.platform.objects,
+            notifier=notifier,
+            configuration=self.node.configuration,
+            data_centre=self._settings.host.data_centre,
+        )
+        return CallerServer(
+            clock=clock,
+            settings=self._settings.callers,
+            configuration=self.node.configuration,
+            router=router,
+            keyed=KeyedRuns(clock=clock, table=table, router=router),
+            desk=desk,
+        )
+
+
+__all__ = ('GatewayDaemon',)
--- /dev/null
+++ b/src/curranthill/gateway/problems.py
@@ -0,0 +1,67 @@
+"""Errors as problem documents (RFC 9457) with what is known of the effect."""
+
+import json
+import math
+from http import HTTPStatus
+from typing import TypedDict
+
+from aiohttp import web
+
+from curranthill.errors import NOT_RUN, Outcome, RefusedError
+
+MEDIA_TYPE = 'application/problem+json'
+
+
+class Problem(TypedDict):
+    """The fields of a problem document."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: Outcome
+    step: str
+    peer: str
+
+
+def problem_response(error: RefusedError) -> web.Response:
+    """Return the answer for a refused or failed request."""
+    problem = Problem(
+        type='about:blank',
+        title=HTTPStatus(error.status).phrase,
+        status=error.status,
+        detail=error.message,
+        outcome=error.outcome,
+        step=error.step,
+        peer=error.peer,
+    )
+    headers = {}
+    if error.retry_after_s is not None:
+        headers['Retry-After'] = str(max(1, math.ceil(error.retry_after_s)))
+    return web.Response(
+        status=error.status,
+        text=json.dumps(problem),
+        content_type=MEDIA_TYPE,
+        headers=headers,
+    )
+
+
+def refuse(
+    status: HTTPStatus,
+    message: str,
+    *,
+    step: str,
+    outcome: Outcome = NOT_RUN,
+    retry_after_s: float | None = None,
+) -> RefusedError:
+    """Return an error for the caller to be raised."""
+    return RefusedError(
+        message,
+        step=step,
+        status=status,
+        outcome=outcome,
+        retry_after_s=retry_after_s,
+    )
+
+
+__all__ = ('MEDIA_TYPE', 'Problem', 'problem_response', 'refuse')
--- /dev/null
+++ b/src/curranthill/gateway/server.py
@@ -0,0 +1,256 @@
+"""The callers' HTTP API of a gateway."""
+
+import json
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+from aiohttp import web
+
+from curranthill.clock import Clock
+from curranthill.configuration import ConfigurationHolder
+from curranthill.errors import RefusedError
+from curranthill.gateway.jobs import JobDesk, job_body
+from curranthill.gateway.keyed import KeyedRuns
+from curranthill.gateway.problems import problem_response, refuse
+from curranthill.gateway.requests import (
+    CallerRequest,
+    authenticate,
+    read_request,
+)
+from curranthill.jobs import Job
+from curranthill.routing import QuickWork, Router
+from curranthill.settings import CallerSettings
+from curranthill.storage import content_digest
+from curranthill.telemetry import metrics
+from curranthill.workers import QuickReply
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+#: How often idle connections are looked for, as a part of their bound.
+_SWEEPS = 4
+
+
+class CallerServer:
+    """Serve callers until drained.
+
+    :param settings: bounds on what callers may send and hold.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        *,
+        clock: Clock,
+        settings: CallerSettings,
+        configuration: ConfigurationHolder,
+        router: Router,
+        keyed: KeyedRuns,
+        desk: JobDesk,
+    ) -> None:
+        """Make the routes; nothing is served yet."""
+        self.port = 0
+        self.draining = False
+        self._clock = clock
+        self._settings = settings
+        self._configuration = configuration
+        self._router = router
+        self._keyed = keyed
+        self._desk = desk
+        self._in_flight = 0
+        self._runner: web.AppRunner | None = None
+        self._last_request_s: dict[Any, float] = {}
+        self._busy: set[Any] = set()
+
+    async def start(self, host: str) -> None:
+        """Listen on the settings' port; 0 takes a free one."""
+        settings = self._settings
+        app = web.Application(
+            client_max_size=settings.max_body_bytes,
+            middlewares=[self._bounded],
+        )
+        app.add_routes(self._routes())
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            keepalive_timeout=settings.idle_s,
+            max_line_size=settings.max_header_bytes,
+            max_field_size=settings.max_header_bytes,
+            shutdown_timeout=settings.drain_s,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, settings.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def drain(self) -> None:
+        """Say "not ready", let requests under way end, then stop."""
+        self.draining = True
+        until_s = self._clock.monotonic_s() + self._settings.drain_s
+        while self._in_flight and self._clock.monotonic_s() < until_s:
+            await self._clock.sleep(0.05)
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def sweep(self) -> None:
+        """Close connections that sent no whole request for too long."""
+        idle_s = self._settings.idle_s
+        while True:
+            await self._clock.sleep(idle_s / _SWEEPS)
+            if self._runner is None or self._runner.server is None:
+                continue
+            now_s = self._clock.monotonic_s()
+            present = set(self._runner.server.connections)
+            for connection in present - self._busy:
+                since_s = self._last_request_s.setdefault(connection, now_s)
+                if now_s - since_s > idle_s:
+                    connection.force_close()
+            for gone in set(self._last_request_s) - present:
+                self._last_request_s.pop(gone)
+
+    def _routes(self) -> list[web.RouteDef]:
+        work = '/v1/workspaces/{workspace}/kinds/{kind}/requests'
+        return [
+            web.post(work, self._request),
+            web.get('/v1/jobs/{job}', self._get_job),
+            web.get('/v1/jobs/{job}/result', self._get_result),
+            web.delete('/v1/jobs/{job}', self._delete_job),
+            web.get('/healthy', self._healthy),
+            web.get('/ready', self._ready),
+        ]
+
+    @web.middleware
+    async def _bounded(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Bound the requests under way and turn errors into problems."""
+        if request.path in {'/healthy', '/ready'}:
+            return await handler(request)
+        connection = request.protocol
+        self._busy.add(connection)
+        self._in_flight += 1
+        metrics.requests.add(1)
+        try:
+            if self._in_flight > self._settings.max_connections:
+                raise refuse(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    'Too many requests are under way.',
+                    step='admit',
+                    retry_after_s=1,
+                )
+            return await handler(request)
+        except RefusedError as error:
+            return problem_response(error)
+        except web.HTTPException as error:
+            return problem_response(
+                refuse(HTTPStatus(error.status), error.reason, step='route'),
+            )
+        finally:
+            self._in_flight -= 1
+            self._busy.discard(connection)
+            self._last_request_s[connection] = self._clock.monotonic_s()
+
+    async def _request(self, request: web.Request) -> web.StreamResponse:
+        if self.draining:
+            raise refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'This host is leaving; ask another.',
+                step='admit',
+                retry_after_s=1,
+            )
+        asked = await read_request(
+            request,
+            self._configuration,
+            self._settings,
+        )
+        if asked.wants_job:
+            return _job_response(await self._desk.accept(asked))
+        reply = await self._run_quick(asked)
+        return web.Response(
+            body=reply.body,
+            content_type=reply.content_type,
+            headers={
+                'Request-Id': asked.request_id,
+                'Content-Digest': content_digest(reply.body),
+            },
+        )
+
+    async def _run_quick(self, asked: CallerRequest) -> QuickReply:
+        work = QuickWork(
+            request_id=asked.request_id,
+            workspace=asked.workspace,
+            service=asked.kind.service,
+            kind=asked.kind_name,
+            idempotent=asked.kind.idempotent,
+            body=asked.body,
+            deadline_s=asked.deadline_s,
+        )
+        if asked.key:
+            return await self._keyed.run(asked, work)
+        return await self._router.run(work)
+
+    async def _get_job(self, request: web.Request) -> web.StreamResponse:
+        workspace, _ = authenticate(request, self._configuration)
+        wait_s = _wait_s(request, self._settings.max_wait_s)
+        job = await self._desk.wait(
+            workspace,
+            request.match_info['job'],
+            wait_s,
+        )
+        return web.Response(
+            text=job_body(job),
+            content_type='application/json',
+        )
+
+    async def _get_result(self, request: web.Request) -> web.StreamResponse:
+        workspace, _ = authenticate(request, self._configuration)
+        return await self._desk.result(workspace, request.match_info['job'])
+
+    async def _delete_job(self, request: web.Request) -> web.StreamResponse:
+        workspace, _ = authenticate(request, self._configuration)
+        job = await self._desk.cancel(workspace, request.match_info['job'])
+        return web.Response(
+            status=HTTPStatus.ACCEPTED,
+            text=job_body(job),
+            content_type='application/json',
+        )
+
+    async def _healthy(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(text='healthy\n')
+
+    async def _ready(self, request: web.Request) -> web.StreamResponse:
+        """Say whether the balancer should send callers here."""
+        ready = not self.draining and self._configuration.revision > 0
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        body = {'ready': ready, 'revision': self._configuration.revision}
+        return web.Response(
+            status=status,
+            text=json.dumps(body),
+            content_type='application/json',
+        )
+
+
+def _job_response(job: Job) -> web.Response:
+    return web.Response(
+        status=HTTPStatus.ACCEPTED,
+        text=job_body(job),
+        content_type='application/json',
+        headers={'Location': f'/v1/jobs/{job.job_id}'},
+    )
+
+
+def _wait_s(request: web.Request, longest_s: float) -> float:
+    given = request.query.get('wait_s', '0')
+    try:
+        wait_s = float(given)
+    except ValueError:
+        raise refuse(
+            HTTPStatus.BAD_REQUEST,
+            'wait_s must be a number of seconds.',
+            step='read request',
+        ) from None
+    return max(0.0, min(longest_s, wait_s))
+
+
+__all__ = ('CallerServer',)
--- /dev/null
+++ b/src/curranthill/jobs/lifecycle.py
@@ -0,0 +1,55 @@
+"""Which change of state a job may make, by ``transitions``."""
+
+from functools import cache
+from typing import Final, cast, get_args
+
+from transitions import Machine
+
+from curranthill.errors import CurranthillError
+from curranthill.jobs.records import JobState
+
+_OPEN: Final = ['accepted', 'reserved', 'marked', 'running', 'preempted']
+
+_CHANGES: Final = [
+    ['reserve', 'accepted', 'reserved'],
+    ['give_back', ['reserved', 'marked'], 'accepted'],
+    ['mark', 'reserved', 'marked'],
+    ['start', 'marked', 'running'],
+    ['finish', ['marked', 'running'], 'finished'],
+    ['fail', _OPEN, 'failed'],
+    ['cancel', _OPEN, 'cancelled'],
+    ['preempt', ['marked', 'running'], 'preempted'],
+    ['requeue', ['marked', 'running', 'preempted'], 'accepted'],
+    ['lose', ['marked', 'running'], 'unknown'],
+]
+
+# One machine without a model serves every job: it is asked, never driven.
+_machine: Final = Machine(
+    model=None,
+    states=list(get_args(JobState)),
+    transitions=_CHANGES,
+    initial='accepted',
+    auto_transitions=False,
+)
+
+
+class ForbiddenChangeError(CurranthillError):
+    """A job was asked to make a change that its state does not allow."""
+
+
+@cache
+def next_state(state: JobState, change: str) -> JobState:
+    """Return the state after a change.
+
+    :raises ForbiddenChangeError: if the state does not allow the change.
+    """
+    found = _machine.get_transitions(trigger=change, source=state)
+    if not found:
+        raise ForbiddenChangeError(
+            f'A job that is {state} cannot {change}.',
+            step=change,
+        )
+    return cast(JobState, found[0].dest)
+
+
+__all__ = ('ForbiddenChangeError', 'next_state')
--- /dev/null
+++ b/src/curranthill/jobs/records.py
@@ -0,0 +1,137 @@
+"""The record of one job as the table keeps it."""
+
+from typing import Any, Final, Literal, NamedTuple
+
+from curranthill.configuration.records import Adjacency
+from curranthill.workers.records import AttemptId
+
+#: States of a job; those in ``ENDED`` never change again.
+JobState = Literal[
+    'accepted',
+    'reserved',
+    'marked',
+    'running',
+    'finished',
+    'failed',
+    'cancelled',
+    'preempted',
+    'unknown',
+]
+
+ACCEPTED: Final = 'accepted'
+RESERVED: Final = 'reserved'
+MARKED: Final = 'marked'
+RUNNING: Final = 'running'
+FINISHED: Final = 'finished'
+FAILED: Final = 'failed'
+CANCELLED: Final = 'cancelled'
+PREEMPTED: Final = 'preempted'
+UNKNOWN: Final = 'unknown'
+
+ENDED: Final = frozenset((FINISHED, FAILED, CANCELLED, UNKNOWN))
+
+
+class Member(NamedTuple):
+    """One worker's part of a gang."""
+
+    worker: str
+    address: str
+    slots: int
+
+
+class Job(NamedTuple):
+    """One job.
+
+    :param home: the data centre whose scheduler may run it.
+    :param attempt: the last attempt that was marked; grows only.
+    :param members: where the marked attempt runs.
+    :param body: what the caller sent, as text.
+    :param failed_on: healthy workers on which it has failed.
+    :param checkpoint: where a preempted job goes on from.
+    :param key_row: the row of its idempotency key, if it has one.
+    """
+
+    job_id: str
+    workspace: str
+    kind: str
+    service: str
+    home: str
+    state: JobState
+    slots: int
+    adjacent: Adjacency
+    idempotent: bool
+    checkpointable: bool
+    run_time_s: float
+    accepted_at_s: float
+    revision: int
+    body: str = ''
+    shape: str = ''
+    attempt: int = 0
+    members: tuple[Member, ...] = ()
+    epoch: int = 0
+    holder: str = ''
+    started_at_s: float = 0.0
+    ended_at_s: float = 0.0
+    cancel_requested: bool = False
+    reason: str = ''
+    result_bytes: int = 0
+    failed_on: tuple[str, ...] = ()
+    preemptions: int = 0
+    checkpoint: str = ''
+    key_row: str = ''
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """Return the marked attempt."""
+        return AttemptId(job=self.job_id, attempt=self.attempt)
+
+    @property
+    def preemptible(self) -> bool:
+        """Return whether the job may be stopped and run again."""
+        return self.idempotent
+
+    @property
+    def result_name(self) -> str:
+        """Return the object that holds the marked attempt's result."""
+        return f'results/{self.job_id}/{self.attempt}'
+
+
+def job_document(job: Job) -> dict[str, Any]:
+    """Return a job as the table keeps it."""
+    document = job._asdict()
+    document['members'] = [member._asdict() for member in job.members]
+    document['failed_on'] = list(job.failed_on)
+    return document
+
+
+def job_from(document: dict[str, Any]) -> Job:
+    """Return a job from its row.
+
+    Fields that a newer version added are passed over and those that an older
+    one lacked take their defaults, so two versions may run side by side.
+    """
+    known = {name: document[name] for name in Job._fields if name in document}
+    known['members'] = tuple(
+        Member(**member) for member in document.get('members', ())
+    )
+    known['failed_on'] = tuple(document.get('failed_on', ()))
+    return Job(**known)
+
+
+__all__ = (
+    'ACCEPTED',
+    'CANCELLED',
+    'ENDED',
+    'FAILED',
+    'FINISHED',
+    'MARKED',
+    'PREEMPTED',
+    'RESERVED',
+    'RUNNING',
+    'UNKNOWN',
+    'Job',
+    'JobState',
+    'Member',
+    'job_document',
+    'job_from',
+)
--- /dev/null
+++ b/src/curranthill/membership/__init__.py
@@ -0,0 +1,27 @@
+"""Who is there: views, probes and what they carry."""
+
+from curranthill.membership.node import Node, NodeSettings
+from curranthill.membership.prober import PeerService, Prober
+from curranthill.membership.spread import ConfigurationSpread
+from curranthill.membership.view import (
+    ALIVE,
+    DEAD,
+    LEFT,
+    SUSPECT,
+    Member,
+    View,
+)
+
+__all__ = (
+    'ALIVE',
+    'DEAD',
+    'LEFT',
+    'SUSPECT',
+    'ConfigurationSpread',
+    'Member',
+    'Node',
+    'NodeSettings',
+    'PeerService',
+    'Prober',
+    'View',
+)
--- /dev/null
+++ b/src/curranthill/membership/messages.py
@@ -0,0 +1,26 @@
+"""Members to and from their messages."""
+
+from curranthill.membership.view import Member
+from curranthill.protocol import inner_pb2
+
+
+def to_message(member: Member) -> inner_pb2.Member:
+    """Return a member as a message."""
+    return inner_pb2.Member(**member._asdict())
+
+
+def from_message(message: inner_pb2.Member) -> Member:
+    """Return a member from its message."""
+    return Member(
+        name=message.name,
+        role=message.role,
+        data_centre=message.data_centre,
+        address=message.address,
+        incarnation=message.incarnation,
+        status=message.status,
+        revision=message.revision,
+        leading_epoch=message.leading_epoch,
+    )
+
+
+__all__ = ('from_message', 'to_message')
--- /dev/null
+++ b/src/curranthill/membership/spread.py
@@ -0,0 +1,117 @@
+"""How a process learns of a new configuration: by the table and by peers."""
+
+import json
+
+from loguru import logger
+
+from curranthill.application import Application
+from curranthill.configuration import (
+    ConfigurationHolder,
+    Manifest,
+    RevisionStore,
+    canonical_json,
+)
+from curranthill.errors import (
+    ConfigurationError,
+    PeerError,
+    StorageError,
+)
+from curranthill.membership.view import Member, View
+from curranthill.protocol import Channels, inner_pb2
+from curranthill.protocol.calls import call_fetch_configuration
+
+FETCH_TIMEOUT_S = 3.0
+
+
+class ConfigurationSpread:
+    """Move the holder upwards from whichever source is first.
+
+    :param interval_s: the time between two reads of the table's row.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        *,
+        app: Application,
+        holder: ConfigurationHolder,
+        revisions: RevisionStore,
+        view: View,
+        channels: Channels,
+        interval_s: float,
+    ) -> None:
+        """Listen to the view for higher revisions."""
+        self._app = app
+        self._holder = holder
+        self._revisions = revisions
+        self._view = view
+        self._channels = channels
+        self._interval_s = interval_s
+        self._fetching = False
+        view.listen(self._on_member)
+        holder.listen(self._tell)
+
+    async def start(self) -> None:
+        """Read the table at once, then now and then."""
+        self._app.spawn(self._poll(), name='revision poll')
+
+    def content(self, above_revision: int) -> inner_pb2.ConfigurationContent:
+        """Return what is in force, empty if it is not above the asked one."""
+        holder = self._holder
+        if holder.revision <= above_revision:
+            return inner_pb2.ConfigurationContent()
+        return inner_pb2.ConfigurationContent(
+            revision=holder.revision,
+            manifest_json=json.dumps(holder.manifest._asdict()),
+            merged_json=canonical_json(holder.merged),
+        )
+
+    async def _poll(self) -> None:
+        while True:
+            try:
+                await self._read_table()
+            except (StorageError, ConfigurationError) as error:
+                logger.bind(step=error.step, peer=error.peer).debug(
+                    'the revision row cannot be read: {}',
+                    error.message,
+                )
+            await self._app.clock.sleep(self._interval_s)
+
+    async def _read_table(self) -> None:
+        manifest = await self._revisions.manifest()
+        if manifest.revision > self._holder.revision:
+            merged = await self._revisions.document(manifest)
+            self._holder.move(manifest, merged)
+
+    def _tell(self) -> None:
+        self._view.update_own(revision=self._holder.revision)
+
+    def _on_member(self, member: Member) -> None:
+        behind = member.revision > self._holder.revision
+        if behind and member.answers and not self._fetching:
+            self._fetching = True
+            self._app.spawn(self._fetch(member), name='configuration fetch')
+
+    async def _fetch(self, member: Member) -> None:
+        try:
+            content = await self._channels.call(
+                member.address,
+                call_fetch_configuration,
+                inner_pb2.FetchConfigurationRequest(
+                    above_revision=self._holder.revision,
+                ),
+                FETCH_TIMEOUT_S,
+            )
+        except PeerError as error:
+            logger.bind(step=error.step, peer=error.peer).debug(
+                'a peer gave no configuration: {}',
+                error.message,
+            )
+            return
+        finally:
+            self._fetching = False
+        if content.revision:
+            manifest = Manifest(**json.loads(content.manifest_json))
+            self._holder.move(manifest, json.loads(content.merged_json))
+
+
+__all__ = ('ConfigurationSpread',)
--- /dev/null
+++ b/src/curranthill/protocol/calls.py
@@ -0,0 +1,80 @@
+"""The methods of the inner protocol, as :meth:`Channels.call` takes them."""
+
+from collections.abc import Awaitable, Callable
+
+from grpclib.client import Channel
+
+from curranthill.protocol import inner_pb2
+from curranthill.protocol.inner_grpc import (
+    OperationsStub,
+    PeerStub,
+    SchedulerStub,
+)
+
+
+def call_probe(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.ProbeReply]]:
+    """Pick the probe of a peer."""
+    return PeerStub(channel).Probe
+
+
+def call_relay(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.RelayReply]]:
+    """Pick the relayed probe of a third process."""
+    return PeerStub(channel).Relay
+
+
+def call_fetch_configuration(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.ConfigurationContent]]:
+    """Pick the request for a peer's configuration."""
+    return PeerStub(channel).FetchConfiguration
+
+
+def call_notify(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.NotifyReply]]:
+    """Pick the news of changed jobs."""
+    return SchedulerStub(channel).Notify
+
+
+def call_report(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.Allotment]]:
+    """Pick the report of a gateway's demand."""
+    return SchedulerStub(channel).Report
+
+
+def call_explain(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.ExplainReply]]:
+    """Pick the question why a job waits."""
+    return SchedulerStub(channel).Explain
+
+
+def call_drain(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.DrainReply]]:
+    """Pick the order to place nothing more on a worker."""
+    return SchedulerStub(channel).Drain
+
+
+def call_status(
+    channel: Channel,
+) -> Callable[..., Awaitable[inner_pb2.StatusReply]]:
+    """Pick the question how a process is."""
+    return OperationsStub(channel).Status
+
+
+__all__ = (
+    'call_drain',
+    'call_explain',
+    'call_fetch_configuration',
+    'call_notify',
+    'call_probe',
+    'call_relay',
+    'call_report',
+    'call_status',
+)
--- /dev/null
+++ b/src/curranthill/protocol/server.py
@@ -0,0 +1,47 @@
+"""The server of the inner protocol; a call without the key is refused."""
+
+import hmac
+from collections.abc import Sequence
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from curranthill.protocol.channels import KEY_FIELD
+
+
+class InnerServer:
+    """Serve handlers of the inner protocol.
+
+    :param key: the key that all processes share.
+    :param handlers: generated service bases, implemented.
+    """
+
+    def __init__(self, *, key: str, handlers: Sequence[Any]) -> None:
+        """Keep the handlers; nothing is served yet."""
+        self.port = 0
+        self._key = key
+        self._server = Server(list(handlers))
+        listen(self._server, RecvRequest, self._authenticate)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; port 0 takes a free one, kept in :attr:`port`."""
+        await self._server.start(host, port)
+        # grpclib keeps the asyncio server private and offers no other way.
+        listener: Any = self._server._server  # noqa: SLF001, WPS437
+        self.port = listener.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and end the calls."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _authenticate(self, event: RecvRequest) -> None:
+        given = str(event.metadata.get(KEY_FIELD, ''))
+        if not hmac.compare_digest(given.encode(), self._key.encode()):
+            raise GRPCError(Status.UNAUTHENTICATED, 'wrong key')
+
+
+__all__ = ('InnerServer',)
--- /dev/null
+++ b/src/curranthill/routing/__init__.py
@@ -0,0 +1,22 @@
+"""Choice of worker, limits, fair queues, retries and ejection."""
+
+from curranthill.routing.choice import Choice, choices
+from curranthill.routing.health import Ejection
+from curranthill.routing.pool import AllottedWorker, PooledWorker, WorkerPool
+from curranthill.routing.queue import FairQueue, QueueFullError
+from curranthill.routing.retries import RetryBudget
+from curranthill.routing.router import QuickWork, Router
+
+__all__ = (
+    'AllottedWorker',
+    'Choice',
+    'Ejection',
+    'FairQueue',
+    'PooledWorker',
+    'QueueFullError',
+    'QuickWork',
+    'RetryBudget',
+    'Router',
+    'WorkerPool',
+    'choices',
+)
--- /dev/null
+++ b/src/curranthill/routing/router.py
@@ -0,0 +1,305 @@
+"""The quick lane: from a gateway straight to a worker, and back."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from loguru import logger
+
+from curranthill.clock import Clock
+from curranthill.errors import (
+    FAILED,
+    NOT_RUN,
+    UNKNOWN,
+    Outcome,
+    RefusedError,
+    TaskFailedError,
+    WorkerBusyError,
+    WorkerError,
+    WorkerUnreachableError,
+)
+from curranthill.routing.choice import Choice
+from curranthill.routing.health import Ejection
+from curranthill.routing.pool import PooledWorker, WorkerPool
+from curranthill.routing.queue import FairQueue, QueueFullError
+from curranthill.routing.retries import RetryBudget
+from curranthill.telemetry import metrics
+from curranthill.workers import QuickReply, QuickRequest, Worker
+
+#: How much one new sample moves the mean run time of a kind.
+_SMOOTHING: Final = 0.1
+
+#: The run time that is believed of a kind of which nothing is known.
+_FIRST_RUN_S: Final = 0.01
+
+#: Waits after a worker refused for want of a slot, in seconds.
+_BUSY_WAIT_S: Final = 0.01
+
+_TOO_MANY: Final = 429
+_UNAVAILABLE: Final = 503
+_BAD_GATEWAY: Final = 502
+_GATEWAY_TIMEOUT: Final = 504
+
+
+class QuickWork(NamedTuple):
+    """One request of the quick lane.
+
+    :param deadline_s: seconds that its caller still waits.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    kind: str
+    idempotent: bool
+    body: bytes
+    deadline_s: float
+
+
+class Router:
+    """Choose a worker for each quick request, retry only where it is safe.
+
+    :param worker_at: returns the client of a worker by its address.
+    :param queue_bound: requests that may wait for one workspace.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        *,
+        clock: Clock,
+        pool: WorkerPool,
+        choice: Choice,
+        ejection: Ejection,
+        retries: RetryBudget,
+        worker_at: Callable[[str], Worker],
+        queue_bound: int,
+    ) -> None:
+        """Keep the parts."""
+        self.most_in_flight = 0
+        self.in_flight = 0
+        self._clock = clock
+        self._pool = pool
+        self._choice = choice
+        self._ejection = ejection
+        self._retries = retries
+        self._worker_at = worker_at
+        self._queue = FairQueue(bound=queue_bound, take=self._take)
+        self._run_s: dict[str, float] = {}
+
+    async def run(self, work: QuickWork) -> QuickReply:
+        """Return the worker's whole answer.
+
+        :raises RefusedError: with what is known of the request's effect.
+        """
+        until_s = self._clock.monotonic_s() + work.deadline_s
+        self._admit(work)
+        self._retries.count_request()
+        excluded: frozenset[str] = frozenset()
+        while True:
+            worker = await self._acquire(work, excluded, until_s)
+            try:
+                return await self._send(work, worker, until_s)
+            except WorkerError as error:
+                self._judge(work, worker, error)
+                await self._allow_retry(work, error, until_s)
+                if not isinstance(error, WorkerBusyError):
+                    excluded |= {worker.name}
+            finally:
+                worker.in_flight -= 1
+                self.in_flight -= 1
+                self._queue.serve()
+
+    def take_peak(self) -> int:
+        """Return the most that were in flight or waiting since last asked."""
+        peak = max(self.most_in_flight, self.in_flight + len(self._queue))
+        self.most_in_flight = self.in_flight
+        return peak
+
+    def serve(self) -> None:
+        """Look again for free slots, after the pool has changed."""
+        self._queue.serve()
+
+    def _admit(self, work: QuickWork) -> None:
+        """Refuse at once what cannot be done before its deadline."""
+        run_s = self._run_s.get(work.kind, _FIRST_RUN_S)
+        ahead = self._queue.ahead_of(work.workspace)
+        capacity = self._pool.capacity
+        if capacity == 0:
+            return
+        wait_s = (ahead / capacity) * run_s
+        if ahead and wait_s + run_s > work.deadline_s:
+            raise self._refusal(
+                work,
+                'The deadline cannot be met: too much waits ahead.',
+                status=_TOO_MANY,
+                retry_after_s=wait_s,
+            )
+
+    async def _acquire(
+        self,
+        work: QuickWork,
+        excluded: frozenset[str],
+        until_s: float,
+    ) -> PooledWorker:
+        left_s = until_s - self._clock.monotonic_s()
+        try:
+            async with asyncio.timeout(max(0, left_s)):
+                return await self._queue.acquire(work.workspace, excluded)
+        except QueueFullError:
+            raise self._refusal(
+                work,
+                'Too many requests of this workspace wait already.',
+                status=_TOO_MANY,
+                retry_after_s=self._run_s.get(work.kind, _FIRST_RUN_S),
+            ) from None
+        except TimeoutError:
+            raise self._refusal(
+                work,
+                'No worker had a free slot before the deadline.',
+                status=_UNAVAILABLE,
+                retry_after_s=1,
+            ) from None
+
+    def _take(self, excluded: frozenset[str]) -> PooledWorker | None:
+        """Take a slot on the chosen candidate, if there is one."""
+        candidates = [
+            worker
+            for worker in self._pool.candidates(excluded)
+            if not self._ejection.ejected(worker.name)
+            and worker.in_flight < self._slow_limit(worker)
+        ]
+        if not candidates:
+            return None
+        worker = self._choice(candidates)
+        worker.in_flight += 1
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        return worker
+
+    def _slow_limit(self, worker: PooledWorker) -> int:
+        part = self._ejection.part(worker.name)
+        return max(1, int(worker.limit * part))
+
+    async def _send(
+        self,
+        work: QuickWork,
+        worker: PooledWorker,
+        until_s: float,
+    ) -> QuickReply:
+        begun_s = self._clock.monotonic_s()
+        logger.bind(
+            request=work.request_id,
+            workspace=work.workspace,
+            step='route',
+            peer=worker.name,
+        ).debug(
+            '{} goes to {}: {} of {} in flight, {} free',
+            work.kind,
+            worker.name,
+            worker.in_flight,
+            worker.limit,
+            worker.free_slots,
+        )
+        reply = await self._worker_at(worker.address).quick(
+            QuickRequest(
+                request_id=work.request_id,
+                service=work.service,
+                kind=work.kind,
+                body=work.body,
+                deadline_s=max(0.001, until_s - begun_s),
+            ),
+        )
+        self._learn(work, worker, reply, begun_s)
+        return reply
+
+    def _learn(
+        self,
+        work: QuickWork,
+        worker: PooledWorker,
+        reply: QuickReply,
+        begun_s: float,
+    ) -> None:
+        took_s = self._clock.monotonic_s() - begun_s
+        worker.free_slots = reply.free_slots
+        known_s = self._run_s.get(work.kind, took_s)
+        self._run_s[work.kind] = known_s + _SMOOTHING * (took_s - known_s)
+        self._ejection.record(worker.name, work.kind, failed=False)
+        metrics.quick_latency_s.record(took_s)
+
+    def _judge(
+        self,
+        work: QuickWork,
+        worker: PooledWorker,
+        error: WorkerError,
+    ) -> None:
+        if isinstance(error, WorkerBusyError):
+            worker.free_slots = 0
+            return
+        if self._ejection.record(worker.name, work.kind, failed=True):
+            logger.bind(step='health', peer=worker.name).warning(
+                '{} is ejected: it fails what its peers do well',
+                worker.name,
+            )
+
+    async def _allow_retry(
+        self,
+        work: QuickWork,
+        error: WorkerError,
+        until_s: float,
+    ) -> None:
+        """Return if the request may go to another worker, else refuse it."""
+        outcome = _outcome(error)
+        in_time = self._clock.monotonic_s() < until_s
+        if isinstance(error, WorkerBusyError) and in_time:
+            await self._clock.sleep(_BUSY_WAIT_S)
+            return
+        safe = outcome == NOT_RUN or (work.idempotent and outcome == UNKNOWN)
+        if safe and in_time and self._retries.take():
+            metrics.retries.add(1)
+            return
+        status = _GATEWAY_TIMEOUT if outcome == UNKNOWN else _BAD_GATEWAY
+        raise self._refusal(
+            work,
+            error.message,
+            status=_UNAVAILABLE if outcome == NOT_RUN else status,
+            peer=error.peer,
+            outcome=outcome,
+            retry_after_s=1 if outcome == NOT_RUN else None,
+        ) from error
+
+    def _refusal(  # noqa: WPS211
+        self,
+        work: QuickWork,
+        message: str,
+        *,
+        status: int,
+        peer: str = '',
+        outcome: Outcome = NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> RefusedError:
+        metrics.refusals.add(1)
+        logger.bind(
+            request=work.request_id,
+            workspace=work.workspace,
+            step='route',
+            peer=peer,
+        ).info('{} is refused as {}: {}', work.kind, outcome, message)
+        return RefusedError(
+            message,
+            step='route',
+            peer=peer,
+            status=status,
+            outcome=outcome,
+            retry_after_s=retry_after_s,
+        )
+
+
+def _outcome(error: WorkerError) -> Outcome:
+    if isinstance(error, TaskFailedError):
+        return FAILED
+    if isinstance(error, (WorkerBusyError, WorkerUnreachableError)):
+        return NOT_RUN
+    return UNKNOWN
+
+
+__all__ = ('QuickWork', 'Router')
--- /dev/null
+++ b/src/curranthill/scheduler/board.py
@@ -0,0 +1,232 @@
+"""All that a placement policy sees and changes."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from curranthill.jobs import Job, Member
+from curranthill.scheduler.cluster import Allocation, Cluster
+from curranthill.scheduler.estimates import Estimates
+from curranthill.scheduler.guarantees import GuaranteePlan, Unit
+
+
+class Waiting(NamedTuple):
+    """A job that waits for a place.
+
+    :param since_s: monotonic seconds at which it began to wait.
+    """
+
+    job: Job
+    since_s: float
+
+
+class ShapeKey(NamedTuple):
+    """What makes two waiting jobs of a workspace equal to placement."""
+
+    workspace: str
+    shape: str
+    slots: int
+    adjacent: str
+    preemptible: bool
+
+
+@dataclass(kw_only=True)
+class Placed:
+    """A job that holds a place."""
+
+    job: Job
+    members: tuple[Member, ...]
+    hard: bool
+    guaranteed: bool
+    since_s: float
+    expected_end_s: float
+
+    def lost_work_s(self, now_s: float) -> float:
+        """Return the slot-seconds that stopping it now would lose."""
+        if self.job.checkpointable:
+            return 0
+        return self.job.slots * (now_s - self.since_s)
+
+
+class Decision(NamedTuple):
+    """One placement, with the victims that must stop before it."""
+
+    job: Job
+    members: tuple[Member, ...]
+    victims: tuple[str, ...]
+    guaranteed: bool
+    reason: str
+
+
+class Queue:
+    """Waiting jobs by workspace and shape, oldest first."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lines: dict[ShapeKey, deque[Waiting]] = {}
+        self._keys: dict[str, ShapeKey] = {}
+
+    def __len__(self) -> int:
+        """Return how many jobs wait."""
+        return len(self._keys)
+
+    def __contains__(self, job_id: str) -> bool:
+        """Return whether a job waits."""
+        return job_id in self._keys
+
+    def add(self, waiting: Waiting) -> None:
+        """Let a job wait; one that has waited longer goes before."""
+        key = shape_key(waiting.job)
+        self._keys[waiting.job.job_id] = key
+        line = self._lines.setdefault(key, deque())
+        if line and waiting.since_s < line[0].since_s:
+            line.appendleft(waiting)
+        else:
+            line.append(waiting)
+
+    def remove(self, job_id: str) -> Waiting | None:
+        """Take a job out, wherever it stands."""
+        key = self._keys.pop(job_id, None)
+        if key is None:
+            return None
+        line = self._lines[key]
+        waiting = next(one for one in line if one.job.job_id == job_id)
+        line.remove(waiting)
+        if not line:
+            self._lines.pop(key)
+        return waiting
+
+    def heads(self) -> list[tuple[ShapeKey, Waiting]]:
+        """Return the oldest job of each workspace and shape."""
+        return [(key, line[0]) for key, line in self._lines.items()]
+
+    def head(self, key: ShapeKey) -> Waiting | None:
+        """Return the oldest job of one line."""
+        line = self._lines.get(key)
+        return line[0] if line else None
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Yield all waiting jobs."""
+        for line in self._lines.values():
+            yield from line
+
+
+class Board:
+    """The cluster, the promises, the queue and what is placed.
+
+    Every change goes through :meth:`place`, :meth:`adopt` and
+    :meth:`release`, so that the counts always agree.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.cluster = Cluster()
+        self.plan = GuaranteePlan(cluster=self.cluster)
+        self.queue = Queue()
+        self.estimates = Estimates()
+        self.placed: dict[str, Placed] = {}
+        #: Slots that each workspace holds beyond its guarantees.
+        self.borrowed: dict[str, int] = {}
+        self.weights: dict[str, float] = {}
+        self.may_borrow: dict[str, bool] = {}
+
+    def place(  # noqa: WPS211
+        self,
+        waiting: Waiting,
+        members: tuple[Member, ...],
+        *,
+        hard: bool,
+        now_s: float,
+        reason: str,
+        unit: Unit | None = None,
+        victims: Iterable[str] = (),
+    ) -> Decision:
+        """Give a waiting job a place; its victims lose theirs."""
+        stopped = tuple(victims)
+        for victim in stopped:
+            self.release(victim)
+        job = waiting.job
+        self.queue.remove(job.job_id)
+        if unit is not None:
+            self.plan.use(unit, job.job_id)
+        self._hold(job, members, hard=hard, unit=unit, now_s=now_s)
+        return Decision(
+            job=job,
+            members=members,
+            victims=stopped,
+            guaranteed=unit is not None,
+            reason=reason,
+        )
+
+    def adopt(self, job: Job, now_s: float) -> None:
+        """Count a job that already holds its place."""
+        unit = self.plan.free_unit(job.workspace, job.shape)
+        if unit is not None:
+            self.plan.use(unit, job.job_id)
+        hard = unit is not None or not job.preemptible
+        self._hold(job, job.members, hard=hard, unit=unit, now_s=now_s)
+        self.plan.repair()
+
+    def release(self, job_id: str) -> Placed | None:
+        """Take a job's place away; one without a place is no error."""
+        placed = self.placed.pop(job_id, None)
+        if placed is None:
+            return None
+        self.cluster.release(job_id)
+        if placed.guaranteed:
+            self.plan.give_back(job_id, placed.members)
+        else:
+            self.borrowed[placed.job.workspace] -= placed.job.slots
+        return placed
+
+    def _hold(
+        self,
+        job: Job,
+        members: tuple[Member, ...],
+        *,
+        hard: bool,
+        unit: Unit | None,
+        now_s: float,
+    ) -> None:
+        self.cluster.allocate(
+            Allocation(job_id=job.job_id, members=members, hard=hard),
+        )
+        if unit is None:
+            held = self.borrowed.get(job.workspace, 0)
+            self.borrowed[job.workspace] = held + job.slots
+        run_s = self.estimates.run_time_s(
+            job.workspace,
+            job.kind,
+            job.run_time_s,
+        )
+        self.placed[job.job_id] = Placed(
+            job=job,
+            members=members,
+            hard=hard,
+            guaranteed=unit is not None,
+            since_s=now_s,
+            expected_end_s=now_s + run_s,
+        )
+
+
+def shape_key(job: Job) -> ShapeKey:
+    """Return what placement tells jobs of a workspace apart by."""
+    return ShapeKey(
+        workspace=job.workspace,
+        shape=job.shape,
+        slots=job.slots,
+        adjacent=job.adjacent,
+        preemptible=job.preemptible,
+    )
+
+
+__all__ = (
+    'Board',
+    'Decision',
+    'Placed',
+    'Queue',
+    'ShapeKey',
+    'Waiting',
+    'shape_key',
+)
--- /dev/null
+++ b/src/curranthill/scheduler/cluster.py
@@ -0,0 +1,129 @@
+"""The workers of one data centre and how much of each is spoken for.
+
+Three counts a worker say all that placement needs. *Hard* slots hold work
+that may not be stopped, *soft* slots hold work that may be, *planned* slots
+are where guarantees that are not in use would be restored. As long as hard,
+planned and quick slots fit together on each worker, every guarantee can be
+restored now.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Literal, NamedTuple
+
+from curranthill.jobs import Member
+
+#: What a search may use: slots that are free now; slots that hard work may
+#: take without breaking a promise; or those that are both.
+Room = Literal['free', 'open', 'both']
+
+
+@dataclass(kw_only=True)
+class WorkerState:
+    """One worker's slots and what holds them."""
+
+    name: str
+    address: str
+    rack: str
+    slots: int
+    usable: bool = True
+    hard: int = 0
+    soft: int = 0
+    planned: int = 0
+    quick: int = 0
+    jobs: set[str] = field(default_factory=set)
+
+    @property
+    def free(self) -> int:
+        """Return the slots that nothing holds now."""
+        if not self.usable:
+            return 0
+        return max(0, self.slots - self.hard - self.soft - self.quick)
+
+    @property
+    def open(self) -> int:
+        """Return the slots that hard work may take and keep."""
+        if not self.usable:
+            return 0
+        return max(0, self.slots - self.hard - self.planned - self.quick)
+
+    def room(self, room: Room) -> int:
+        """Return the slots that a search of this sort may use."""
+        if room == 'free':
+            return self.free
+        if room == 'open':
+            return self.open
+        return min(self.free, self.open)
+
+
+class Allocation(NamedTuple):
+    """Slots that one job holds.
+
+    :param hard: whether the job may not be stopped for another.
+    """
+
+    job_id: str
+    members: tuple[Member, ...]
+    hard: bool
+
+
+class Cluster:
+    """The workers of a data centre by rack, and who holds what."""
+
+    def __init__(self) -> None:
+        """Start with no worker."""
+        self.workers: dict[str, WorkerState] = {}
+        self.racks: dict[str, list[WorkerState]] = {}
+        self.allocations: dict[str, Allocation] = {}
+
+    def add(self, worker: WorkerState) -> None:
+        """Add a worker."""
+        self.workers[worker.name] = worker
+        self.racks.setdefault(worker.rack, []).append(worker)
+
+    def remove(self, name: str) -> None:
+        """Forget a worker that is gone for good."""
+        worker = self.workers.pop(name)
+        self.racks[worker.rack].remove(worker)
+        if not self.racks[worker.rack]:
+            self.racks.pop(worker.rack)
+
+    def allocate(self, allocation: Allocation) -> None:
+        """Let a job hold slots."""
+        self.allocations[allocation.job_id] = allocation
+        for worker, slots in self._parts(allocation.members):
+            worker.jobs.add(allocation.job_id)
+            if allocation.hard:
+                worker.hard += slots
+            else:
+                worker.soft += slots
+
+    def release(self, job_id: str) -> Allocation | None:
+        """Take a job's slots back; a job that holds none is no error."""
+        allocation = self.allocations.pop(job_id, None)
+        if allocation is None:
+            return None
+        for worker, slots in self._parts(allocation.members):
+            worker.jobs.discard(job_id)
+            if allocation.hard:
+                worker.hard -= slots
+            else:
+                worker.soft -= slots
+        return allocation
+
+    def plan(self, members: Iterable[Member], sign: int = 1) -> None:
+        """Plan slots for a guarantee, or with sign -1 take the plan back."""
+        for worker, slots in self._parts(members):
+            worker.planned += sign * slots
+
+    def _parts(
+        self,
+        members: Iterable[Member],
+    ) -> Iterator[tuple[WorkerState, int]]:
+        for member in members:
+            worker = self.workers.get(member.worker)
+            if worker is not None:
+                yield worker, member.slots
+
+
+__all__ = ('Allocation', 'Cluster', 'Room', 'WorkerState')
--- /dev/null
+++ b/src/curranthill/scheduler/context.py
@@ -0,0 +1,29 @@
+"""What the parts of a scheduler share."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from curranthill.clock import Clock
+from curranthill.jobs import JobStore
+from curranthill.scheduler.election import Election
+from curranthill.settings import LeaseSettings, PlacementSettings
+from curranthill.storage import ObjectStore
+from curranthill.workers import Worker
+
+
+class Context(NamedTuple):
+    """The interfaces and settings that gangs and watches work with.
+
+    :param worker_at: returns the client of a worker by its address.
+    """
+
+    clock: Clock
+    store: JobStore
+    objects: ObjectStore
+    election: Election
+    worker_at: Callable[[str], Worker]
+    leases: LeaseSettings
+    placement: PlacementSettings
+
+
+__all__ = ('Context',)
--- /dev/null
+++ b/src/curranthill/scheduler/estimates.py
@@ -0,0 +1,57 @@
+"""Run times learnt from what jobs of a kind took against what they declared."""
+
+from collections import OrderedDict, deque
+from typing import Final
+
+#: Ratios kept for each workspace and kind.
+SAMPLES: Final = 64
+
+#: Pairs of workspace and kind that are remembered; the least recent go.
+PAIRS: Final = 4096
+
+#: The quantile that an estimate is taken from: few run longer than it says.
+QUANTILE: Final = 0.8
+
+
+class Estimates:
+    """Quantiles of actual over declared run time, in bounded memory."""
+
+    def __init__(self) -> None:
+        """Start with nothing learnt: declared times are believed."""
+        self._ratios: OrderedDict[tuple[str, str], deque[float]]
+        self._ratios = OrderedDict()
+
+    def learn(
+        self,
+        workspace: str,
+        kind: str,
+        *,
+        declared_s: float,
+        actual_s: float,
+    ) -> None:
+        """Take in one finished run."""
+        if declared_s <= 0:
+            return
+        pair = (workspace, kind)
+        ratios = self._ratios.setdefault(pair, deque(maxlen=SAMPLES))
+        self._ratios.move_to_end(pair)
+        ratios.append(actual_s / declared_s)
+        if len(self._ratios) > PAIRS:
+            self._ratios.popitem(last=False)
+
+    def run_time_s(
+        self,
+        workspace: str,
+        kind: str,
+        declared_s: float,
+    ) -> float:
+        """Return how long a run is expected to take at the most, mostly."""
+        ratios = self._ratios.get((workspace, kind))
+        if not ratios:
+            return declared_s
+        ordered = sorted(ratios)
+        place = min(len(ordered) - 1, int(len(ordered) * QUANTILE))
+        return declared_s * ordered[place]
+
+
+__all__ = ('Estimates',)
--- /dev/null
+++ b/src/curranthill/scheduler/fifo.py
@@ -0,0 +1,70 @@
+"""The baselines: first come, first served, into the first place that fits."""
+
+from curranthill.scheduler.board import Board, Decision, Waiting
+from curranthill.scheduler.policies import Policy, policies
+from curranthill.scheduler.search import first_fit
+
+
+class FifoFirstFit:
+    """Strict order of arrival; nobody is stopped for anybody.
+
+    :param skipping: let later jobs pass one that does not fit.
+    """
+
+    def __init__(self, *, skipping: bool = False) -> None:
+        """Choose whether the head of the queue blocks the rest."""
+        self._skipping = skipping
+
+    def decide(self, board: Board, now_s: float) -> list[Decision]:
+        """Place jobs in order of arrival."""
+        decisions: list[Decision] = []
+        failed: set[tuple[int, str]] = set()
+        for waiting in sorted(board.queue, key=_arrival):
+            job = waiting.job
+            if (job.slots, job.adjacent) in failed:
+                continue
+            members = first_fit(board.cluster, job.slots, job.adjacent)
+            if members is None:
+                if not self._skipping:
+                    break
+                failed.add((job.slots, job.adjacent))
+                continue
+            decisions.append(
+                board.place(
+                    waiting,
+                    members,
+                    hard=True,
+                    now_s=now_s,
+                    reason='first fit',
+                ),
+            )
+        return decisions
+
+    def explain(self, board: Board, job_id: str, now_s: float) -> list[str]:
+        """Say how many jobs stand before this one."""
+        order = sorted(board.queue, key=_arrival)
+        ahead = 0
+        for waiting in order:
+            if waiting.job.job_id == job_id:
+                return [f'{ahead} jobs arrived before it.']
+            ahead += 1
+        return []
+
+
+@policies.register('fifo_first_fit')
+def fifo_first_fit(preemptions: int) -> Policy:
+    """Return the baseline in which the first in line blocks the rest."""
+    return FifoFirstFit()
+
+
+@policies.register('fifo_skipping')
+def fifo_skipping(preemptions: int) -> Policy:
+    """Return the baseline in which later jobs may pass."""
+    return FifoFirstFit(skipping=True)
+
+
+def _arrival(waiting: Waiting) -> float:
+    return waiting.since_s
+
+
+__all__ = ('FifoFirstFit', 'fifo_first_fit', 'fifo_skipping')
--- /dev/null
+++ b/src/curranthill/scheduler/guarantees.py
@@ -0,0 +1,239 @@
+"""A place kept in mind for each guarantee that is not in use.
+
+The plan costs nothing while it stands: its slots are lent to work that may
+be stopped. It is what makes "every guarantee could be restored now" a sum
+on each worker instead of a search at each decision.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from loguru import logger
+
+from curranthill.configuration import Adjacency, ConfigurationDocument
+from curranthill.jobs import Member
+from curranthill.scheduler.cluster import Cluster
+from curranthill.scheduler.search import find_place
+from curranthill.telemetry import metrics
+
+
+class UnitId(NamedTuple):
+    """One guaranteed shape of one workspace."""
+
+    workspace: str
+    shape: str
+    index: int
+
+
+@dataclass(kw_only=True)
+class Unit:
+    """One guaranteed shape: planned, in use, or at risk."""
+
+    unit_id: UnitId
+    slots: int
+    adjacent: Adjacency
+    planned: tuple[Member, ...] = ()
+    job_id: str = ''
+
+    @property
+    def at_risk(self) -> bool:
+        """Return whether there is no place to restore it now."""
+        return not self.planned and not self.job_id
+
+
+class GuaranteePlan:
+    """Keep a place for each guarantee of a data centre.
+
+    :param cluster: where the plan's slots are counted.
+    """
+
+    def __init__(self, *, cluster: Cluster) -> None:
+        """Start with no promise."""
+        self._cluster = cluster
+        self._units: dict[UnitId, Unit] = {}
+        self._by_job: dict[str, UnitId] = {}
+
+    def __iter__(self) -> Iterator[Unit]:
+        """Yield all units."""
+        return iter(self._units.values())
+
+    def configure(
+        self,
+        document: ConfigurationDocument,
+        data_centre: str,
+    ) -> None:
+        """Take over the promises of a configuration."""
+        wanted = dict(_wanted_units(document, data_centre))
+        for unit_id in list(self._units):
+            if unit_id not in wanted or self._resized(wanted[unit_id]):
+                self._drop(unit_id)
+        for unit_id, unit in wanted.items():
+            self._units.setdefault(unit_id, unit)
+        self.repair()
+
+    def free_unit(self, workspace: str, shape: str) -> Unit | None:
+        """Return a unit of a workspace and shape that is not in use."""
+        for unit in self._units.values():
+            owner, name, _ = unit.unit_id
+            if (owner, name) == (workspace, shape) and not unit.job_id:
+                return unit
+        return None
+
+    def use(self, unit: Unit, job_id: str) -> None:
+        """Let a job use a unit; the plan's slots are its own from now on."""
+        self._unplan(unit)
+        unit.job_id = job_id
+        self._by_job[job_id] = unit.unit_id
+
+    def give_back(self, job_id: str, members: Iterable[Member]) -> None:
+        """Plan a unit where the job that used it was."""
+        unit = self._units.get(self._by_job.pop(job_id, UnitId('', '', 0)))
+        if unit is None:
+            return
+        unit.job_id = ''
+        members = tuple(members)
+        if self._fits(members):
+            self._set_plan(unit, members)
+        else:
+            self.repair()
+
+    def make_way(self, members: Iterable[Member]) -> bool:
+        """Move plans so that hard work may take ``members``.
+
+        Returns whether that could be done; if not, nothing is changed. The
+        slots count as hard for the search and are given back after it.
+        """
+        wanted = tuple(members)
+        displaced = self._displaced(wanted)
+        before = [(unit, unit.planned) for unit in displaced]
+        for unit in displaced:
+            self._unplan(unit)
+        fits = self._fits(wanted)
+        if fits:
+            self._cluster.plan(wanted)
+            fits = all(self._replan(unit) for unit in _largest_first(displaced))
+            self._cluster.plan(wanted, -1)
+        if not fits:
+            for unit, planned in before:
+                self._unplan(unit)
+            for unit, planned in before:
+                self._set_plan(unit, planned)
+        return fits
+
+    def repair(self) -> None:
+        """Find places again where the plan no longer fits the workers.
+
+        Where not all fit, the larger shapes are planned first and the rest
+        are at risk until capacity comes back.
+        """
+        for worker in self._cluster.workers.values():
+            kept = worker.hard + worker.planned + worker.quick
+            if worker.usable and kept <= worker.slots:
+                continue
+            for unit in self._planned_on(worker.name):
+                self._unplan(unit)
+        missing = [unit for unit in self if unit.at_risk]
+        for unit in _largest_first(missing):
+            if not self._replan(unit):
+                logger.bind(
+                    step='guarantee', workspace=unit.unit_id[0]
+                ).warning(
+                    'no place to restore {}: it is at risk',
+                    unit.unit_id,
+                )
+        at_risk = sum(1 for unit in self if unit.at_risk)
+        metrics.guarantees_at_risk.set(at_risk)
+
+    def unplan_for_search(self, unit: Unit) -> tuple[Member, ...]:
+        """Take a unit's plan away for a search; return it."""
+        planned = unit.planned
+        self._unplan(unit)
+        return planned
+
+    def put_back(self, unit: Unit, planned: tuple[Member, ...]) -> None:
+        """Undo :meth:`unplan_for_search`."""
+        self._set_plan(unit, planned)
+
+    def _resized(self, wanted: Unit) -> bool:
+        unit = self._units[wanted.unit_id]
+        return (unit.slots, unit.adjacent) != (wanted.slots, wanted.adjacent)
+
+    def _drop(self, unit_id: UnitId) -> None:
+        unit = self._units.pop(unit_id)
+        self._unplan(unit)
+        self._by_job.pop(unit.job_id, None)
+
+    def _displaced(self, members: tuple[Member, ...]) -> list[Unit]:
+        names = {
+            member.worker
+            for member in members
+            if self._cluster.workers[member.worker].open < member.slots
+        }
+        return [
+            unit
+            for unit in self
+            if any(part.worker in names for part in unit.planned)
+        ]
+
+    def _planned_on(self, worker: str) -> list[Unit]:
+        return [
+            unit
+            for unit in self
+            if any(part.worker == worker for part in unit.planned)
+        ]
+
+    def _fits(self, members: tuple[Member, ...]) -> bool:
+        workers = self._cluster.workers
+        return all(
+            member.worker in workers
+            and workers[member.worker].open >= member.slots
+            for member in members
+        )
+
+    def _replan(self, unit: Unit) -> bool:
+        place = find_place(self._cluster, unit.slots, unit.adjacent, 'open')
+        if place is None:
+            return False
+        self._set_plan(unit, place)
+        return True
+
+    def _set_plan(self, unit: Unit, members: tuple[Member, ...]) -> None:
+        self._unplan(unit)
+        unit.planned = members
+        self._cluster.plan(members)
+
+    def _unplan(self, unit: Unit) -> None:
+        self._cluster.plan(unit.planned, -1)
+        unit.planned = ()
+
+
+def _wanted_units(
+    document: ConfigurationDocument,
+    data_centre: str,
+) -> Iterator[tuple[UnitId, Unit]]:
+    for name, workspace in document.workspaces.items():
+        counts: dict[str, int] = {}
+        for guarantee in workspace.guarantees:
+            if guarantee.data_centre == data_centre:
+                counts.setdefault(guarantee.shape, 0)
+                counts[guarantee.shape] += guarantee.count
+        for shape_name, count in counts.items():
+            shape = document.shapes[shape_name]
+            for index in range(count):
+                unit_id = UnitId(name, shape_name, index)
+                yield (
+                    unit_id,
+                    Unit(
+                        unit_id=unit_id,
+                        slots=shape.accelerators,
+                        adjacent=shape.adjacent,
+                    ),
+                )
+
+
+def _largest_first(units: Iterable[Unit]) -> list[Unit]:
+    return sorted(units, key=lambda unit: (-unit.slots, unit.unit_id))
+
+
+__all__ = ('GuaranteePlan', 'Unit', 'UnitId')
--- /dev/null
+++ b/src/curranthill/scheduler/health.py
@@ -0,0 +1,45 @@
+"""Workers on which different jobs fail are quarantined, then probed."""
+
+from curranthill.clock import Clock
+from curranthill.settings import PlacementSettings
+
+
+class WorkerHealth:
+    """Judge workers by the different jobs that failed on them in a row."""
+
+    def __init__(self, *, clock: Clock, settings: PlacementSettings) -> None:
+        """Start with every worker trusted."""
+        self._clock = clock
+        self._settings = settings
+        self._failed: dict[str, set[str]] = {}
+        self._until_s: dict[str, float] = {}
+
+    def failed(self, worker: str, job_id: str) -> bool:
+        """Count a failure; return whether the worker is now quarantined.
+
+        A worker that was let back in is on probation: one failure is enough.
+        """
+        jobs = self._failed.setdefault(worker, set())
+        jobs.add(job_id)
+        enough = self._settings.quarantine_failures
+        on_probation = worker in self._until_s
+        if len(jobs) < enough and not on_probation:
+            return False
+        self._until_s[worker] = (
+            self._clock.monotonic_s() + self._settings.quarantine_s
+        )
+        return True
+
+    def succeeded(self, worker: str) -> None:
+        """Trust a worker again."""
+        self._failed.pop(worker, None)
+        if not self.quarantined(worker):
+            self._until_s.pop(worker, None)
+
+    def quarantined(self, worker: str) -> bool:
+        """Return whether a worker gets no work now."""
+        until_s = self._until_s.get(worker, 0)
+        return self._clock.monotonic_s() < until_s
+
+
+__all__ = ('WorkerHealth',)
--- /dev/null
+++ b/src/curranthill/scheduler/leader.py
@@ -0,0 +1,146 @@
+"""Stand for election, and run one term after another."""
+
+import asyncio
+
+from loguru import logger
+
+from curranthill.application import Application
+from curranthill.configuration import ConfigurationHolder
+from curranthill.errors import FencedError, StorageError
+from curranthill.membership import View
+from curranthill.scheduler.context import Context
+from curranthill.scheduler.policies import policies
+from curranthill.scheduler.recovery import Recovered, recover
+from curranthill.scheduler.term import Term
+from curranthill.storage import HostDirectory
+from curranthill.telemetry import metrics
+
+
+class Leader:
+    """One scheduler's leadership of its data centre.
+
+    :param view: told of the epoch, so that peers find the active scheduler.
+    """
+
+    def __init__(  # noqa: WPS211
+        self,
+        *,
+        app: Application,
+        context: Context,
+        data_centre: str,
+        directory: HostDirectory,
+        configuration: ConfigurationHolder,
+        view: View,
+    ) -> None:
+        """Start as a standby."""
+        self.term: Term | None = None
+        self.recovered: Recovered | None = None
+        self._app = app
+        self._context = context
+        self._data_centre = data_centre
+        self._directory = directory
+        self._configuration = configuration
+        self._view = view
+        self._beginning: asyncio.Task[None] | None = None
+        self._seen_epoch = 0
+        directory.listen(self._workers_changed)
+        configuration.listen(self._configured)
+
+    async def start(self) -> None:
+        """Stand for election from now on."""
+        self._app.spawn(self._run(), name='election')
+        self._app.spawn(self._scan(), name='scan of open jobs')
+
+    async def stop(self) -> None:
+        """End the term and give the lease up; members run on."""
+        await self._end_term()
+        await self._context.election.resign()
+
+    async def _run(self) -> None:
+        election = self._context.election
+        while True:
+            await election.advance(self._seen_epoch)
+            if election.leading and self._beginning is None:
+                self._beginning = self._app.spawn(
+                    self._begin_term(),
+                    name='takeover',
+                )
+            elif not election.leading and self._beginning is not None:
+                await self._end_term()
+            await self._app.clock.sleep(election.interval_s())
+
+    async def _begin_term(self) -> None:
+        election = self._context.election
+        metrics.takeovers.add(1)
+        while election.leading:
+            term = self._new_term()
+            try:
+                self.recovered = await recover(
+                    term,
+                    self._context,
+                    self._directory.workers(self._data_centre),
+                    self._data_centre,
+                )
+            except FencedError as error:
+                await term.close()
+                self._seen_epoch = max(self._seen_epoch, error.seen_epoch)
+                await election.resign()
+                return
+            except StorageError as error:
+                await term.close()
+                logger.bind(step=error.step, peer=error.peer).warning(
+                    'the open jobs cannot be read yet: {}',
+                    error.message,
+                )
+                await self._app.clock.sleep(1)
+                continue
+            self.term = term
+            term.begin()
+            self._view.update_own(leading_epoch=election.token.epoch)
+            return
+
+    async def _end_term(self) -> None:
+        if self._beginning is not None:
+            self._beginning.cancel()
+            self._beginning = None
+        if self.term is not None:
+            await self.term.close()
+            self.term = None
+            self._view.update_own(leading_epoch=0)
+
+    def _new_term(self) -> Term:
+        placement = self._context.placement
+        return Term(
+            context=self._context,
+            policy=policies.get(placement.policy)(placement.preemptions),
+            data_centre=self._data_centre,
+            directory=self._directory,
+            configuration=self._configuration,
+        )
+
+    def _workers_changed(self) -> None:
+        if self.term is not None:
+            self.term.update_workers()
+
+    def _configured(self) -> None:
+        if self.term is not None:
+            self.term.configure()
+
+    async def _scan(self) -> None:
+        """Look for jobs whose notification was lost, and delete old ones."""
+        interval_s = self._context.placement.scan_interval_s
+        while True:
+            await self._app.clock.sleep(interval_s)
+            if self.term is None:
+                continue
+            try:
+                await self.term.scan()
+                await self._context.store.delete_expired(100)
+            except StorageError as error:
+                logger.bind(step=error.step).debug(
+                    'the scan is put off: {}',
+                    error.message,
+                )
+
+
+__all__ = ('Leader',)
--- /dev/null
+++ b/src/curranthill/scheduler/quick.py
@@ -0,0 +1,216 @@
+"""Slots kept for quick work, and each gateway's share of connections."""
+
+import math
+from typing import Final, NamedTuple
+
+from curranthill.clock import Clock
+from curranthill.scheduler.board import Board
+from curranthill.scheduler.cluster import WorkerState
+from curranthill.scheduler.victims import choose_victims
+from curranthill.jobs import Member
+
+#: Slots kept for each request that was in flight at the peak.
+HEADROOM: Final = 1.25
+
+#: How long a peak is remembered, in seconds.
+DEMAND_MEMORY_S: Final = 30.0
+
+#: The most of a data centre that quick work may keep.
+MOST_SHARE: Final = 0.5
+
+#: How long a grant of connections is good for, in seconds.
+GRANT_TERM_S: Final = 5.0
+
+
+class Demand(NamedTuple):
+    """One gateway's peak of requests in flight."""
+
+    peak: int
+    at_s: float
+
+
+class QuickReserve:
+    """Keep as many slots for quick work as its measured demand asks for.
+
+    The slots stand together on few workers, so that they cost little of what
+    gangs need whole; they grow and shrink on the same workers first.
+    """
+
+    def __init__(self, *, board: Board, clock: Clock, least: int) -> None:
+        """Start with the least reserve wanted."""
+        self._board = board
+        self._clock = clock
+        self._least = least
+        self._demands: dict[str, Demand] = {}
+
+    def report(self, gateway: str, most_in_flight: int) -> None:
+        """Take in a gateway's peak since its last report."""
+        now_s = self._clock.monotonic_s()
+        last = self._demands.get(gateway)
+        if last and now_s - last.at_s < DEMAND_MEMORY_S:
+            if last.peak > most_in_flight:
+                return
+        self._demands[gateway] = Demand(peak=most_in_flight, at_s=now_s)
+
+    def wanted(self) -> int:
+        """Return how many slots quick work should have now."""
+        now_s = self._clock.monotonic_s()
+        peak = sum(
+            demand.peak
+            for demand in self._demands.values()
+            if now_s - demand.at_s < 2 * DEMAND_MEMORY_S
+        )
+        workers = self._board.cluster.workers.values()
+        total = sum(worker.slots for worker in workers if worker.usable)
+        wanted = max(self._least, math.ceil(peak * HEADROOM))
+        return min(wanted, int(total * MOST_SHARE))
+
+    def adjust(self) -> tuple[str, ...]:
+        """Grow or shrink the reserve; return the jobs that must stop."""
+        held = sum(
+            worker.quick for worker in self._board.cluster.workers.values()
+        )
+        wanted = self.wanted()
+        if wanted < held:
+            self._shrink(held - wanted)
+            self._board.plan.repair()
+            return ()
+        if wanted > held:
+            return self._grow(wanted - held)
+        return ()
+
+    def workers(self) -> list[WorkerState]:
+        """Return the workers that keep slots for quick work."""
+        return [
+            worker
+            for worker in self._board.cluster.workers.values()
+            if worker.quick and worker.usable
+        ]
+
+    def _shrink(self, surplus: int) -> None:
+        for worker in sorted(self.workers(), key=_fewest_quick):
+            given = min(surplus, worker.quick)
+            worker.quick -= given
+            surplus -= given
+
+    def _grow(self, missing: int) -> tuple[str, ...]:
+        victims: list[str] = []
+        for worker in sorted(
+            self._board.cluster.workers.values(),
+            key=_best_for_quick,
+        ):
+            if missing <= 0:
+                break
+            taken = min(missing, worker.open)
+            if taken > 0:
+                victims.extend(self._take(worker, taken))
+                missing -= taken
+        return tuple(victims)
+
+    def _take(self, worker: WorkerState, slots: int) -> tuple[str, ...]:
+        """Keep slots on a worker; soft work in the way must stop."""
+        member = Member(
+            worker=worker.name,
+            address=worker.address,
+            slots=slots,
+        )
+        victims: tuple[str, ...] = ()
+        if worker.free < slots:
+            victims = choose_victims(
+                self._board,
+                (member,),
+                self._clock.monotonic_s(),
+            )
+            for victim in victims:
+                self._board.release(victim)
+        worker.quick += slots
+        return victims
+
+
+class Grant(NamedTuple):
+    """Connections that a gateway may hold to each worker until a time."""
+
+    amount: int
+    until_s: float
+
+
+class ConnectionGrants:
+    """Share a worker's connections so that the sum never passes its bound.
+
+    Half of the connections is split among as many gateways as a data centre
+    may have; each gateway may always use its part. The other half is granted
+    for short terms to the gateways that are there. A grant counts until it
+    lapses, whatever its gateway has heard since.
+
+    :param pool: connections of one worker that are granted.
+    """
+
+    def __init__(self, *, clock: Clock, pool: int) -> None:
+        """Grant nothing for one term: an earlier leader's grants may last."""
+        self._clock = clock
+        self._pool = pool
+        self._grants: dict[str, list[Grant]] = {}
+        self._opens_s = clock.monotonic_s() + GRANT_TERM_S
+
+    def grant(self, gateway: str, gateways: int, lease_left_s: float) -> Grant:
+        """Return what a gateway may hold, beyond its fixed part.
+
+        :param gateways: how many gateways are there now.
+        :param lease_left_s: how long this scheduler surely leads; a grant
+            never outlives it.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s < self._opens_s or lease_left_s <= 0:
+            return Grant(amount=0, until_s=now_s)
+        wanted = self._pool // max(1, gateways)
+        left = self._pool - self._held_by_others(gateway, now_s)
+        grant = Grant(
+            amount=max(0, min(wanted, left)),
+            until_s=now_s + min(GRANT_TERM_S, lease_left_s),
+        )
+        kept = self._unexpired(gateway, now_s)
+        self._grants[gateway] = [*kept, grant]
+        return grant
+
+    def _held_by_others(self, gateway: str, now_s: float) -> int:
+        return sum(
+            max(
+                (grant.amount for grant in self._unexpired(name, now_s)),
+                default=0,
+            )
+            for name in self._grants
+            if name != gateway
+        )
+
+    def _unexpired(self, gateway: str, now_s: float) -> list[Grant]:
+        grants = self._grants.get(gateway, ())
+        return [grant for grant in grants if grant.until_s > now_s]
+
+
+def fixed_share(connections: int, gateways: int) -> int:
+    """Return the connections that each gateway may always use."""
+    return connections // 2 // gateways
+
+
+def granted_pool(connections: int, gateways: int) -> int:
+    """Return the connections that are left to grant."""
+    return connections - gateways * fixed_share(connections, gateways)
+
+
+def _fewest_quick(worker: WorkerState) -> tuple[int, str]:
+    return (worker.quick, worker.name)
+
+
+def _best_for_quick(worker: WorkerState) -> tuple[bool, int, int, str]:
+    """Prefer workers that serve quick work already, then the emptiest."""
+    return (worker.quick == 0, worker.planned, -worker.open, worker.name)
+
+
+__all__ = (
+    'GRANT_TERM_S',
+    'ConnectionGrants',
+    'Grant',
+    'QuickReserve',
+    'fixed_share',
+    'granted_pool',
+)
--- /dev/null
+++ b/src/curranthill/scheduler/settle.py
@@ -0,0 +1,217 @@
+"""What an ended attempt leaves behind: its result and its job's row."""
+
+import random
+from typing import Final
+
+from loguru import logger
+
+from curranthill.errors import (
+    ConflictError,
+    LeaseLapsedError,
+    StorageError,
+    WorkerError,
+)
+from curranthill.jobs import ACCEPTED, ENDED, Job, Stored, next_state
+from curranthill.scheduler.context import Context
+from curranthill.workers import AttemptId, Worker
+
+#: Waits between tries while the platform is away, in seconds.
+_FIRST_WAIT_S: Final = 0.1
+_LONGEST_WAIT_S: Final = 5.0
+
+_FETCH_TRIES: Final = 5
+
+
+class BackOff:
+    """Waits that double, each cut at random so that callers spread."""
+
+    def __init__(self) -> None:
+        """Start with the shortest wait."""
+        self._wait_s = _FIRST_WAIT_S
+
+    def next_s(self) -> float:
+        """Return the next wait."""
+        wait_s = self._wait_s
+        self._wait_s = min(_LONGEST_WAIT_S, 2 * wait_s)
+        return random.uniform(wait_s / 2, wait_s)  # noqa: S311
+
+
+class Settlement:
+    """Write the end of one attempt, however long the platform is away.
+
+    :param stored: the job's row with the attempt's start mark.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        stored: Stored,
+        attempt_id: AttemptId,
+    ) -> None:
+        """Keep the row."""
+        self._context = context
+        self._stored = stored
+        self._attempt_id = attempt_id
+
+    async def keep_result(self, worker: Worker) -> int | None:
+        """Move the result from its worker to the object store.
+
+        Returns its length in bytes, or nothing if the worker lost it. Until
+        the store takes it, the worker and this process both hold it.
+        """
+        body = await self._fetch(worker)
+        job, attempt = self._attempt_id
+        if body is None:
+            kept = await self._context.objects.get(f'results/{job}/{attempt}')
+            return None if kept is None else len(kept)
+        back_off = BackOff()
+        while True:
+            try:
+                await self._context.objects.put(
+                    f'results/{job}/{attempt}',
+                    body,
+                )
+            except ConflictError:
+                # Another holder kept this attempt's result first.
+                return len(body)
+            except StorageError as error:
+                self._log('its result waits for the object store', error)
+                await self._context.clock.sleep(back_off.next_s())
+                self._stay_leader()
+                continue
+            return len(body)
+
+    async def finish(self, result_bytes: int) -> Stored:
+        """Write that the job finished."""
+        job = self._stored.job
+        return await self._write(
+            job._replace(
+                state=next_state(job.state, 'finish'),
+                result_bytes=result_bytes,
+                ended_at_s=self._context.clock.wall_s(),
+            ),
+        )
+
+    async def settle(
+        self,
+        end: str,
+        *,
+        reason: str,
+        failed_on: str,
+        checkpoint: str,
+        started: bool,
+    ) -> Stored:
+        """Write what becomes of a job whose attempt did not finish."""
+        job = self._stored.job
+        if end == 'failed':
+            job = self._after_failure(job, reason, failed_on)
+        elif end == 'cancelled':
+            job = self._ended(job, 'cancel', 'Cancelled while it ran.')
+        elif end == 'preempted' and job.idempotent:
+            job = job._replace(
+                state=next_state(next_state(job.state, 'preempt'), 'requeue'),
+                preemptions=job.preemptions + 1,
+                checkpoint=checkpoint or job.checkpoint,
+            )
+        else:
+            job = self._after_loss(job, started=started)
+        return await self._write(job)
+
+    def _after_failure(self, job: Job, reason: str, failed_on: str) -> Job:
+        failed = tuple(sorted({*job.failed_on, failed_on}))
+        job = job._replace(failed_on=failed)
+        limit = self._context.placement.failures
+        if job.idempotent and len(failed) < limit:
+            return job._replace(state=next_state(job.state, 'requeue'))
+        return self._ended(job, 'fail', reason or 'The task failed.')
+
+    def _after_loss(self, job: Job, *, started: bool) -> Job:
+        if job.idempotent or not started:
+            return job._replace(state=next_state(job.state, 'requeue'))
+        return self._ended(
+            job,
+            'lose',
+            'A worker was lost while it ran; whether it took effect is not'
+            ' known, and it is not run again.',
+        )
+
+    def _ended(self, job: Job, change: str, reason: str) -> Job:
+        return job._replace(
+            state=next_state(job.state, change),
+            reason=reason,
+            ended_at_s=self._context.clock.wall_s(),
+        )
+
+    async def _fetch(self, worker: Worker) -> bytes | None:
+        back_off = BackOff()
+        for _ in range(_FETCH_TRIES):
+            try:
+                return await worker.fetch_result(self._attempt_id)
+            except WorkerError as error:
+                self._log('its result could not be fetched', error)
+                await self._context.clock.sleep(back_off.next_s())
+        return None
+
+    async def _write(self, job: Job) -> Stored:
+        """Write the row until it is written or somebody else decided."""
+        back_off = BackOff()
+        while True:
+            try:
+                return await self._context.store.change(
+                    self._stored,
+                    job,
+                    (self._context.election.check(),),
+                )
+            except ConflictError:
+                found = await self._reload(back_off)
+                if found is None or not self._is_own(found):
+                    return found or self._stored
+                self._stored = found
+                job = job._replace(cancel_requested=found.job.cancel_requested)
+                job = self._honour_cancel(job)
+            except StorageError as error:
+                self._log('its end waits for the table', error)
+                await self._context.clock.sleep(back_off.next_s())
+            self._stay_leader()
+
+    async def _reload(self, back_off: BackOff) -> Stored | None:
+        while True:
+            try:
+                return await self._context.store.load(self._attempt_id.job)
+            except StorageError:
+                await self._context.clock.sleep(back_off.next_s())
+                self._stay_leader()
+
+    def _is_own(self, found: Stored) -> bool:
+        """Return whether the row still stands at this attempt's mark."""
+        return (
+            found.job.state not in ENDED
+            and found.job.state != ACCEPTED
+            and found.job.attempt == self._attempt_id.attempt
+        )
+
+    def _honour_cancel(self, job: Job) -> Job:
+        """Let a cancel that came meanwhile win over another run."""
+        if job.cancel_requested and job.state == ACCEPTED:
+            return self._ended(job, 'cancel', 'Cancelled while it ran.')
+        return job
+
+    def _stay_leader(self) -> None:
+        if not self._context.election.leading:
+            raise LeaseLapsedError(
+                'Another scheduler leads.',
+                step='settle',
+                peer=self._context.election.token.holder,
+            )
+
+    def _log(self, message: str, error: BaseException) -> None:
+        logger.bind(
+            job=self._attempt_id.job,
+            workspace=self._stored.job.workspace,
+            step=getattr(error, 'step', ''),
+            peer=getattr(error, 'peer', ''),
+        ).warning('{}: {}', message, error)
+
+
+__all__ = ('BackOff', 'Settlement')
--- /dev/null
+++ b/src/curranthill/scheduler/term.py
@@ -0,0 +1,447 @@
+"""One term of leadership: what a scheduler does from takeover to its end.
+
+Everything here is soft state. A term begins by reading the open jobs and by
+asking the workers what they hold; when it ends, all of it is thrown away.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Any, Final
+
+from loguru import logger
+
+from curranthill.configuration import ConfigurationHolder
+from curranthill.errors import StorageError, WorkerError
+from curranthill.jobs import ACCEPTED, ENDED, Job, Stored
+from curranthill.scheduler.board import Board, Decision, Waiting
+from curranthill.scheduler.cluster import WorkerState
+from curranthill.scheduler.context import Context
+from curranthill.scheduler.gang import Gang, GangEnd, next_attempt
+from curranthill.scheduler.health import WorkerHealth
+from curranthill.scheduler.policies import Policy
+from curranthill.scheduler.quick import QuickReserve
+from curranthill.scheduler.watch import MemberNews, WatchListener, WorkerWatch
+from curranthill.storage import HostDirectory, HostEntry
+from curranthill.telemetry import metrics
+from curranthill.workers import AttemptId, LeaseReport
+
+#: How often the queue is looked at when nothing happens, in seconds.
+TICK_S: Final = 0.5
+
+#: The longest wait of a job whose reservation was refused, in seconds.
+_RETRY_S: Final = 0.5
+
+
+class Term:
+    """Place, run and settle jobs while this scheduler leads.
+
+    :param context: interfaces and settings.
+    :param policy: who gets which place.
+    :param data_centre: the data centre that is led.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        policy: Policy,
+        data_centre: str,
+        directory: HostDirectory,
+        configuration: ConfigurationHolder,
+    ) -> None:
+        """Start with an empty board."""
+        self.board = Board()
+        self.quick = QuickReserve(
+            board=self.board,
+            clock=context.clock,
+            least=context.placement.quick_slots,
+        )
+        self.gangs: dict[str, Gang] = {}
+        self.watches: dict[str, WorkerWatch] = {}
+        self.health = WorkerHealth(
+            clock=context.clock,
+            settings=context.placement,
+        )
+        self._context = context
+        self._policy = policy
+        self._data_centre = data_centre
+        self._directory = directory
+        self._configuration = configuration
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._wake = asyncio.Event()
+        self._loading: set[str] = set()
+        self._known: dict[str, Stored] = {}
+        self._last_attempt: dict[str, int] = {}
+        self._begun = False
+        self._silent: set[str] = set()
+        self._leaving: set[str] = set()
+
+    async def close(self) -> None:
+        """Drop everything; running members go on under their leases."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def begin(self) -> None:
+        """Place jobs from now on; recovery has filled the board."""
+        self._begun = True
+        self.configure()
+        for watch in self.watches.values():
+            self._spawn(watch.run())
+        self._spawn(self._dispatch())
+        self._spawn(self._tick())
+
+    def update_workers(self) -> None:
+        """Take in the host list: new workers, leaving ones, gone ones."""
+        listed = {
+            entry.host: entry
+            for entry in self._directory.workers(self._data_centre)
+        }
+        for entry in listed.values():
+            if entry.host not in self.board.cluster.workers:
+                self._add_worker(entry)
+            if entry.leaving:
+                self._leaving.add(entry.host)
+        for name in list(self.board.cluster.workers):
+            if name not in listed and not self._holds_anything(name):
+                self._remove_worker(name)
+        self._judge_workers()
+
+    def submit(self, stored: Stored, *, since_s: float | None = None) -> None:
+        """Let an accepted job wait for its place."""
+        job = stored.job
+        if job.job_id in self.gangs or job.job_id in self.board.queue:
+            return
+        self._known[job.job_id] = stored
+        if since_s is None:
+            waited_s = self._context.clock.wall_s() - job.accepted_at_s
+            since_s = self._context.clock.monotonic_s() - max(0, waited_s)
+        self.board.queue.add(Waiting(job=job, since_s=since_s))
+        self._wake.set()
+
+    async def notify(self, job_ids: Iterable[str]) -> None:
+        """Read jobs that somebody says have changed."""
+        for job_id in job_ids:
+            if job_id in self._loading:
+                continue
+            self._loading.add(job_id)
+            try:
+                await self._reload(job_id)
+            except StorageError as error:
+                logger.bind(job=job_id, step=error.step).debug(
+                    'the row of a job cannot be read: {}',
+                    error.message,
+                )
+            finally:
+                self._loading.discard(job_id)
+
+    async def scan(self) -> None:
+        """Read all open rows, for jobs of which no news arrived."""
+        for stored in await self._context.store.scan_open(self._data_centre):
+            self._take_row(stored)
+
+    def resume(self, stored: Stored, states: dict[str, str]) -> None:
+        """Go on with an attempt that an earlier leader had marked."""
+        job = stored.job
+        self.board.adopt(job, self._context.clock.monotonic_s())
+        gang = self._gang(stored, job.members, job.attempt)
+        if job.cancel_requested:
+            gang.cancel()
+        self._spawn(self._finish(gang, gang.resume(states)))
+
+    def explain(self, job_id: str) -> list[str]:
+        """Say in plain sentences where a job stands."""
+        gang = self.gangs.get(job_id)
+        if gang is not None:
+            places = ', '.join(
+                f'{member.slots} on {member.worker}' for member in gang.members
+            )
+            return [f'{job_id} is {gang.state}: {places}.']
+        return self._policy.explain(
+            self.board,
+            job_id,
+            self._context.clock.monotonic_s(),
+        )
+
+    def drain(self, worker: str) -> bool:
+        """Place no new work on a worker; return whether it is known."""
+        if worker not in self.board.cluster.workers:
+            return False
+        self._leaving.add(worker)
+        self._judge_workers()
+        return True
+
+    def release_orphan(self, worker: str, lease: LeaseReport) -> None:
+        """Give back a lease that no job of this term has."""
+        self._spawn(self._release(worker, lease.attempt_id))
+
+    def _add_worker(self, entry: HostEntry) -> None:
+        self.board.cluster.add(
+            WorkerState(
+                name=entry.host,
+                address=entry.address,
+                rack=entry.rack,
+                slots=entry.slots,
+            ),
+        )
+        watch = WorkerWatch(
+            name=entry.host,
+            address=entry.address,
+            context=self._context,
+            listener=WatchListener(
+                on_member=self._on_member,
+                on_orphan=self.release_orphan,
+                on_contact=self._on_contact,
+            ),
+        )
+        self.watches[entry.host] = watch
+        if self._begun:
+            self._spawn(watch.run())
+
+    def _remove_worker(self, name: str) -> None:
+        self.board.cluster.workers[name].usable = False
+        self.board.plan.repair()
+        self.board.cluster.remove(name)
+        self.watches.pop(name, None)
+
+    def _holds_anything(self, name: str) -> bool:
+        return bool(self.board.cluster.workers[name].jobs)
+
+    def _on_member(self, news: MemberNews) -> bool:
+        gang = self.gangs.get(news.attempt_id.job)
+        if gang is None or gang.attempt_id != news.attempt_id:
+            return False
+        gang.on_news(news)
+        return True
+
+    def _on_contact(self, worker: str, answers: bool, leaving: bool) -> None:
+        was_silent = worker in self._silent
+        if answers:
+            self._silent.discard(worker)
+        else:
+            self._silent.add(worker)
+        if leaving and worker not in self._leaving:
+            self._leaving.add(worker)
+            self._judge_workers()
+        elif was_silent == answers:
+            self._judge_workers()
+
+    def _judge_workers(self) -> None:
+        """Say which workers may take work, and plan promises anew."""
+        changed = False
+        for worker in self.board.cluster.workers.values():
+            usable = not (
+                worker.name in self._silent
+                or worker.name in self._leaving
+                or self.health.quarantined(worker.name)
+            )
+            if usable != worker.usable:
+                changed = True
+                worker.usable = usable
+                logger.bind(step='health', peer=worker.name).info(
+                    '{} {} work',
+                    worker.name,
+                    'may take' if usable else 'takes no',
+                )
+        if changed:
+            self.board.plan.repair()
+            self._wake.set()
+
+    def configure(self) -> None:
+        """Take over the weights and promises of the revision in force."""
+        document = self._configuration.document
+        self.board.weights = {
+            name: workspace.weight
+            for name, workspace in document.workspaces.items()
+        }
+        self.board.may_borrow = {
+            name: workspace.borrowing
+            for name, workspace in document.workspaces.items()
+        }
+        self.board.plan.configure(document, self._data_centre)
+        self._wake.set()
+
+    async def _reload(self, job_id: str) -> None:
+        stored = await self._context.store.load(job_id)
+        if stored is not None:
+            self._take_row(stored)
+
+    def _take_row(self, stored: Stored) -> None:
+        job = stored.job
+        gang = self.gangs.get(job.job_id)
+        if gang is not None:
+            if job.cancel_requested:
+                gang.cancel()
+        elif job.state in ENDED:
+            self.board.queue.remove(job.job_id)
+            self._known.pop(job.job_id, None)
+        elif job.state == ACCEPTED and job.home == self._data_centre:
+            self.submit(stored)
+
+    async def _tick(self) -> None:
+        while True:
+            await self._context.clock.sleep(TICK_S)
+            self._judge_workers()
+            self._preempt(self.quick.adjust(), 'quick reserve')
+            self._wake.set()
+
+    async def _dispatch(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._context.election.lease_left_s() <= 0:
+                # Without the table nothing can be marked: place nothing.
+                await self._context.clock.sleep(TICK_S)
+                self._wake.set()
+                continue
+            begun_s = self._context.clock.monotonic_s()
+            decisions = self._policy.decide(self.board, begun_s)
+            took_s = self._context.clock.monotonic_s() - begun_s
+            metrics.decision_s.record(took_s)
+            for decision in decisions:
+                self._launch(decision)
+
+    def _launch(self, decision: Decision) -> None:
+        job = decision.job
+        stored = self._known.pop(job.job_id)
+        metrics.placements.add(1)
+        logger.bind(
+            job=job.job_id,
+            workspace=job.workspace,
+            step='place',
+            peer=','.join(member.worker for member in decision.members),
+        ).info(
+            'placed {} accelerators ({}): {}; stops {}',
+            job.slots,
+            decision.reason,
+            [(member.worker, member.slots) for member in decision.members],
+            list(decision.victims) or 'nobody',
+        )
+        waits = self._preempt(decision.victims, f'for {job.job_id}')
+        attempt = next_attempt(
+            job,
+            self._context.election.token.epoch,
+            self._last_attempt.get(job.job_id, 0),
+        )
+        gang = self._gang(stored, decision.members, attempt, waits)
+        self._spawn(self._finish(gang, gang.run()))
+
+    def _preempt(
+        self,
+        victims: Iterable[str],
+        reason: str,
+    ) -> list[asyncio.Event]:
+        waits: list[asyncio.Event] = []
+        for victim in victims:
+            metrics.preemptions.add(1)
+            gang = self.gangs[victim]
+            logger.bind(job=victim, step='preempt').info('stops {}', reason)
+            gang.preempt()
+            waits.append(gang.stopped)
+        return waits
+
+    def _gang(
+        self,
+        stored: Stored,
+        members: Iterable[Any],
+        attempt: int,
+        waits: Iterable[asyncio.Event] = (),
+    ) -> Gang:
+        gang = Gang(
+            context=self._context,
+            stored=stored,
+            members=members,
+            attempt=attempt,
+            watches=self.watches,
+            wait_for=waits,
+        )
+        self._last_attempt[stored.job.job_id] = attempt
+        self.gangs[stored.job.job_id] = gang
+        return gang
+
+    async def _finish(self, gang: Gang, work: Any) -> None:
+        end: GangEnd = await work
+        job_id = gang.attempt_id.job
+        if end.end == 'abandoned':
+            return
+        self.gangs.pop(job_id, None)
+        self.board.release(job_id)
+        self._judge_end(gang, end)
+        job = end.stored.job
+        logger.bind(
+            job=job_id,
+            workspace=job.workspace,
+            attempt=gang.attempt_id.attempt,
+            step='end',
+        ).info('attempt {}, job is {}', end.end, job.state)
+        if job.state in ENDED:
+            self._last_attempt.pop(job_id, None)
+        elif end.end == 'not_started':
+            delay_s = random.uniform(_RETRY_S / 2, _RETRY_S)  # noqa: S311
+            self._spawn(self._submit_later(end.stored, delay_s))
+        else:
+            self.submit(end.stored)
+        self._wake.set()
+
+    async def _submit_later(self, stored: Stored, delay_s: float) -> None:
+        await self._context.clock.sleep(delay_s)
+        job_id = stored.job.job_id
+        while job_id not in self.board.queue and job_id not in self.gangs:
+            try:
+                found = await self._context.store.load(job_id)
+            except StorageError:
+                await self._context.clock.sleep(_RETRY_S)
+                continue
+            if found is None or found.job.state != ACCEPTED:
+                return
+            self._take_row(found)
+
+    def _judge_end(self, gang: Gang, end: GangEnd) -> None:
+        if end.end == 'failed':
+            worker = end.failed_on
+            if self.health.failed(worker, gang.attempt_id.job):
+                logger.bind(step='health', peer=worker).warning(
+                    '{} is quarantined: different jobs fail on it',
+                    worker,
+                )
+                self._judge_workers()
+        elif end.end == 'finished':
+            for member in gang.members:
+                self.health.succeeded(member.worker)
+            self._learn(end.stored.job)
+
+    def _learn(self, job: Job) -> None:
+        self.board.estimates.learn(
+            job.workspace,
+            job.kind,
+            declared_s=job.run_time_s,
+            actual_s=job.ended_at_s - job.started_at_s,
+        )
+
+    async def _release(self, worker: str, attempt_id: AttemptId) -> None:
+        state = self.board.cluster.workers.get(worker)
+        if state is None:
+            return
+        client = self._context.worker_at(state.address)
+        try:
+            await client.release(self._context.election.token, attempt_id)
+        except WorkerError as error:
+            logger.bind(job=attempt_id.job, step=error.step, peer=worker).debug(
+                'an orphan stays until its lease lapses: {}',
+                error.message,
+            )
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error('a task ended')
+
+
+__all__ = ('TICK_S', 'Term')
--- /dev/null
+++ b/src/curranthill/scheduler/victims.py
@@ -0,0 +1,70 @@
+"""Which borrowed work is stopped when a guarantee is restored."""
+
+from collections.abc import Iterable
+
+from curranthill.jobs import Member
+from curranthill.scheduler.board import Board
+from curranthill.scheduler.cluster import WorkerState
+
+
+def choose_victims(
+    board: Board,
+    members: Iterable[Member],
+    now_s: float,
+) -> tuple[str, ...]:
+    """Return the jobs to stop so that ``members`` become free.
+
+    On each worker the jobs that lose least are stopped until the slots are
+    enough; a gang that is stopped for one worker counts on the next ones.
+    """
+    victims: list[str] = []
+    for member in members:
+        worker = board.cluster.workers[member.worker]
+        missing = member.slots - worker.free
+        missing -= sum(_slots_on(board, job, worker) for job in victims)
+        for job_id in _cheapest_first(board, worker, now_s):
+            if missing <= 0:
+                break
+            if job_id not in victims:
+                victims.append(job_id)
+                missing -= _slots_on(board, job_id, worker)
+    return tuple(victims)
+
+
+def lost_work_on(board: Board, worker: WorkerState, now_s: float) -> float:
+    """Return the slot-seconds lost if all soft work of a worker stops.
+
+    A gang counts whole: all of it stops wherever it runs.
+    """
+    return sum(
+        placed.lost_work_s(now_s) + placed.job.slots
+        for placed in (board.placed[job_id] for job_id in worker.jobs)
+        if not placed.hard
+    )
+
+
+def _cheapest_first(
+    board: Board,
+    worker: WorkerState,
+    now_s: float,
+) -> list[str]:
+    soft = [job_id for job_id in worker.jobs if not board.placed[job_id].hard]
+    return sorted(
+        soft,
+        key=lambda job_id: (
+            board.placed[job_id].lost_work_s(now_s),
+            board.placed[job_id].job.slots,
+            job_id,
+        ),
+    )
+
+
+def _slots_on(board: Board, job_id: str, worker: WorkerState) -> int:
+    return sum(
+        member.slots
+        for member in board.placed[job_id].members
+        if member.worker == worker.name
+    )
+
+
+__all__ = ('choose_victims', 'lost_work_on')
--- /dev/null
+++ b/src/curranthill/settings/secrets.py
@@ -0,0 +1,33 @@
+"""Secrets from files or the environment; they are never logged."""
+
+import os
+from pathlib import Path
+
+from curranthill.errors import SettingsError
+
+KEY_VARIABLE = 'CURRANTHILL_KEY'
+
+
+def shared_key(key_file: str) -> str:
+    """Return the key that all processes share.
+
+    :raises SettingsError: if neither the variable nor the file gives one.
+    """
+    from_environment = os.environ.get(KEY_VARIABLE)
+    if from_environment:
+        return from_environment
+    if not key_file:
+        raise SettingsError(
+            f'Set membership.key_file or {KEY_VARIABLE}.',
+            step='read key',
+        )
+    try:
+        return Path(key_file).read_text('utf-8').strip()
+    except OSError as error:
+        raise SettingsError(
+            f'The key file cannot be read: {error.strerror}.',
+            step='read key',
+        ) from error
+
+
+__all__ = ('KEY_VARIABLE', 'shared_key')
--- /dev/null
+++ b/src/curranthill/standin/worker.py
@@ -0,0 +1,404 @@
+"""A worker of the stand-in: slots under leases, fencing, tasks that sleep.
+
+A task's body is JSON; ``run_s`` says how long it runs, ``fail`` whether it
+then fails, and ``use_slots`` what it is measured to use.
+"""
+
+import asyncio
+import json
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from curranthill.clock import Clock
+from curranthill.errors import (
+    FencedError,
+    TaskFailedError,
+    WorkerBusyError,
+    WorkerError,
+)
+from curranthill.standin.faults import Faults
+from curranthill.workers.records import (
+    ENDED_STATES,
+    FINISHED,
+    RESERVED,
+    RUNNING,
+    STOPPED,
+    TASK_FAILED,
+    AttemptId,
+    LeaseReport,
+    LeaseRequest,
+    LeaseState,
+    QuickReply,
+    QuickRequest,
+    Task,
+    Token,
+    WorkerReport,
+)
+
+#: How long an ended attempt is remembered, in seconds; longer than any call
+#: can travel, so that a late start finds it ended.
+REMEMBER_ENDED_S = 900.0
+
+#: How often the quick lane of a full worker looks for its turn, in seconds.
+_TURN_S = 0.002
+
+
+@dataclass(kw_only=True)
+class _Lease:
+    attempt_id: AttemptId
+    slots: int
+    token: Token
+    expires_s: float
+    state: LeaseState = RESERVED
+    reason: str = ''
+    used_slots: float = 0.0
+    share: float = 1.0
+    progress_s: float = 0.0
+    answer: bytes = b''
+
+
+class StartRecord(NamedTuple):
+    """One start as the worker itself saw it, for audits."""
+
+    job: str
+    attempt: int
+    started_s: float
+
+
+class WorkerModel:
+    """One worker with its slots, leases and tasks.
+
+    :param name: the worker's name.
+    :param slots: how many slots it has.
+    :param connections: how many calls it takes at the same time.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: Clock,
+        slots: int,
+        connections: int,
+    ) -> None:
+        """Start with all slots free."""
+        self.name = name
+        self.slots = slots
+        self.connections = connections
+        self.leaving = False
+        self.faults = Faults(clock=clock)
+        self.starts: list[StartRecord] = []
+        self.quick_runs: dict[str, int] = {}
+        self.connections_in_use = 0
+        self.most_connections = 0
+        self._clock = clock
+        self._seen = Token(epoch=0, holder='')
+        self._leases: dict[AttemptId, _Lease] = {}
+        self._started: set[AttemptId] = set()
+        self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+        self._ended_s: dict[AttemptId, float] = {}
+        self._quick_running = 0
+        self._quick_waiting: deque[str] = deque()
+        self._changed = asyncio.Event()
+
+    def free_slots(self) -> int:
+        """Return the slots that neither a lease nor quick work holds."""
+        self._lapse()
+        return self.slots - self._held_slots() - self._quick_running
+
+    def fence(self, token: Token) -> tuple[LeaseReport, ...]:
+        """Raise the epoch seen and return all leases."""
+        self._fence(token)
+        return self._reports()
+
+    def reserve(self, token: Token, request: LeaseRequest) -> None:
+        """Hold slots for an attempt; a repeat changes nothing."""
+        self._fence(token)
+        if self.leaving:
+            raise self._error(WorkerBusyError, 'leaving', 'reserve')
+        if request.attempt_id in self._ended_s:
+            raise self._error(WorkerError, 'attempt ended', 'reserve')
+        if request.attempt_id in self._leases:
+            return
+        if request.slots > self.free_slots():
+            raise self._error(WorkerBusyError, 'slots taken', 'reserve')
+        self._leases[request.attempt_id] = _Lease(
+            attempt_id=request.attempt_id,
+            slots=request.slots,
+            token=token,
+            expires_s=self._clock.monotonic_s() + request.term_s,
+        )
+
+    def start(self, token: Token, attempt_id: AttemptId, task: Task) -> None:
+        """Start a reserved attempt; a repeat changes nothing."""
+        self._fence(token)
+        lease = self._lease(attempt_id, 'start')
+        if lease.state != RESERVED:
+            return
+        lease.state = RUNNING
+        self._started.add(attempt_id)
+        self.starts.append(
+            StartRecord(*attempt_id, started_s=self._clock.monotonic_s()),
+        )
+        self._tasks[attempt_id] = asyncio.create_task(self._run(lease, task))
+
+    async def poll(
+        self,
+        token: Token,
+        term_s: float,
+        wait_s: float,
+        attempts: Sequence[AttemptId],
+        known_ended: Sequence[AttemptId],
+    ) -> WorkerReport:
+        """Renew leases; answer once another has ended or time passes."""
+        self._fence(token)
+        self._renew(term_s, attempts)
+        deadline_s = self._clock.monotonic_s() + wait_s
+        known = frozenset(known_ended)
+        while not self._any_ended(known) and not self.leaving:
+            left_s = deadline_s - self._clock.monotonic_s()
+            if left_s <= 0 or self._seen != token:
+                break
+            await self._wait_change(left_s)
+        return WorkerReport(
+            leases=self._reports(),
+            free_slots=self.free_slots(),
+            leaving=self.leaving,
+        )
+
+    async def stop(
+        self,
+        token: Token,
+        attempt_id: AttemptId,
+        grace_s: float,
+    ) -> str:
+        """Checkpoint and stop an attempt; a repeat changes nothing."""
+        self._fence(token)
+        lease = self._lease(attempt_id, 'stop')
+        if lease.state in ENDED_STATES:
+            return ''
+        checkpoint = f'progress-{lease.progress_s:.3f}'
+        self._end(lease, STOPPED, 'stopped')
+        return checkpoint
+
+    def release(self, token: Token, attempt_id: AttemptId) -> bool:
+        """Give an attempt's slots back; say whether it had ever started."""
+        self._fence(token)
+        lease = self._leases.get(attempt_id)
+        if lease is not None and lease.state not in ENDED_STATES:
+            self._end(lease, STOPPED, 'released')
+        # An unknown attempt counts as ended too: a late reserve must fail.
+        self._leases.pop(attempt_id, None)
+        self._ended_s.pop(attempt_id, None)
+        self._ended_s[attempt_id] = self._clock.monotonic_s()
+        return attempt_id in self._started
+
+    def throttle(
+        self,
+        token: Token,
+        attempt_id: AttemptId,
+        share: float,
+    ) -> None:
+        """Let the task use only this share of its slots."""
+        self._fence(token)
+        self._lease(attempt_id, 'throttle').share = share
+
+    def fetch_result(self, attempt_id: AttemptId) -> bytes:
+        """Return the result of a finished attempt."""
+        lease = self._lease(attempt_id, 'result')
+        if lease.state != FINISHED:
+            raise self._error(WorkerError, 'not finished', 'result')
+        return lease.answer
+
+    async def quick(self, request: QuickRequest) -> QuickReply:
+        """Run one quick request as soon as a slot is free."""
+        await self._take_turn(request)
+        self._quick_running += 1
+        runs = self.quick_runs.get(request.request_id, 0)
+        self.quick_runs[request.request_id] = runs + 1
+        try:
+            answer = await self._run_quick(request)
+        finally:
+            self._quick_running -= 1
+        return QuickReply(
+            body=answer,
+            content_type='application/json',
+            free_slots=max(0, self.free_slots()),
+        )
+
+    async def _take_turn(self, request: QuickRequest) -> None:
+        if self.leaving:
+            raise self._error(WorkerBusyError, 'leaving', 'quick')
+        if self.free_slots() > 0 and not self._quick_waiting:
+            return
+        if self._held_slots() >= self.slots:
+            raise self._error(WorkerBusyError, 'no quick slot', 'quick')
+        until_s = self._clock.monotonic_s() + request.deadline_s
+        self._quick_waiting.append(request.request_id)
+        try:
+            while self._quick_waiting[0] != request.request_id or (
+                self.free_slots() <= 0
+            ):
+                if self._clock.monotonic_s() >= until_s:
+                    raise self._error(WorkerBusyError, 'too late', 'quick')
+                await self._clock.sleep(_TURN_S)
+        finally:
+            self._quick_waiting.remove(request.request_id)
+
+    async def _run_quick(self, request: QuickRequest) -> bytes:
+        asked = _asked(request.body)
+        await self._clock.sleep(float(asked.get('run_s', 0)))
+        if self.faults.settings.fails or asked.get('fail'):
+            raise self._error(TaskFailedError, 'The task failed.', 'quick')
+        return json.dumps(
+            {'worker': self.name, 'request': request.request_id, 'of': asked},
+        ).encode()
+
+    async def _run(self, lease: _Lease, task: Task) -> None:
+        asked = _asked(task.body.encode())
+        lease.used_slots = float(asked.get('use_slots', lease.slots))
+        run_s = float(asked.get('run_s', 0))
+        if task.checkpoint.startswith('progress-'):
+            lease.progress_s = float(task.checkpoint.removeprefix('progress-'))
+        await self._progress(lease, run_s)
+        if self.faults.settings.fails or asked.get('fail'):
+            self._end(lease, TASK_FAILED, 'The task failed.')
+            return
+        lease.answer = json.dumps(
+            {
+                'job': lease.attempt_id.job,
+                'attempt': lease.attempt_id.attempt,
+                'members': task.members,
+                'worker': self.name,
+                'pad': 'x' * int(asked.get('result_bytes', 0)),
+            },
+        ).encode()
+        self._end(lease, FINISHED, '')
+
+    async def _progress(self, lease: _Lease, run_s: float) -> None:
+        while lease.progress_s < run_s:
+            # A checkpoint keeps whole steps; a tenth of the run is a step.
+            step_s = min(run_s - lease.progress_s, max(run_s / 10, 0.01))
+            await self._clock.sleep(step_s / lease.share)
+            lease.progress_s += step_s
+
+    def _fence(self, token: Token) -> None:
+        seen = self._seen
+        if token.epoch < seen.epoch or (
+            token.epoch == seen.epoch and token.holder != seen.holder
+        ):
+            raise FencedError(
+                f'Epoch {token.epoch} lost to {seen.epoch} of {seen.holder}.',
+                step='fence',
+                peer=self.name,
+                seen_epoch=seen.epoch,
+            )
+        if token.epoch > seen.epoch:
+            self._seen = token
+            self._notify()
+        self._lapse()
+
+    def _renew(self, term_s: float, attempts: Sequence[AttemptId]) -> None:
+        expires_s = self._clock.monotonic_s() + term_s
+        for attempt_id in attempts:
+            lease = self._leases.get(attempt_id)
+            if lease is not None and lease.state not in ENDED_STATES:
+                lease.expires_s = expires_s
+                lease.token = self._seen
+
+    def _any_ended(self, known: frozenset[AttemptId]) -> bool:
+        self._lapse()
+        return any(
+            lease.state in ENDED_STATES and attempt_id not in known
+            for attempt_id, lease in self._leases.items()
+        )
+
+    async def _wait_change(self, left_s: float) -> None:
+        waiter = asyncio.ensure_future(self._changed.wait())
+        timer = asyncio.ensure_future(self._clock.sleep(left_s))
+        try:
+            await asyncio.wait(
+                (waiter, timer),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            waiter.cancel()
+            timer.cancel()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _lapse(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for lease in self._leases.values():
+            if lease.state not in ENDED_STATES and lease.expires_s <= now_s:
+                self._end(lease, STOPPED, 'lease lapsed')
+        while self._ended_s:
+            # Entries stand in the order of their ends.
+            oldest, ended_s = next(iter(self._ended_s.items()))
+            if now_s - ended_s <= REMEMBER_ENDED_S:
+                break
+            self._ended_s.pop(oldest)
+            self._leases.pop(oldest, None)
+            self._started.discard(oldest)
+
+    def _end(self, lease: _Lease, state: LeaseState, reason: str) -> None:
+        lease.state = state
+        lease.reason = reason
+        self._ended_s.pop(lease.attempt_id, None)
+        self._ended_s[lease.attempt_id] = self._clock.monotonic_s()
+        task = self._tasks.pop(lease.attempt_id, None)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        self._notify()
+
+    def _held_slots(self) -> int:
+        return sum(
+            lease.slots
+            for lease in self._leases.values()
+            if lease.state not in ENDED_STATES
+        )
+
+    def _reports(self) -> tuple[LeaseReport, ...]:
+        self._lapse()
+        return tuple(
+            LeaseReport(
+                job=lease.attempt_id.job,
+                attempt=lease.attempt_id.attempt,
+                slots=lease.slots,
+                state=lease.state,
+                epoch=lease.token.epoch,
+                holder=lease.token.holder,
+                reason=lease.reason,
+                used_slots=lease.used_slots,
+            )
+            for lease in self._leases.values()
+        )
+
+    def _lease(self, attempt_id: AttemptId, step: str) -> _Lease:
+        lease = self._leases.get(attempt_id)
+        if lease is None:
+            raise self._error(WorkerError, 'no such lease', step)
+        return lease
+
+    def _error(
+        self,
+        kind: type[WorkerError],
+        message: str,
+        step: str,
+    ) -> WorkerError:
+        return kind(message, step=step, peer=self.name)
+
+
+def _asked(body: bytes) -> dict[str, Any]:
+    try:
+        asked = json.loads(body or b'{}')
+    except ValueError:
+        return {}
+    return asked if isinstance(asked, dict) else {}
+
+
+__all__ = ('REMEMBER_ENDED_S', 'StartRecord', 'WorkerModel')
--- /dev/null
+++ b/src/curranthill/storage/directory.py
@@ -0,0 +1,73 @@
+"""The platform's host list as a process last read it."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from curranthill.application import Application
+from curranthill.errors import StorageError
+from curranthill.storage.interface import HostEntry, HostList
+
+Listener = Callable[[], None]
+
+
+class HostDirectory:
+    """Keep the last host list; it stays in force while the platform is away.
+
+    :param interval_s: the time between two reads.
+    """
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        host_list: HostList,
+        interval_s: float,
+    ) -> None:
+        """Start with an empty list."""
+        self.entries: dict[str, HostEntry] = {}
+        self._app = app
+        self._host_list = host_list
+        self._interval_s = interval_s
+        self._listeners: list[Listener] = []
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` after each list that differs from the last."""
+        self._listeners.append(listener)
+
+    def workers(self, data_centre: str) -> list[HostEntry]:
+        """Return the workers of a data centre, the leaving ones included."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.role == 'worker' and entry.data_centre == data_centre
+        ]
+
+    async def start(self) -> None:
+        """Read the list once, then now and then."""
+        await self.refresh()
+        self._app.spawn(self._poll(), name='host list')
+
+    async def refresh(self) -> None:
+        """Read the list; if the platform is away the last one stays."""
+        try:
+            entries = await self._host_list.hosts()
+        except StorageError as error:
+            logger.bind(step=error.step, peer=error.peer).debug(
+                'the host list cannot be read: {}',
+                error.message,
+            )
+            return
+        fresh = {entry.host: entry for entry in entries}
+        if fresh != self.entries:
+            self.entries = fresh
+            for listener in self._listeners:
+                listener()
+
+    async def _poll(self) -> None:
+        while True:
+            await self._app.clock.sleep(self._interval_s)
+            await self.refresh()
+
+
+__all__ = ('HostDirectory',)
--- /dev/null
+++ b/src/curranthill/workers/__init__.py
@@ -0,0 +1,47 @@
+"""The interface of a worker and its HTTP client."""
+
+from curranthill.workers.http import http_worker_clients
+from curranthill.workers.interface import (
+    Worker,
+    WorkerClients,
+    worker_clients,
+)
+from curranthill.workers.records import (
+    ENDED_STATES,
+    FINISHED,
+    RESERVED,
+    RUNNING,
+    STOPPED,
+    TASK_FAILED,
+    AttemptId,
+    LeaseReport,
+    LeaseRequest,
+    LeaseState,
+    QuickReply,
+    QuickRequest,
+    Task,
+    Token,
+    WorkerReport,
+)
+
+__all__ = (
+    'ENDED_STATES',
+    'FINISHED',
+    'RESERVED',
+    'RUNNING',
+    'STOPPED',
+    'TASK_FAILED',
+    'AttemptId',
+    'LeaseReport',
+    'LeaseRequest',
+    'LeaseState',
+    'QuickReply',
+    'QuickRequest',
+    'Task',
+    'Token',
+    'Worker',
+    'WorkerClients',
+    'WorkerReport',
+    'http_worker_clients',
+    'worker_clients',
+)
