--- a/src/curranthill/commands/demo.py
+++ b/src/curranthill/commands/demo.py
@@ -186,7 +186,7 @@
             ),
         )
         await asyncio.sleep(1)
-        seen = _free_slots(deployment)
+        seen = deployment.standin.free_by_rack()
         rows = await work
     return DemoReport(
         deployment=deployment.name,
@@ -258,13 +258,4 @@
     return str(job.get('state', job)), str(job.get('data_centre', ''))
 
 
-def _free_slots(deployment: Deployment) -> dict[str, list[int]]:
-    """Return the free slots of each worker by rack."""
-    racks: dict[str, list[int]] = {}
-    for entry in deployment.standin.hosts.values():
-        worker = deployment.standin.workers[entry.host]
-        racks.setdefault(entry.rack, []).append(max(0, worker.free_slots()))
-    return racks
-
-
 __all__ = ('DemoReport', 'DemoRow', 'Deployment', 'run_demo')
--- a/src/curranthill/scheduler/guarantees.py
+++ b/src/curranthill/scheduler/guarantees.py
@@ -64,7 +64,10 @@
         data_centre: str,
     ) -> None:
         """Take over the promises of a configuration."""
-        wanted = dict(_wanted_units(document, data_centre))
+        self.promise(dict(_wanted_units(document, data_centre)))
+
+    def promise(self, wanted: dict[UnitId, Unit]) -> None:
+        """Hold exactly these units; those that stay keep their places."""
         for unit_id in list(self._units):
             if unit_id not in wanted or self._resized(wanted[unit_id]):
                 self._drop(unit_id)
@@ -124,8 +127,9 @@
     def repair(self) -> None:
         """Find places again where the plan no longer fits the workers.
 
-        Where not all fit, the larger shapes are planned first and the rest
-        are at risk until capacity comes back.
+        A plan that still stands is not taken away for one that lost its
+        place. Of those, the larger shapes are planned first; what then fits
+        nowhere is at risk until capacity comes back.
         """
         for worker in self._cluster.workers.values():
             kept = worker.hard + worker.planned + worker.quick
--- a/src/curranthill/standin/server.py
+++ b/src/curranthill/standin/server.py
@@ -109,9 +109,19 @@
 
     async def stop(self) -> None:
         """Stop serving."""
+        for worker in self.workers.values():
+            worker.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def free_by_rack(self) -> dict[str, list[int]]:
+        """Return the free slots of each worker by rack."""
+        racks: dict[str, list[int]] = {}
+        for site in self._sites:
+            worker = self.workers[site.name]
+            racks.setdefault(site.rack, []).append(max(0, worker.free_slots()))
+        return racks
+
     def _list_worker(self, entry: SiteEntry, base: str) -> None:
         self.hosts[entry.name] = HostEntry(
             host=entry.name,
@@ -134,6 +144,7 @@
             web.put('/v1/hosts/{name}', self._put_host),
             web.post('/faults', self._set_faults),
             web.get('/counts', self._counts),
+            web.get('/free', self._free),
         ]
 
     def _worker_routes(self) -> list[web.RouteDef]:
@@ -225,6 +236,10 @@
             },
         )
 
+    async def _free(self, request: web.Request) -> web.StreamResponse:
+        """Return the free slots of each worker by rack."""
+        return web.json_response(self.free_by_rack())
+
     def _worker(self, request: web.Request) -> WorkerModel:
         worker = self.workers.get(request.match_info['worker'])
         if worker is None:
