Index placement by rack sums; tell gateways before the quick reserve goes

Change: racks keep their sums, forms that cannot fit are skipped by a comparison, the order of all lines is reviewed once a second; the end of hard work plans units at risk again (test test_a_unit_at_risk_is_planned_once_hard_work_ends). The reserve that yields to a rack-sized gang now tells gateways 1.5 s before its slots go.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -132,7 +132,9 @@
     """Measure each size and write the results."""
     results = [measure(size) for size in TARGETS]
     RESULTS.mkdir(parents=True, exist_ok=True)
-    (RESULTS / 'decisions.json').write_text(json.dumps(results, indent=2) + '\n')
+    (RESULTS / 'decisions.json').write_text(
+        json.dumps(results, indent=2) + '\n'
+    )
     for result in results:
         print(result)
 
--- a/src/curranthill/gateway/allotment.py
+++ b/src/curranthill/gateway/allotment.py
@@ -55,8 +55,9 @@
 
     async def _run(self) -> None:
         while True:
-            own = await self._own_allotment()
-            spill = await self._spill_allotment(own)
+            peak = self._router.take_peak()
+            own = await self._own_allotment(peak)
+            spill = await self._spill_allotment(own, peak)
             now_s = self._app.clock.monotonic_s()
             if own is not None:
                 self._last_allotment_s = now_s
@@ -66,24 +67,27 @@
             self._router.serve()
             await self._app.clock.sleep(REPORT_INTERVAL_S)
 
-    async def _own_allotment(self) -> list[AllottedWorker] | None:
+    async def _own_allotment(self, peak: int) -> list[AllottedWorker] | None:
         scheduler = self._notifier.active(self._view.own.data_centre)
         if scheduler is None:
             return None
-        return await self._report(scheduler, spill=False)
+        return await self._report(scheduler, peak, spill=False)
 
     async def _spill_allotment(
         self,
         own: list[AllottedWorker] | None,
+        peak: int,
     ) -> list[AllottedWorker]:
         """Ask the region's other data centres when ours is full or gone."""
-        if own and not self._router.waiting:
+        waiting = self._router.waiting
+        if own and not waiting:
             return []
+        demand = waiting if own else peak
         for name in self._neighbours():
             scheduler = self._notifier.active(name)
             if scheduler is None:
                 continue
-            workers = await self._report(scheduler, spill=True)
+            workers = await self._report(scheduler, demand, spill=True)
             if workers:
                 return workers
         return []
@@ -91,6 +95,7 @@
     async def _report(
         self,
         scheduler: Member,
+        demand: int,
         *,
         spill: bool,
     ) -> list[AllottedWorker] | None:
@@ -102,7 +107,7 @@
                 call_report,
                 inner_pb2.DemandReport(
                     gateway=self._view.own.name,
-                    most_in_flight=self._router.take_peak(),
+                    most_in_flight=demand,
                     spill=spill,
                 ),
                 _CALL_TIMEOUT_S,
--- a/src/curranthill/scheduler/board.py
+++ b/src/curranthill/scheduler/board.py
@@ -87,11 +87,11 @@
 
     def remove(self, job_id: str) -> Waiting | None:
         """Take a job out, wherever it stands."""
-        key = self._keys.pop(job_id, None)
-        if key is None:
+        waiting = self.get(job_id)
+        if waiting is None:
             return None
+        key = self._keys.pop(job_id)
         line = self._lines[key]
-        waiting = next(one for one in line if one.job.job_id == job_id)
         line.remove(waiting)
         if not line:
             self._lines.pop(key)
@@ -101,6 +101,14 @@
         """Return the oldest job of each workspace and shape."""
         return [(key, line[0]) for key, line in self._lines.items()]
 
+    def get(self, job_id: str) -> Waiting | None:
+        """Return a waiting job."""
+        key = self._keys.get(job_id)
+        if key is None:
+            return None
+        line = self._lines[key]
+        return next(one for one in line if one.job.job_id == job_id)
+
     def head(self, key: ShapeKey) -> Waiting | None:
         """Return the oldest job of one line."""
         line = self._lines.get(key)
@@ -160,13 +168,15 @@
         )
 
     def adopt(self, job: Job, now_s: float) -> None:
-        """Count a job that already holds its place."""
+        """Count a job that already holds its place.
+
+        Promises may then stand in its way; repair the plan once all are in.
+        """
         unit = self.plan.free_unit(job.workspace, job.shape)
         if unit is not None:
             self.plan.use(unit, job.job_id)
         hard = unit is not None or not job.preemptible
         self._hold(job, job.members, hard=hard, unit=unit, now_s=now_s)
-        self.plan.repair()
 
     def release(self, job_id: str) -> Placed | None:
         """Take a job's place away; one without a place is no error."""
@@ -178,8 +188,18 @@
             self.plan.give_back(job_id, placed.members)
         else:
             self.borrowed[placed.job.workspace] -= placed.job.slots
+        if placed.hard and self.plan.at_risk:
+            self.plan.place_missing()
         return placed
 
+    def run_time_s(self, job: Job) -> float:
+        """Return how long a job is expected to run at the most, mostly."""
+        return self.estimates.run_time_s(
+            job.workspace,
+            job.kind,
+            job.run_time_s,
+        )
+
     def _hold(
         self,
         job: Job,
@@ -195,18 +215,13 @@
         if unit is None:
             held = self.borrowed.get(job.workspace, 0)
             self.borrowed[job.workspace] = held + job.slots
-        run_s = self.estimates.run_time_s(
-            job.workspace,
-            job.kind,
-            job.run_time_s,
-        )
         self.placed[job.job_id] = Placed(
             job=job,
             members=members,
             hard=hard,
             guaranteed=unit is not None,
             since_s=now_s,
-            expected_end_s=now_s + run_s,
+            expected_end_s=now_s + self.run_time_s(job),
         )
 
 
--- a/src/curranthill/scheduler/cluster.py
+++ b/src/curranthill/scheduler/cluster.py
@@ -67,27 +67,83 @@
     hard: bool
 
 
+class RackRoom(NamedTuple):
+    """What a rack has of one sort of room.
+
+    :param total: slots in the rack.
+    :param widest: most slots on one of its workers.
+    """
+
+    total: int
+    widest: int
+
+
+class Rack:
+    """A rack's workers, with sums that are kept until something changes."""
+
+    def __init__(self, *, name: str) -> None:
+        """Start without workers."""
+        self.name = name
+        self.workers: list[WorkerState] = []
+        self._rooms: dict[Room, RackRoom] = {}
+
+    def touch(self) -> None:
+        """Forget the sums: a worker of this rack has changed."""
+        self._rooms.clear()
+
+    def room(self, room: Room) -> RackRoom:
+        """Return the rack's sums for one sort of room."""
+        known = self._rooms.get(room)
+        if known is None:
+            slots = [worker.room(room) for worker in self.workers]
+            known = RackRoom(sum(slots), max(slots, default=0))
+            self._rooms[room] = known
+        return known
+
+
 class Cluster:
-    """The workers of a data centre by rack, and who holds what."""
+    """The workers of a data centre by rack, and who holds what.
+
+    All changes of a worker go through here, so that the racks' sums and the
+    record of which racks have changed stay right.
+    """
 
     def __init__(self) -> None:
         """Start with no worker."""
         self.workers: dict[str, WorkerState] = {}
-        self.racks: dict[str, list[WorkerState]] = {}
+        self.racks: dict[str, Rack] = {}
         self.allocations: dict[str, Allocation] = {}
+        self.slots = 0
+        self._most: dict[Room, RackRoom] = {}
 
     def add(self, worker: WorkerState) -> None:
         """Add a worker."""
         self.workers[worker.name] = worker
-        self.racks.setdefault(worker.rack, []).append(worker)
+        self.slots += worker.slots
+        rack = self.racks.setdefault(worker.rack, Rack(name=worker.rack))
+        rack.workers.append(worker)
+        self.touch(worker)
 
     def remove(self, name: str) -> None:
         """Forget a worker that is gone for good."""
         worker = self.workers.pop(name)
-        self.racks[worker.rack].remove(worker)
-        if not self.racks[worker.rack]:
+        self.slots -= worker.slots
+        rack = self.racks[worker.rack]
+        rack.workers.remove(worker)
+        self.touch(worker)
+        if not rack.workers:
             self.racks.pop(worker.rack)
 
+    def set_usable(self, worker: WorkerState, usable: bool) -> None:
+        """Say whether a worker may take work."""
+        worker.usable = usable
+        self.touch(worker)
+
+    def keep_quick(self, worker: WorkerState, slots: int) -> None:
+        """Keep so many more slots of a worker for quick work, or fewer."""
+        worker.quick += slots
+        self.touch(worker)
+
     def allocate(self, allocation: Allocation) -> None:
         """Let a job hold slots."""
         self.allocations[allocation.job_id] = allocation
@@ -116,6 +172,23 @@
         for worker, slots in self._parts(members):
             worker.planned += sign * slots
 
+    def most(self, room: Room) -> RackRoom:
+        """Return the most slots that any one rack and worker has."""
+        known = self._most.get(room)
+        if known is None:
+            rooms = [rack.room(room) for rack in self.racks.values()]
+            known = RackRoom(
+                max((one.total for one in rooms), default=0),
+                max((one.widest for one in rooms), default=0),
+            )
+            self._most[room] = known
+        return known
+
+    def touch(self, worker: WorkerState) -> None:
+        """Note that a worker has changed."""
+        self.racks[worker.rack].touch()
+        self._most.clear()
+
     def _parts(
         self,
         members: Iterable[Member],
@@ -123,7 +196,8 @@
         for member in members:
             worker = self.workers.get(member.worker)
             if worker is not None:
+                self.touch(worker)
                 yield worker, member.slots
 
 
-__all__ = ('Allocation', 'Cluster', 'Room', 'WorkerState')
+__all__ = ('Allocation', 'Cluster', 'Rack', 'RackRoom', 'Room', 'WorkerState')
--- a/src/curranthill/scheduler/estimates.py
+++ b/src/curranthill/scheduler/estimates.py
@@ -20,6 +20,7 @@
         """Start with nothing learnt: declared times are believed."""
         self._ratios: OrderedDict[tuple[str, str], deque[float]]
         self._ratios = OrderedDict()
+        self._quantiles: dict[tuple[str, str], float] = {}
 
     def learn(
         self,
@@ -36,8 +37,12 @@
         ratios = self._ratios.setdefault(pair, deque(maxlen=SAMPLES))
         self._ratios.move_to_end(pair)
         ratios.append(actual_s / declared_s)
+        ordered = sorted(ratios)
+        place = min(len(ordered) - 1, int(len(ordered) * QUANTILE))
+        self._quantiles[pair] = ordered[place]
         if len(self._ratios) > PAIRS:
-            self._ratios.popitem(last=False)
+            oldest, _ = self._ratios.popitem(last=False)
+            self._quantiles.pop(oldest)
 
     def run_time_s(
         self,
@@ -46,12 +51,7 @@
         declared_s: float,
     ) -> float:
         """Return how long a run is expected to take at the most, mostly."""
-        ratios = self._ratios.get((workspace, kind))
-        if not ratios:
-            return declared_s
-        ordered = sorted(ratios)
-        place = min(len(ordered) - 1, int(len(ordered) * QUANTILE))
-        return declared_s * ordered[place]
+        return declared_s * self._quantiles.get((workspace, kind), 1)
 
 
 __all__ = ('Estimates',)
--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -1,13 +1,23 @@
-"""The real policy: guarantees first, then fair shares of what is left."""
+"""The real policy: guarantees first, then fair shares of what is left.
 
+A pass costs little when nothing fits. Waiting jobs stand in lines of one
+workspace and shape; lines of one *form* (slots, adjacency, whether the work
+may be stopped) fit or do not fit together, and whether a form fits is a
+comparison with sums that the cluster keeps. Only lines whose form fits are
+ranked. The order of all lines, which says for whom racks are kept, is looked
+at now and then.
+"""
+
+from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
+from curranthill.configuration import Adjacency
 from curranthill.jobs import Job, Member
 from curranthill.scheduler.board import Board, Decision, ShapeKey, Waiting
 from curranthill.scheduler.cluster import WorkerState
 from curranthill.scheduler.policies import Policy, policies
 from curranthill.scheduler.reservations import Reservations
-from curranthill.scheduler.search import Price, find_place
+from curranthill.scheduler.search import Price, find_place, may_fit
 from curranthill.scheduler.victims import choose_victims, lost_work_on
 
 #: How much waiting once its own run time moves a job against usage that
@@ -17,11 +27,16 @@
 #: A run time below this does not make a job age faster, in seconds.
 LEAST_RUN_S: Final = 1.0
 
+#: How often the order of all lines is looked at, in seconds.
+REVIEW_S: Final = 1.0
+
+
+class _Form(NamedTuple):
+    """What two waiting jobs must share to fit or not fit together."""
 
-class _Candidate(NamedTuple):
-    rank: float
-    since_s: float
-    key: ShapeKey
+    slots: int
+    adjacent: Adjacency
+    hard: bool
 
 
 class Guarantees:
@@ -31,28 +46,35 @@
     """
 
     def __init__(self, *, preemptions: int) -> None:
-        """Keep the bound."""
+        """Keep the bound; no rack is kept yet."""
         self._preemptions = preemptions
+        self._reservations = Reservations()
+        self._reviewed_s = float('-inf')
 
     def decide(self, board: Board, now_s: float) -> list[Decision]:
         """Place guaranteed work, then borrowed work."""
         decisions = self._place_guaranteed(board, now_s)
+        if now_s - self._reviewed_s >= REVIEW_S:
+            self._reviewed_s = now_s
+            self._review(board, now_s)
         decisions.extend(self._place_borrowed(board, now_s))
         return decisions
 
     def explain(self, board: Board, job_id: str, now_s: float) -> list[str]:
         """Say what a job is entitled to and what it waits for."""
-        waiting = next(
-            (one for one in board.queue if one.job.job_id == job_id),
-            None,
-        )
+        waiting = board.queue.get(job_id)
         if waiting is None:
             return []
-        return list(_explanation(board, waiting, now_s))
+        return _explanation(board, waiting, now_s)
 
     def _place_guaranteed(self, board: Board, now_s: float) -> list[Decision]:
+        entitled = [
+            (key, waiting)
+            for key, waiting in board.queue.heads()
+            if board.plan.free_unit(key.workspace, key.shape) is not None
+        ]
         decisions: list[Decision] = []
-        for key, _ in sorted(board.queue.heads(), key=_head_age):
+        for key, _ in sorted(entitled, key=_head_age):
             decision = self._restore(board, key, now_s)
             while decision is not None:
                 decisions.append(decision)
@@ -72,29 +94,11 @@
             return None
         job = waiting.job
         planned = board.plan.unplan_for_search(unit)
-        place = find_place(
-            board.cluster,
-            job.slots,
-            job.adjacent,
-            'both',
-            price=_failure_price(job),
-        )
-        if place is None:
-
-            def price(worker: WorkerState) -> float:  # noqa: WPS430
-                return lost_work_on(board, worker, now_s)
-
-            place = find_place(
-                board.cluster,
-                job.slots,
-                job.adjacent,
-                'open',
-                price=price,
-            )
+        place = self._restored_place(board, job, now_s)
         if place is None:
             board.plan.put_back(unit, planned)
             return None
-        victims = choose_victims(board, place, now_s)
+        self._reservations.drop(job.job_id)
         return board.place(
             waiting,
             place,
@@ -102,116 +106,155 @@
             now_s=now_s,
             reason='guarantee',
             unit=unit,
-            victims=victims,
+            victims=choose_victims(board, place, now_s),
+        )
+
+    def _restored_place(
+        self,
+        board: Board,
+        job: Job,
+        now_s: float,
+    ) -> tuple[Member, ...] | None:
+        """Return a free place, else the one that costs others least."""
+        place = find_place(
+            board.cluster,
+            job.slots,
+            job.adjacent,
+            'both',
+            price=_failure_price(job),
+        )
+        if place is not None:
+            return place
+
+        def price(worker: WorkerState) -> float:  # noqa: WPS430
+            return lost_work_on(board, worker, now_s)
+
+        return find_place(
+            board.cluster,
+            job.slots,
+            job.adjacent,
+            'open',
+            price=price,
         )
 
     def _place_borrowed(self, board: Board, now_s: float) -> list[Decision]:
         decisions: list[Decision] = []
-        reservations = Reservations(board=board, now_s=now_s)
-        blocked: set[tuple[int, str, bool]] = set()
-        for candidate in self._candidates(board, now_s):
-            waiting = board.queue.head(candidate.key)
+        blocked: set[_Form] = set()
+        lines = self._ranked(board, self._fitting(board, blocked), now_s)
+        for key in lines:
+            waiting = board.queue.head(key)
             while waiting is not None:
-                decision = self._borrow(
-                    board,
-                    waiting,
-                    reservations,
-                    blocked,
-                    now_s,
-                )
+                decision = self._borrow(board, waiting, blocked, now_s)
                 if decision is None:
                     break
                 decisions.append(decision)
-                waiting = board.queue.head(candidate.key)
+                waiting = board.queue.head(key)
         return decisions
 
-    def _candidates(self, board: Board, now_s: float) -> list[_Candidate]:
-        total = max(
-            1,
-            sum(worker.slots for worker in board.cluster.workers.values()),
-        )
-        candidates: list[_Candidate] = []
+    def _fitting(
+        self,
+        board: Board,
+        blocked: set[_Form],
+    ) -> Iterator[tuple[ShapeKey, Waiting]]:
+        """Yield the head of each line whose form may fit now."""
         for key, waiting in board.queue.heads():
-            if not board.may_borrow.get(key.workspace, True):
+            form = self._form(waiting.job)
+            if form in blocked or not board.may_borrow.get(key.workspace, True):
                 continue
-            job = waiting.job
-            run_s = board.estimates.run_time_s(
-                key.workspace,
-                job.kind,
-                job.run_time_s,
-            )
-            used = board.borrowed.get(key.workspace, 0)
-            share = used / total / board.weights.get(key.workspace, 1)
-            waited_s = now_s - waiting.since_s
-            age = waited_s / max(run_s, LEAST_RUN_S)
-            candidates.append(
-                _Candidate(
-                    rank=share - AGEING * age,
-                    since_s=waiting.since_s,
-                    key=key,
-                ),
-            )
-        return sorted(candidates)
+            if may_fit(board.cluster, form.slots, form.adjacent, 'free'):
+                yield key, waiting
+            else:
+                blocked.add(form)
 
-    def _borrow(  # noqa: WPS211
+    def _ranked(
+        self,
+        board: Board,
+        heads: Iterable[tuple[ShapeKey, Waiting]],
+        now_s: float,
+    ) -> list[ShapeKey]:
+        """Return lines, the one that should be served first first."""
+        total = max(1, board.cluster.slots)
+        ranked: list[tuple[float, float, ShapeKey]] = []
+        for key, waiting in heads:
+            run_s = max(board.run_time_s(waiting.job), LEAST_RUN_S)
+            weight = board.weights.get(key.workspace, 1)
+            share = board.borrowed.get(key.workspace, 0) / total / weight
+            age = (now_s - waiting.since_s) / run_s
+            ranked.append((share - AGEING * age, waiting.since_s, key))
+        return [key for _, _, key in sorted(ranked)]
+
+    def _borrow(
         self,
         board: Board,
         waiting: Waiting,
-        reservations: Reservations,
-        blocked: set[tuple[int, str, bool]],
+        blocked: set[_Form],
         now_s: float,
     ) -> Decision | None:
-        job = waiting.job
-        hard = not job.preemptible or job.preemptions >= self._preemptions
-        form = (job.slots, job.adjacent, hard)
+        form = self._form(waiting.job)
         if form in blocked:
-            reservations.keep_for(job)
             return None
-        place = self._find(board, waiting, reservations, hard=hard)
+        place = self._find(board, waiting.job, now_s, hard=form.hard)
         if place is None:
-            blocked.add(form)
-            reservations.keep_for(job)
+            if not may_fit(
+                board.cluster,
+                form.slots,
+                waiting.job.adjacent,
+                'free',
+            ):
+                blocked.add(form)
             return None
+        self._reservations.drop(waiting.job.job_id)
         return board.place(
             waiting,
             place,
-            hard=hard,
+            hard=form.hard,
             now_s=now_s,
-            reason='borrowed, to stay' if hard else 'borrowed',
+            reason='borrowed, to stay' if form.hard else 'borrowed',
         )
 
     def _find(
         self,
         board: Board,
-        waiting: Waiting,
-        reservations: Reservations,
+        job: Job,
+        now_s: float,
         *,
         hard: bool,
     ) -> tuple[Member, ...] | None:
-        job = waiting.job
-        barred = reservations.barred_for(job)
-        place = find_place(
-            board.cluster,
-            job.slots,
-            job.adjacent,
-            'both',
-            barred=barred,
-            price=_failure_price(job),
-        )
-        if place is not None:
-            return place
-        place = find_place(
-            board.cluster,
-            job.slots,
-            job.adjacent,
-            'free',
-            barred=barred,
-            price=_failure_price(job),
-        )
+        """Find a place off the promises, else one that they can spare."""
+        barred = self._reservations.barred_for(board, job, now_s)
+        for room in ('both', 'free'):
+            place = find_place(
+                board.cluster,
+                job.slots,
+                job.adjacent,
+                room,
+                barred=barred,
+                price=_failure_price(job),
+            )
+            if place is not None:
+                break
         if place is None or not hard:
             return place
         return place if board.plan.make_way(place) else None
 
+    def _review(self, board: Board, now_s: float) -> None:
+        """Keep racks for those who are first in order and do not fit."""
+        self._reservations.clear()
+        able = [
+            (key, waiting)
+            for key, waiting in board.queue.heads()
+            if board.may_borrow.get(key.workspace, True)
+        ]
+        for key in self._ranked(board, able, now_s):
+            waiting = board.queue.head(key)
+            if self._reservations.full or waiting is None:
+                return
+            self._reservations.keep_for(board, waiting.job, now_s)
+
+    def _form(self, job: Job) -> _Form:
+        hard = not job.preemptible or job.preemptions >= self._preemptions
+        return _Form(slots=job.slots, adjacent=job.adjacent, hard=hard)
+
 
 @policies.register('guarantees')
 def guarantees(preemptions: int) -> Policy:
@@ -246,11 +289,7 @@
         f' {now_s - waiting.since_s:.1f} s for {job.slots} accelerators'
         f' ({job.adjacent}).',
     ]
-    units = [
-        unit
-        for unit in board.plan
-        if unit.unit_id[:2] == (job.workspace, job.shape)
-    ]
+    units = board.plan.units_of(job.workspace, job.shape)
     if not units:
         lines.append('Its workspace holds no guarantee of this shape here.')
     for unit in units:
@@ -261,13 +300,10 @@
     if not board.may_borrow.get(job.workspace, True):
         lines.append('Its workspace may not borrow.')
     free = sum(worker.free for worker in board.cluster.workers.values())
-    widest = max(
-        (worker.free for worker in board.cluster.workers.values()),
-        default=0,
-    )
+    most = board.cluster.most('free')
     lines.append(
-        f'{free} accelerators are free, at most {widest} on one worker;'
-        f' {len(board.queue)} jobs wait.',
+        f'{free} accelerators are free, at most {most.widest} on one worker'
+        f' and {most.total} in one rack; {len(board.queue)} jobs wait.',
     )
     return lines
 
--- a/src/curranthill/scheduler/guarantees.py
+++ b/src/curranthill/scheduler/guarantees.py
@@ -50,9 +50,12 @@
 
     def __init__(self, *, cluster: Cluster) -> None:
         """Start with no promise."""
+        #: Units that no place can restore now.
+        self.at_risk: set[UnitId] = set()
         self._cluster = cluster
         self._units: dict[UnitId, Unit] = {}
         self._by_job: dict[str, UnitId] = {}
+        self._unused: dict[tuple[str, str], dict[UnitId, Unit]] = {}
 
     def __iter__(self) -> Iterator[Unit]:
         """Yield all units."""
@@ -72,22 +75,26 @@
             if unit_id not in wanted or self._resized(wanted[unit_id]):
                 self._drop(unit_id)
         for unit_id, unit in wanted.items():
-            self._units.setdefault(unit_id, unit)
+            if unit_id not in self._units:
+                self._units[unit_id] = unit
+                self._note_unused(unit)
         self.repair()
 
     def free_unit(self, workspace: str, shape: str) -> Unit | None:
         """Return a unit of a workspace and shape that is not in use."""
-        for unit in self._units.values():
-            owner, name, _ = unit.unit_id
-            if (owner, name) == (workspace, shape) and not unit.job_id:
-                return unit
-        return None
+        unused = self._unused.get((workspace, shape))
+        return next(iter(unused.values())) if unused else None
+
+    def units_of(self, workspace: str, shape: str) -> list[Unit]:
+        """Return all units of a workspace and shape."""
+        return [unit for unit in self if unit.unit_id[:2] == (workspace, shape)]
 
     def use(self, unit: Unit, job_id: str) -> None:
         """Let a job use a unit; the plan's slots are its own from now on."""
         self._unplan(unit)
         unit.job_id = job_id
         self._by_job[job_id] = unit.unit_id
+        self._unused[unit.unit_id[:2]].pop(unit.unit_id, None)
 
     def give_back(self, job_id: str, members: Iterable[Member]) -> None:
         """Plan a unit where the job that used it was."""
@@ -95,11 +102,12 @@
         if unit is None:
             return
         unit.job_id = ''
+        self._note_unused(unit)
         members = tuple(members)
         if self._fits(members):
             self._set_plan(unit, members)
         else:
-            self.repair()
+            self.place_missing()
 
     def make_way(self, members: Iterable[Member]) -> bool:
         """Move plans so that hard work may take ``members``.
@@ -137,17 +145,25 @@
                 continue
             for unit in self._planned_on(worker.name):
                 self._unplan(unit)
+        self.place_missing()
+
+    def place_missing(self) -> None:
+        """Plan units at risk where they fit now, the larger ones first."""
         missing = [unit for unit in self if unit.at_risk]
-        for unit in _largest_first(missing):
-            if not self._replan(unit):
+        still_missing = [
+            unit for unit in _largest_first(missing) if not self._replan(unit)
+        ]
+        now_at_risk = {unit.unit_id for unit in still_missing}
+        for unit in still_missing:
+            if unit.unit_id not in self.at_risk:
                 logger.bind(
                     step='guarantee', workspace=unit.unit_id[0]
                 ).warning(
                     'no place to restore {}: it is at risk',
                     unit.unit_id,
                 )
-        at_risk = sum(1 for unit in self if unit.at_risk)
-        metrics.guarantees_at_risk.set(at_risk)
+        self.at_risk = now_at_risk
+        metrics.guarantees_at_risk.set(len(now_at_risk))
 
     def unplan_for_search(self, unit: Unit) -> tuple[Member, ...]:
         """Take a unit's plan away for a search; return it."""
@@ -166,8 +182,13 @@
     def _drop(self, unit_id: UnitId) -> None:
         unit = self._units.pop(unit_id)
         self._unplan(unit)
+        self._unused[unit_id[:2]].pop(unit_id, None)
         self._by_job.pop(unit.job_id, None)
 
+    def _note_unused(self, unit: Unit) -> None:
+        pair = unit.unit_id[:2]
+        self._unused.setdefault(pair, {})[unit.unit_id] = unit
+
     def _displaced(self, members: tuple[Member, ...]) -> list[Unit]:
         names = {
             member.worker
--- a/src/curranthill/scheduler/quick.py
+++ b/src/curranthill/scheduler/quick.py
@@ -18,6 +18,10 @@
 #: The most of a data centre that quick work may keep.
 MOST_SHARE: Final = 0.5
 
+#: How long before the reserve goes gateways are told, in seconds; longer
+#: than the time between two of their reports.
+YIELD_NOTICE_S: Final = 1.5
+
 #: How long a grant of connections is good for, in seconds.
 GRANT_TERM_S: Final = 5.0
 
@@ -42,8 +46,7 @@
         self._clock = clock
         self.least = least
         self._demands: dict[str, Demand] = {}
-        #: Whether the reserve gives way to a gang as large as the rack.
-        self.yields = False
+        self._yields_since_s: float | None = None
 
     def report(self, gateway: str, most_in_flight: int) -> None:
         """Take in a gateway's peak since its last report."""
@@ -56,9 +59,10 @@
 
     def wanted(self) -> int:
         """Return how many slots quick work should have now."""
-        if self.yields:
-            return 0
         now_s = self._clock.monotonic_s()
+        since_s = self._yields_since_s
+        if since_s is not None and now_s - since_s >= YIELD_NOTICE_S:
+            return 0
         peak = sum(
             demand.peak
             for demand in self._demands.values()
@@ -83,8 +87,22 @@
             return self._grow(wanted - held)
         return ()
 
+    def give_way(self, *, wanted: bool) -> None:
+        """Give the reserve up for a gang as large as the rack, or take it up.
+
+        Gateways are told at once to go elsewhere; the slots are given up
+        only after they have had time to hear of it.
+        """
+        if not wanted:
+            self._yields_since_s = None
+        elif self._yields_since_s is None:
+            self._yields_since_s = self._clock.monotonic_s()
+
     def workers(self) -> list[WorkerState]:
-        """Return the workers that keep slots for quick work."""
+        """Return the workers that gateways may send quick work to."""
+        return [] if self._yields_since_s is not None else self._holders()
+
+    def _holders(self) -> list[WorkerState]:
         return [
             worker
             for worker in self._board.cluster.workers.values()
@@ -92,9 +110,9 @@
         ]
 
     def _shrink(self, surplus: int) -> None:
-        for worker in sorted(self.workers(), key=_fewest_quick):
+        for worker in sorted(self._holders(), key=_fewest_quick):
             given = min(surplus, worker.quick)
-            worker.quick -= given
+            self._board.cluster.keep_quick(worker, -given)
             surplus -= given
 
     def _grow(self, missing: int) -> tuple[str, ...]:
@@ -127,7 +145,7 @@
             )
             for victim in victims:
                 self._board.release(victim)
-        worker.quick += slots
+        self._board.cluster.keep_quick(worker, slots)
         return victims
 
 
--- a/src/curranthill/scheduler/roster.py
+++ b/src/curranthill/scheduler/roster.py
@@ -90,7 +90,7 @@
             usable = self._is_usable(worker)
             if usable != worker.usable:
                 changed = True
-                worker.usable = usable
+                self._board.cluster.set_usable(worker, usable)
                 logger.bind(step='health', peer=worker.name).info(
                     '{} {} work',
                     worker.name,
@@ -137,7 +137,7 @@
 
     def _remove(self, name: str) -> None:
         cluster = self._board.cluster
-        cluster.workers[name].usable = False
+        cluster.set_usable(cluster.workers[name], usable=False)
         self._board.plan.repair()
         cluster.remove(name)
         watch = self.watches.pop(name, None)
--- a/src/curranthill/scheduler/search.py
+++ b/src/curranthill/scheduler/search.py
@@ -1,10 +1,10 @@
 """Where a shape fits, and what the place leaves whole."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 from curranthill.configuration import ANYWHERE, ON_WORKER, Adjacency
 from curranthill.jobs import Member
-from curranthill.scheduler.cluster import Cluster, Room, WorkerState
+from curranthill.scheduler.cluster import Cluster, Rack, Room, WorkerState
 
 #: Racks that a search may not use.
 Barred = frozenset[str]
@@ -33,26 +33,40 @@
     :param barred: racks that are kept for another job.
     :param price: goes before the fit, if given.
     """
-    racks = [
-        _Rack(workers, room, price or _free_of_charge)
-        for name, workers in cluster.racks.items()
-        if name not in barred
-    ]
-    single = min(
-        (rack.best_worker(slots) for rack in racks if rack.widest >= slots),
-        default=None,
-    )
-    if single is not None:
-        return (_member(cluster.workers[single[-1]], slots),)
+    if not may_fit(cluster, slots, adjacent, room):
+        return None
+    racks = [rack for name, rack in cluster.racks.items() if name not in barred]
+    price = price or _free_of_charge
+    wide = [rack for rack in racks if rack.room(room).widest >= slots]
+    if wide:
+        chosen = min(_best_worker(rack, slots, room, price) for rack in wide)
+        return (_member(cluster.workers[chosen[-1]], slots),)
     if adjacent == ON_WORKER:
         return None
-    fitting = [rack for rack in racks if rack.total >= slots]
+    fitting = [rack for rack in racks if rack.room(room).total >= slots]
     if fitting:
-        return min(fitting, key=_Rack.order).spread(slots)
-    if adjacent != ANYWHERE or sum(rack.total for rack in racks) < slots:
+        rack = min(fitting, key=_rack_order(room, price))
+        return _spread(rack.workers, slots, room, price)
+    total = sum(rack.room(room).total for rack in racks)
+    if adjacent != ANYWHERE or total < slots:
         return None
     everywhere = [worker for rack in racks for worker in rack.workers]
-    return _Rack(everywhere, room, price or _free_of_charge).spread(slots)
+    return _spread(everywhere, slots, room, price)
+
+
+def may_fit(
+    cluster: Cluster,
+    slots: int,
+    adjacent: Adjacency,
+    room: Room,
+) -> bool:
+    """Return whether a shape fits if no rack is barred; cheap to ask."""
+    most = cluster.most(room)
+    if most.widest >= slots:
+        return True
+    if adjacent == ON_WORKER:
+        return False
+    return adjacent == ANYWHERE or most.total >= slots
 
 
 def first_fit(
@@ -66,7 +80,7 @@
             return (_member(worker, slots),)
     if adjacent == ON_WORKER:
         return None
-    groups = list(cluster.racks.values())
+    groups = [rack.workers for rack in cluster.racks.values()]
     if adjacent == ANYWHERE:
         groups.append(list(cluster.workers.values()))
     for workers in groups:
@@ -75,62 +89,60 @@
     return None
 
 
-class _Rack:
-    """One rack during one search."""
-
-    def __init__(
-        self,
-        workers: Sequence[WorkerState],
-        room: Room,
-        price: Price,
-    ) -> None:
-        self.workers = workers
-        self.rooms = [worker.room(room) for worker in workers]
-        self.total = sum(self.rooms)
-        self.widest = max(self.rooms, default=0)
-        self._price = price
-
-    def best_worker(self, slots: int) -> tuple[float, int, int, str]:
-        """Return the key of the worker that fits best; its name is last."""
-        return min(
-            (self._price(worker), has, self.total, worker.name)
-            for worker, has in zip(self.workers, self.rooms, strict=True)
-            if has >= slots
-        )
-
-    def order(self) -> tuple[float, int, str]:
-        """Return what makes this rack better than another for a gang."""
-        price = sum(self._price(worker) for worker in self.workers)
-        return (price, self.total, self.workers[0].rack)
-
-    def spread(self, slots: int) -> tuple[Member, ...]:
-        """Take the emptiest workers whole, the last part where it fits best.
-
-        The caller has seen that the rack has room enough.
-        """
-        rooms = sorted(
-            zip(self.workers, self.rooms, strict=True),
-            key=self._emptiest_first,
-        )
-        members: list[Member] = []
-        while rooms and rooms[0][1] < slots:
-            worker, has = rooms.pop(0)
-            if has:
-                members.append(_member(worker, has))
-                slots -= has
-        last = min(
-            (self._price(worker), has, worker.name, worker)
-            for worker, has in rooms
-            if has >= slots
-        )[-1]
-        return (*members, _member(last, slots))
-
-    def _emptiest_first(
-        self,
-        entry: tuple[WorkerState, int],
-    ) -> tuple[float, int, str]:
-        worker, has = entry
-        return (self._price(worker), -has, worker.name)
+def _best_worker(
+    rack: Rack,
+    slots: int,
+    room: Room,
+    price: Price,
+) -> tuple[float, int, int, str]:
+    """Return the key of the rack's worker that fits best, its name last."""
+    total = rack.room(room).total
+    return min(
+        (price(worker), worker.room(room), total, worker.name)
+        for worker in rack.workers
+        if worker.room(room) >= slots
+    )
+
+
+def _rack_order(
+    room: Room,
+    price: Price,
+) -> Callable[[Rack], tuple[float, int, str]]:
+    """Return what makes one rack better than another for a gang."""
+
+    def order(rack: Rack) -> tuple[float, int, str]:  # noqa: WPS430
+        total_price = sum(price(worker) for worker in rack.workers)
+        return (total_price, rack.room(room).total, rack.name)
+
+    return order
+
+
+def _spread(
+    workers: Iterable[WorkerState],
+    slots: int,
+    room: Room,
+    price: Price,
+) -> tuple[Member, ...]:
+    """Take the emptiest workers whole, the last part where it fits best.
+
+    The caller has seen that there is room enough.
+    """
+    rooms = sorted(
+        (price(worker), -worker.room(room), worker.name, worker)
+        for worker in workers
+    )
+    members: list[Member] = []
+    while rooms and -rooms[0][1] < slots:
+        _, less, _, worker = rooms.pop(0)
+        if less:
+            members.append(_member(worker, -less))
+            slots += less
+    last = min(
+        (cost, -less, name, worker)
+        for cost, less, name, worker in rooms
+        if -less >= slots
+    )[-1]
+    return (*members, _member(last, slots))
 
 
 def _take_in_order(
@@ -154,4 +166,11 @@
     return 0
 
 
-__all__ = ('NO_RACKS', 'Barred', 'Price', 'find_place', 'first_fit')
+__all__ = (
+    'NO_RACKS',
+    'Barred',
+    'Price',
+    'find_place',
+    'first_fit',
+    'may_fit',
+)
--- a/src/curranthill/scheduler/term.py
+++ b/src/curranthill/scheduler/term.py
@@ -88,6 +88,7 @@
     def begin(self) -> None:
         """Place jobs from now on; recovery has filled the board."""
         self.configure()
+        self.board.plan.repair()
         self.roster.begin()
         self._spawn(self._dispatch())
         self._spawn(self._tick())
@@ -190,7 +191,9 @@
         while True:
             await self._context.clock.sleep(TICK_S)
             self.roster.judge()
-            self.quick.yields = self._elsewhere() and self._rack_is_wanted()
+            self.quick.give_way(
+                wanted=self._elsewhere() and self._rack_is_wanted(),
+            )
             self._preempt(self.quick.adjust(), 'for quick work')
             self._wake.set()
 
@@ -202,8 +205,8 @@
         """
         widest = max(
             (
-                sum(worker.slots for worker in workers if worker.usable)
-                for workers in self.board.cluster.racks.values()
+                sum(worker.slots for worker in rack.workers if worker.usable)
+                for rack in self.board.cluster.racks.values()
             ),
             default=0,
         )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -154,7 +154,7 @@
         """A worker is lost, its jobs with it, or comes back."""
         names = sorted(self.board.cluster.workers)
         worker = self.board.cluster.workers[names[place]]
-        worker.usable = usable
+        self.board.cluster.set_usable(worker, usable)
         if not usable:
             for job_id in list(worker.jobs):
                 self.board.release(job_id)
@@ -318,16 +318,34 @@
     def test_a_lost_rack_scales_promises_and_its_return_restores(self) -> None:
         """Promises that still stand are kept; the lost one is at risk."""
         board = promised_board()
-        for worker in board.cluster.racks['r0']:
-            worker.usable = False
+        rack = board.cluster.racks['r0'].workers
+        for worker in rack:
+            board.cluster.set_usable(worker, usable=False)
         board.plan.repair()
         at_risk = [unit.unit_id.shape for unit in board.plan if unit.at_risk]
         self.assertEqual(at_risk, ['rack'])
-        for worker in board.cluster.racks['r0']:
-            worker.usable = True
+        for worker in rack:
+            board.cluster.set_usable(worker, usable=True)
         board.plan.repair()
         self.assertFalse([unit for unit in board.plan if unit.at_risk])
 
+    def test_a_unit_at_risk_is_planned_once_hard_work_ends(self) -> None:
+        """The end of borrowed work that stood in the way restores it."""
+        board = promised_board({'ledger': [('rack', 1)]})
+        policy = policies.get('guarantees')(5)
+        wait_on(board, shaped('dc-1', 'audit', 'rack', idempotent=False))
+        policy.decide(board, 1)
+        lost = next(
+            worker
+            for worker in board.cluster.workers.values()
+            if worker.planned
+        )
+        board.cluster.set_usable(lost, usable=False)
+        board.plan.repair()
+        self.assertEqual(len(board.plan.at_risk), 1)
+        board.release('dc-1')
+        self.assertEqual(board.plan.at_risk, set())
+
 
 class OrderTest(unittest.TestCase):
     """Large gangs and small jobs."""
