Keep workers, not racks, for waiting gangs; fewer searches in a pass

Cause: with one rack a data centre, a waiting gang barred everybody from the whole of it; and searches were repeated for each line that was barred alike. Change: a reservation names the workers that are expected free first; the order of lines is looked at by form; a search that failed is not repeated.

--- a/src/curranthill/scheduler/board.py
+++ b/src/curranthill/scheduler/board.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from curranthill.configuration import Adjacency
 from curranthill.jobs import Job, Member
-from curranthill.scheduler.cluster import Allocation, Cluster
+from curranthill.scheduler.cluster import Allocation, Cluster, WorkerState
 from curranthill.scheduler.estimates import Estimates
 from curranthill.scheduler.guarantees import GuaranteePlan, Unit
 
@@ -27,7 +28,7 @@
     workspace: str
     shape: str
     slots: int
-    adjacent: str
+    adjacent: Adjacency
     preemptible: bool
 
 
@@ -59,13 +60,23 @@
     reason: str
 
 
+class Form(NamedTuple):
+    """What two waiting jobs must share to fit or not fit together."""
+
+    slots: int
+    adjacent: Adjacency
+    preemptible: bool
+
+
 class Queue:
-    """Waiting jobs by workspace and shape, oldest first."""
+    """Waiting jobs in lines of one workspace and shape, oldest first."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._lines: dict[ShapeKey, deque[Waiting]] = {}
         self._keys: dict[str, ShapeKey] = {}
+        self._lines: dict[ShapeKey, deque[Waiting]] = {}
+        self._by_form: dict[Form, dict[ShapeKey, deque[Waiting]]] = {}
+        self._by_pair: dict[tuple[str, str], set[ShapeKey]] = {}
 
     def __len__(self) -> int:
         """Return how many jobs wait."""
@@ -75,11 +86,18 @@
         """Return whether a job waits."""
         return job_id in self._keys
 
+    def __iter__(self) -> Iterator[Waiting]:
+        """Yield all waiting jobs."""
+        for line in self._lines.values():
+            yield from line
+
     def add(self, waiting: Waiting) -> None:
         """Let a job wait; one that has waited longer goes before."""
         key = shape_key(waiting.job)
         self._keys[waiting.job.job_id] = key
-        line = self._lines.setdefault(key, deque())
+        line = self._lines.get(key)
+        if line is None:
+            line = self._open(key)
         if line and waiting.since_s < line[0].since_s:
             line.appendleft(waiting)
         else:
@@ -94,13 +112,9 @@
         line = self._lines[key]
         line.remove(waiting)
         if not line:
-            self._lines.pop(key)
+            self._close(key)
         return waiting
 
-    def heads(self) -> list[tuple[ShapeKey, Waiting]]:
-        """Return the oldest job of each workspace and shape."""
-        return [(key, line[0]) for key, line in self._lines.items()]
-
     def get(self, job_id: str) -> Waiting | None:
         """Return a waiting job."""
         key = self._keys.get(job_id)
@@ -114,10 +128,44 @@
         line = self._lines.get(key)
         return line[0] if line else None
 
-    def __iter__(self) -> Iterator[Waiting]:
-        """Yield all waiting jobs."""
-        for line in self._lines.values():
-            yield from line
+    def heads(self) -> list[tuple[ShapeKey, Waiting]]:
+        """Return the oldest job of each line."""
+        return [(key, line[0]) for key, line in self._lines.items()]
+
+    def forms(self) -> list[Form]:
+        """Return the forms of which jobs wait."""
+        return list(self._by_form)
+
+    def heads_of_form(self, form: Form) -> list[tuple[ShapeKey, Waiting]]:
+        """Return the oldest job of each line of a form."""
+        lines = self._by_form.get(form, {})
+        return [(key, line[0]) for key, line in lines.items()]
+
+    def heads_of_pair(
+        self,
+        workspace: str,
+        shape: str,
+    ) -> list[tuple[ShapeKey, Waiting]]:
+        """Return the oldest jobs of a workspace and shape."""
+        keys = self._by_pair.get((workspace, shape), ())
+        return [(key, self._lines[key][0]) for key in keys]
+
+    def _open(self, key: ShapeKey) -> deque[Waiting]:
+        line: deque[Waiting] = deque()
+        self._lines[key] = line
+        self._by_form.setdefault(form_of(key), {})[key] = line
+        self._by_pair.setdefault((key.workspace, key.shape), set()).add(key)
+        return line
+
+    def _close(self, key: ShapeKey) -> None:
+        self._lines.pop(key)
+        form, pair = form_of(key), (key.workspace, key.shape)
+        self._by_form[form].pop(key)
+        if not self._by_form[form]:
+            self._by_form.pop(form)
+        self._by_pair[pair].discard(key)
+        if not self._by_pair[pair]:
+            self._by_pair.pop(pair)
 
 
 class Board:
@@ -138,6 +186,7 @@
         self.borrowed: dict[str, int] = {}
         self.weights: dict[str, float] = {}
         self.may_borrow: dict[str, bool] = {}
+        self._ends: dict[str, list[tuple[float, int]]] = {}
 
     def place(  # noqa: WPS211
         self,
@@ -184,6 +233,7 @@
         if placed is None:
             return None
         self.cluster.release(job_id)
+        self._forget_ends(placed.members)
         if placed.guaranteed:
             self.plan.give_back(job_id, placed.members)
         else:
@@ -192,6 +242,20 @@
             self.plan.place_missing()
         return placed
 
+    def ends_on(self, worker: WorkerState) -> list[tuple[float, int]]:
+        """Return when slots of a worker are expected free, soonest first."""
+        known = self._ends.get(worker.name)
+        if known is None:
+            here = [self.placed[job_id] for job_id in worker.jobs]
+            known = sorted(
+                (placed.expected_end_s, member.slots)
+                for placed in here
+                for member in placed.members
+                if member.worker == worker.name
+            )
+            self._ends[worker.name] = known
+        return known
+
     def run_time_s(self, job: Job) -> float:
         """Return how long a job is expected to run at the most, mostly."""
         return self.estimates.run_time_s(
@@ -200,6 +264,10 @@
             job.run_time_s,
         )
 
+    def _forget_ends(self, members: Iterable[Member]) -> None:
+        for member in members:
+            self._ends.pop(member.worker, None)
+
     def _hold(
         self,
         job: Job,
@@ -209,6 +277,7 @@
         unit: Unit | None,
         now_s: float,
     ) -> None:
+        self._forget_ends(members)
         self.cluster.allocate(
             Allocation(job_id=job.job_id, members=members, hard=hard),
         )
@@ -225,6 +294,15 @@
         )
 
 
+def form_of(key: ShapeKey) -> Form:
+    """Return the form of a line's jobs."""
+    return Form(
+        slots=key.slots,
+        adjacent=key.adjacent,
+        preemptible=key.preemptible,
+    )
+
+
 def shape_key(job: Job) -> ShapeKey:
     """Return what placement tells jobs of a workspace apart by."""
     return ShapeKey(
@@ -239,9 +317,11 @@
 __all__ = (
     'Board',
     'Decision',
+    'Form',
     'Placed',
     'Queue',
     'ShapeKey',
     'Waiting',
+    'form_of',
     'shape_key',
 )
--- a/src/curranthill/scheduler/cluster.py
+++ b/src/curranthill/scheduler/cluster.py
@@ -7,9 +7,9 @@
 restored now.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Hashable, Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import Literal, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 from curranthill.jobs import Member
 
@@ -85,11 +85,14 @@
         """Start without workers."""
         self.name = name
         self.workers: list[WorkerState] = []
+        #: What others worked out of this rack, until something changes.
+        self.memo: dict[Hashable, Any] = {}
         self._rooms: dict[Room, RackRoom] = {}
 
     def touch(self) -> None:
         """Forget the sums: a worker of this rack has changed."""
         self._rooms.clear()
+        self.memo.clear()
 
     def room(self, room: Room) -> RackRoom:
         """Return the rack's sums for one sort of room."""
--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -1,20 +1,19 @@
 """The real policy: guarantees first, then fair shares of what is left.
 
 A pass costs little when nothing fits. Waiting jobs stand in lines of one
-workspace and shape; lines of one *form* (slots, adjacency, whether the work
+workspace and shape; lines of one form (slots, adjacency, whether the work
 may be stopped) fit or do not fit together, and whether a form fits is a
 comparison with sums that the cluster keeps. Only lines whose form fits are
 ranked. The order of all lines, which says for whom racks are kept, is looked
 at now and then.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from curranthill.configuration import Adjacency
 from curranthill.jobs import Job, Member
 from curranthill.scheduler.board import Board, Decision, ShapeKey, Waiting
-from curranthill.scheduler.cluster import WorkerState
+from curranthill.scheduler.cluster import Room, WorkerState
 from curranthill.scheduler.policies import Policy, policies
 from curranthill.scheduler.reservations import Reservations
 from curranthill.scheduler.search import Price, find_place, may_fit
@@ -27,16 +26,25 @@
 #: A run time below this does not make a job age faster, in seconds.
 LEAST_RUN_S: Final = 1.0
 
+#: How long a job waits, in run times of its own, before workers are kept
+#: for it.
+PATIENCE: Final = 0.5
+
 #: How often the order of all lines is looked at, in seconds.
 REVIEW_S: Final = 1.0
 
 
-class _Form(NamedTuple):
-    """What two waiting jobs must share to fit or not fit together."""
+#: Where borrowed work looks, in order: off the promises, then anywhere.
+_ROOMS: Final[tuple[Room, ...]] = ('both', 'free')
+
+
+class _Trial(NamedTuple):
+    """What made a search fail: the next one like it fails, too."""
 
     slots: int
-    adjacent: Adjacency
+    adjacent: str
     hard: bool
+    before: frozenset[str]
 
 
 class Guarantees:
@@ -69,9 +77,9 @@
 
     def _place_guaranteed(self, board: Board, now_s: float) -> list[Decision]:
         entitled = [
-            (key, waiting)
-            for key, waiting in board.queue.heads()
-            if board.plan.free_unit(key.workspace, key.shape) is not None
+            head
+            for pair in board.plan.unused_pairs()
+            for head in board.queue.heads_of_pair(*pair)
         ]
         decisions: list[Decision] = []
         for key, _ in sorted(entitled, key=_head_age):
@@ -139,33 +147,20 @@
 
     def _place_borrowed(self, board: Board, now_s: float) -> list[Decision]:
         decisions: list[Decision] = []
-        blocked: set[_Form] = set()
-        lines = self._ranked(board, self._fitting(board, blocked), now_s)
-        for key in lines:
-            waiting = board.queue.head(key)
-            while waiting is not None:
-                decision = self._borrow(board, waiting, blocked, now_s)
-                if decision is None:
-                    break
+        fitting = [
+            head
+            for form in board.queue.forms()
+            if may_fit(board.cluster, form.slots, form.adjacent, 'free')
+            for head in board.queue.heads_of_form(form)
+        ]
+        failed: set[_Trial] = set()
+        for key in self._ranked(board, fitting, now_s):
+            decision = self._borrow(board, key, now_s, failed)
+            while decision is not None:
                 decisions.append(decision)
-                waiting = board.queue.head(key)
+                decision = self._borrow(board, key, now_s, failed)
         return decisions
 
-    def _fitting(
-        self,
-        board: Board,
-        blocked: set[_Form],
-    ) -> Iterator[tuple[ShapeKey, Waiting]]:
-        """Yield the head of each line whose form may fit now."""
-        for key, waiting in board.queue.heads():
-            form = self._form(waiting.job)
-            if form in blocked or not board.may_borrow.get(key.workspace, True):
-                continue
-            if may_fit(board.cluster, form.slots, form.adjacent, 'free'):
-                yield key, waiting
-            else:
-                blocked.add(form)
-
     def _ranked(
         self,
         board: Board,
@@ -174,56 +169,64 @@
     ) -> list[ShapeKey]:
         """Return lines, the one that should be served first first."""
         total = max(1, board.cluster.slots)
+        shares = {
+            name: used / total / board.weights.get(name, 1)
+            for name, used in board.borrowed.items()
+        }
         ranked: list[tuple[float, float, ShapeKey]] = []
         for key, waiting in heads:
+            if not board.may_borrow.get(key.workspace, True):
+                continue
             run_s = max(board.run_time_s(waiting.job), LEAST_RUN_S)
-            weight = board.weights.get(key.workspace, 1)
-            share = board.borrowed.get(key.workspace, 0) / total / weight
             age = (now_s - waiting.since_s) / run_s
-            ranked.append((share - AGEING * age, waiting.since_s, key))
-        return [key for _, _, key in sorted(ranked)]
+            rank = shares.get(key.workspace, 0) - AGEING * age
+            ranked.append((rank, waiting.since_s, key))
+        ranked.sort()
+        return [key for _, _, key in ranked]
 
     def _borrow(
         self,
         board: Board,
-        waiting: Waiting,
-        blocked: set[_Form],
+        key: ShapeKey,
         now_s: float,
+        failed: set[_Trial],
     ) -> Decision | None:
-        form = self._form(waiting.job)
-        if form in blocked:
+        """Place the head of one line, if it fits now."""
+        waiting = board.queue.head(key)
+        if waiting is None:
+            return None
+        job = waiting.job
+        if not may_fit(board.cluster, job.slots, job.adjacent, 'free'):
+            return None
+        hard = not job.preemptible or job.preemptions >= self._preemptions
+        before = self._reservations.before(board, job, now_s)
+        trial = _Trial(job.slots, job.adjacent, hard, before)
+        if trial in failed:
             return None
-        place = self._find(board, waiting.job, now_s, hard=form.hard)
+        place = self._find(board, job, trial)
         if place is None:
-            if not may_fit(
-                board.cluster,
-                form.slots,
-                waiting.job.adjacent,
-                'free',
-            ):
-                blocked.add(form)
+            failed.add(trial)
             return None
-        self._reservations.drop(waiting.job.job_id)
+        self._reservations.drop(job.job_id)
         return board.place(
             waiting,
             place,
-            hard=form.hard,
+            hard=hard,
             now_s=now_s,
-            reason='borrowed, to stay' if form.hard else 'borrowed',
+            reason='borrowed, to stay' if hard else 'borrowed',
         )
 
     def _find(
         self,
         board: Board,
         job: Job,
-        now_s: float,
-        *,
-        hard: bool,
+        trial: _Trial,
     ) -> tuple[Member, ...] | None:
         """Find a place off the promises, else one that they can spare."""
-        barred = self._reservations.barred_for(board, job, now_s)
-        for room in ('both', 'free'):
-            place = find_place(
+        barred = self._reservations.barred(trial.before)
+        place: tuple[Member, ...] | None = None
+        for room in _ROOMS:
+            place = place or find_place(
                 board.cluster,
                 job.slots,
                 job.adjacent,
@@ -231,29 +234,27 @@
                 barred=barred,
                 price=_failure_price(job),
             )
-            if place is not None:
-                break
-        if place is None or not hard:
+        if place is None or not trial.hard:
             return place
         return place if board.plan.make_way(place) else None
 
     def _review(self, board: Board, now_s: float) -> None:
-        """Keep racks for those who are first in order and do not fit."""
+        """Keep workers for those who are first in order and do not fit."""
         self._reservations.clear()
-        able = [
-            (key, waiting)
-            for key, waiting in board.queue.heads()
-            if board.may_borrow.get(key.workspace, True)
+        # A single slot fits wherever one is free: nothing is kept for it.
+        gangs = [
+            head
+            for form in board.queue.forms()
+            if form.slots > 1
+            for head in board.queue.heads_of_form(form)
         ]
-        for key in self._ranked(board, able, now_s):
+        for key in self._ranked(board, gangs, now_s):
             waiting = board.queue.head(key)
             if self._reservations.full or waiting is None:
                 return
-            self._reservations.keep_for(board, waiting.job, now_s)
-
-    def _form(self, job: Job) -> _Form:
-        hard = not job.preemptible or job.preemptions >= self._preemptions
-        return _Form(slots=job.slots, adjacent=job.adjacent, hard=hard)
+            run_s = max(board.run_time_s(waiting.job), LEAST_RUN_S)
+            if now_s - waiting.since_s >= PATIENCE * run_s:
+                self._reservations.keep_for(board, waiting.job, now_s)
 
 
 @policies.register('guarantees')
--- a/src/curranthill/scheduler/guarantees.py
+++ b/src/curranthill/scheduler/guarantees.py
@@ -85,6 +85,10 @@
         unused = self._unused.get((workspace, shape))
         return next(iter(unused.values())) if unused else None
 
+    def unused_pairs(self) -> list[tuple[str, str]]:
+        """Return workspaces and shapes of which a unit is not in use."""
+        return [pair for pair, unused in self._unused.items() if unused]
+
     def units_of(self, workspace: str, shape: str) -> list[Unit]:
         """Return all units of a workspace and shape."""
         return [unit for unit in self if unit.unit_id[:2] == (workspace, shape)]
--- a/src/curranthill/scheduler/quick.py
+++ b/src/curranthill/scheduler/quick.py
@@ -100,7 +100,7 @@
 
     def workers(self) -> list[WorkerState]:
         """Return the workers that gateways may send quick work to."""
-        return [] if self._yields_since_s is not None else self._holders()
+        return self._holders() if self._yields_since_s is None else []
 
     def _holders(self) -> list[WorkerState]:
         return [
--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -1,100 +1,174 @@
-"""Racks kept for gangs that wait, and what may fill them meanwhile."""
+"""Workers kept for gangs that wait, and what may fill them meanwhile."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from curranthill.jobs import Job
-from curranthill.scheduler.board import Board, Placed
-from curranthill.scheduler.cluster import Rack
-from curranthill.scheduler.search import NO_RACKS, Barred
+from curranthill.scheduler.board import Board
+from curranthill.scheduler.cluster import Rack, WorkerState
+from curranthill.scheduler.search import Barred
 
-#: The most jobs that racks are kept for at the same time.
-MOST_KEPT = 8
+#: The most jobs for which workers are kept at the same time.
+MOST_KEPT = 4
+
+_NEVER = float('inf')
 
 
 class Reservation(NamedTuple):
-    """A rack kept for a job until it is expected to fit there."""
+    """Workers of one rack kept for a job until it is expected to fit."""
 
     job_id: str
-    slots: int
+    rack: str
+    workers: frozenset[str]
     until_s: float
 
 
 class Reservations:
-    """Racks in which waiting gangs are expected to fit first.
+    """Workers on which waiting gangs are expected to fit first.
 
-    Later jobs may use a kept rack only if they are expected to end by then
-    (backfill). At least half of the racks are never kept; where there is one
-    rack it may be.
+    Later jobs may use a kept worker only if they are expected to end by then
+    (backfill). The rest of the rack stays open to everybody.
     """
 
     def __init__(self) -> None:
-        """Start with no rack kept."""
+        """Start with no worker kept."""
         self._kept: dict[str, Reservation] = {}
 
     @property
     def full(self) -> bool:
-        """Return whether no more jobs can be given a rack."""
+        """Return whether no more jobs can be given workers."""
         return len(self._kept) >= MOST_KEPT
 
     def clear(self) -> None:
-        """Keep no rack any more."""
+        """Keep no worker any more."""
         self._kept.clear()
 
     def drop(self, job_id: str) -> None:
-        """Keep no rack for a job any more."""
-        for name, reservation in list(self._kept.items()):
-            if reservation.job_id == job_id:
-                self._kept.pop(name)
+        """Keep no worker for a job any more."""
+        self._kept.pop(job_id, None)
+
+    def get(self, job_id: str) -> Reservation | None:
+        """Return what is kept for a job."""
+        return self._kept.get(job_id)
 
     def keep_for(self, board: Board, job: Job, now_s: float) -> None:
-        """Keep the rack in which a job will fit first, if any is left."""
-        most = min(MOST_KEPT, max(1, len(board.cluster.racks) // 2))
-        if len(self._kept) >= most:
-            return
-        expected = [
-            (_fits_at_s(board, rack, job.slots, now_s), name)
-            for name, rack in board.cluster.racks.items()
-            if name not in self._kept
-        ]
-        if not expected:
-            return
-        fits_at_s, name = min(expected)
-        if fits_at_s != float('inf'):
-            self._kept[name] = Reservation(job.job_id, job.slots, fits_at_s)
-
-    def barred_for(self, board: Board, job: Job, now_s: float) -> Barred:
-        """Return the racks that a job may not use."""
+        """Keep the workers on which a job will fit first, if any are left."""
+        taken = {
+            reservation.rack: reservation.workers
+            for reservation in self._kept.values()
+        }
+        best: Reservation | None = None
+        for name, rack in board.cluster.racks.items():
+            found = _in_rack(board, rack, job, taken.get(name))
+            if found and (best is None or found.until_s < best.until_s):
+                best = found
+        if best is not None and best.until_s != _NEVER:
+            until_s = max(now_s, best.until_s)
+            self._kept[job.job_id] = best._replace(until_s=until_s)
+
+    def before(self, board: Board, job: Job, now_s: float) -> frozenset[str]:
+        """Return the jobs whose kept workers a job may not use."""
         if not self._kept:
-            return NO_RACKS
+            return frozenset()
         ends_s = now_s + board.run_time_s(job)
         return frozenset(
-            name
-            for name, reservation in self._kept.items()
-            if ends_s > reservation.until_s and reservation.job_id != job.job_id
+            job_id
+            for job_id, reservation in self._kept.items()
+            if job_id != job.job_id and ends_s > reservation.until_s
         )
 
-
-def _fits_at_s(board: Board, rack: Rack, slots: int, now_s: float) -> float:
-    """Return when a rack is expected to have so many slots free."""
-    free = rack.room('free').total
-    if free >= slots:
-        return now_s
-    if sum(worker.slots for worker in rack.workers) < slots:
-        return float('inf')
-    names = {worker.name for worker in rack.workers}
-    jobs = {job_id for worker in rack.workers for job_id in worker.jobs}
-    ends = sorted((board.placed[job_id] for job_id in jobs), key=_expected_end)
-    for placed in ends:
-        free += sum(
-            member.slots for member in placed.members if member.worker in names
+    def barred(self, before: Iterable[str]) -> Barred:
+        """Return the workers that are kept for some jobs, by rack."""
+        barred: dict[str, frozenset[str]] = {}
+        for job_id in before:
+            reservation = self._kept[job_id]
+            others = barred.get(reservation.rack, frozenset())
+            barred[reservation.rack] = others | reservation.workers
+        return barred
+
+
+def _in_rack(
+    board: Board,
+    rack: Rack,
+    job: Job,
+    taken: frozenset[str] | None,
+) -> Reservation | None:
+    """Return the workers of a rack on which a job would fit first."""
+    memo_key = (job.slots, job.adjacent)
+    if taken is None and memo_key in rack.memo:
+        found: Reservation | None = rack.memo[memo_key]
+        return found and found._replace(job_id=job.job_id)
+    able = [
+        worker
+        for worker in rack.workers
+        if worker.usable and not (taken and worker.name in taken)
+    ]
+    found = _first_fitting(board, rack, job, able)
+    if taken is None:
+        rack.memo[memo_key] = found
+    return found
+
+
+def _first_fitting(
+    board: Board,
+    rack: Rack,
+    job: Job,
+    able: list[WorkerState],
+) -> Reservation | None:
+    widest = max((_capacity(worker) for worker in able), default=0)
+    if job.slots <= widest:
+        until_s, name = min(
+            (_has_free_at_s(board, worker, job.slots), worker.name)
+            for worker in able
+            if _capacity(worker) >= job.slots
         )
+        return Reservation(job.job_id, rack.name, frozenset((name,)), until_s)
+    total = sum(_capacity(worker) for worker in able)
+    if job.adjacent == 'worker' or total < job.slots:
+        return None
+    return _whole_workers(board, rack, job, able)
+
+
+def _whole_workers(
+    board: Board,
+    rack: Rack,
+    job: Job,
+    able: list[WorkerState],
+) -> Reservation | None:
+    """Take the workers that are wholly free first until they are enough."""
+    times = sorted(
+        (
+            _has_free_at_s(board, worker, _capacity(worker)),
+            worker.name,
+            _capacity(worker),
+        )
+        for worker in able
+    )
+    names: list[str] = []
+    missing = job.slots
+    for until_s, name, capacity in times:
+        names.append(name)
+        missing -= capacity
+        if missing <= 0:
+            kept = frozenset(names)
+            return Reservation(job.job_id, rack.name, kept, until_s)
+    return None
+
+
+def _capacity(worker: WorkerState) -> int:
+    return worker.slots - worker.quick
+
+
+def _has_free_at_s(board: Board, worker: WorkerState, slots: int) -> float:
+    """Return when a worker is expected to have so many slots free."""
+    free = worker.free
+    if free >= slots:
+        return 0
+    for end_s, freed in board.ends_on(worker):
+        free += freed
         if free >= slots:
-            return max(now_s, placed.expected_end_s)
-    return float('inf')
-
-
-def _expected_end(placed: Placed) -> float:
-    return placed.expected_end_s
+            return end_s
+    return _NEVER
 
 
 __all__ = ('MOST_KEPT', 'Reservation', 'Reservations')
--- a/src/curranthill/scheduler/search.py
+++ b/src/curranthill/scheduler/search.py
@@ -1,14 +1,15 @@
 """Where a shape fits, and what the place leaves whole."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from curranthill.configuration import ANYWHERE, ON_WORKER, Adjacency
 from curranthill.jobs import Member
 from curranthill.scheduler.cluster import Cluster, Rack, Room, WorkerState
 
-#: Racks that a search may not use.
-Barred = frozenset[str]
-NO_RACKS: Barred = frozenset()
+#: Workers that a search may not use, by rack.
+Barred = Mapping[str, frozenset[str]]
+NOBODY: Barred = MappingProxyType({})
 
 #: A price of using a worker, which goes before how well the shape fits.
 Price = Callable[[WorkerState], float]
@@ -20,7 +21,7 @@
     adjacent: Adjacency,
     room: Room,
     *,
-    barred: Barred = NO_RACKS,
+    barred: Barred = NOBODY,
     price: Price | None = None,
 ) -> tuple[Member, ...] | None:
     """Return members for a shape, or nothing if it does not fit now.
@@ -30,7 +31,7 @@
     a worker takes whole workers of the fullest rack that holds it.
 
     :param room: which slots may be used.
-    :param barred: racks that are kept for another job.
+    :param barred: workers that are kept for other jobs.
     :param price: goes before the fit, if given.
     """
     if not may_fit(cluster, slots, adjacent, room):
@@ -89,6 +90,15 @@
     return None
 
 
+def _without(rack: Rack, barred: frozenset[str]) -> Rack:
+    """Return a rack as if some of its workers were not there."""
+    rest = Rack(name=rack.name)
+    rest.workers = [
+        worker for worker in rack.workers if worker.name not in barred
+    ]
+    return rest
+
+
 def _best_worker(
     rack: Rack,
     slots: int,
@@ -167,7 +177,7 @@
 
 
 __all__ = (
-    'NO_RACKS',
+    'NOBODY',
     'Barred',
     'Price',
     'find_place',
