Give waiting jobs to a data centre that has room; choose homes by load

Cause: the load left 50 to 75 of 192 accelerators free while jobs waited: a guaranteed kind always went to its first promised data centre and borrowed work stayed where it was accepted. Change: active schedulers tell how full they are with the membership news; gateways take the least crowded of the data centres that may run a job, and a scheduler gives a job that waited a second to a neighbour that has room, by the one transaction that adoption uses too.

--- a/Makefile
+++ b/Makefile
@@ -48,4 +48,4 @@
 	HYPOTHESIS_PROFILE=deep $(BIN)/python -m nose2 --start-dir tests --top-level-directory .
 
 generate: install
-	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpclib_python_out=src src/curranthill/protocol/inner.proto
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpclib_python_out=src src/curranthill/protocol/inner.proto
--- a/src/curranthill/gateway/daemon.py
+++ b/src/curranthill/gateway/daemon.py
@@ -5,7 +5,7 @@
 from curranthill.gateway.allotment import AllotmentLoop
 from curranthill.gateway.jobs import JobDesk
 from curranthill.gateway.keyed import KeyedRuns
-from curranthill.gateway.notify import Notifier
+from curranthill.membership.notify import Notifier
 from curranthill.gateway.server import CallerServer
 from curranthill.jobs import JobStore
 from curranthill.membership import Node, NodeSettings
@@ -56,11 +56,7 @@
     async def _start(self) -> None:
         clients = worker_clients.get('http')()
         self._clients = clients
-        notifier = Notifier(
-            app=self.app,
-            view=self.node.view,
-            channels=self.node.channels,
-        )
+        notifier = self.node.notifier
         pool = WorkerPool(
             clock=self.app.clock,
             fixed_connections=(
--- a/src/curranthill/gateway/jobs.py
+++ b/src/curranthill/gateway/jobs.py
@@ -25,7 +25,7 @@
     ReplyLostError,
     StorageError,
 )
-from curranthill.gateway.notify import Notifier
+from curranthill.membership.notify import Notifier
 from curranthill.gateway.problems import refuse
 from curranthill.gateway.requests import CallerRequest
 from curranthill.jobs import (
@@ -45,6 +45,9 @@
 _FIRST_LOOK_S: Final = 0.05
 _LONGEST_LOOK_S: Final = 1.0
 
+#: The crowding of a data centre of which nothing is heard.
+_UNHEARD: Final = 1e6
+
 #: The shape of a quick kind that is asked for as a job.
 _ONE_SLOT: Final = Shape(accelerators=1, adjacent='worker')
 
@@ -238,10 +241,8 @@
             for guarantee in workspace.guarantees
             if guarantee.shape == shape_name
         ]
-        if self._data_centre in promised:
-            return self._data_centre
         if promised:
-            return promised[0]
+            return min(promised, key=self._crowding)
         if not workspace.borrowing:
             raise refuse(
                 HTTPStatus.UNPROCESSABLE_ENTITY,
@@ -249,11 +250,13 @@
                 ' shape and may not borrow.',
                 step='accept',
             )
-        places = [self._data_centre, *sorted(document.data_centres)]
-        for name in places:
-            data_centre = document.data_centres.get(name)
-            if data_centre is not None and fits(shape, data_centre):
-                return name
+        able = [
+            name
+            for name, place in document.data_centres.items()
+            if fits(shape, place)
+        ]
+        if able:
+            return min(able, key=self._crowding)
         raise refuse(
             HTTPStatus.UNPROCESSABLE_ENTITY,
             f'It can never run: {shape.accelerators} accelerators'
@@ -261,6 +264,19 @@
             step='accept',
         )
 
+    def _crowding(self, data_centre: str) -> tuple[float, bool, str]:
+        """Return how much waits there for each free slot, our own first.
+
+        Without news of a data centre it counts as crowded, so that work
+        stays here while others cannot be heard.
+        """
+        own = data_centre == self._data_centre
+        leader = self._notifier.active(data_centre)
+        if leader is None:
+            return (0 if own else _UNHEARD, not own, data_centre)
+        crowding = (leader.waiting_slots + 1) / (leader.free_slots + 1)
+        return (crowding, not own, data_centre)
+
     def _platform_away(
         self,
         error: StorageError,
--- a/src/curranthill/membership/__init__.py
+++ b/src/curranthill/membership/__init__.py
@@ -8,6 +8,7 @@
     DEAD,
     LEFT,
     SUSPECT,
+    Load,
     Member,
     View,
 )
@@ -18,6 +19,7 @@
     'LEFT',
     'SUSPECT',
     'ConfigurationSpread',
+    'Load',
     'Member',
     'Node',
     'NodeSettings',
--- a/src/curranthill/membership/messages.py
+++ b/src/curranthill/membership/messages.py
@@ -11,16 +11,7 @@
 
 def member_of(message: inner_pb2.Member) -> Member:
     """Return a member from its message."""
-    return Member(
-        name=message.name,
-        role=message.role,
-        data_centre=message.data_centre,
-        address=message.address,
-        incarnation=message.incarnation,
-        status=message.status,
-        revision=message.revision,
-        leading_epoch=message.leading_epoch,
-    )
+    return Member(**{name: getattr(message, name) for name in Member._fields})
 
 
 __all__ = ('member_of', 'message_of')
--- a/src/curranthill/membership/node.py
+++ b/src/curranthill/membership/node.py
@@ -7,6 +7,7 @@
 
 from curranthill.application import Application
 from curranthill.configuration import ConfigurationHolder, RevisionStore
+from curranthill.membership.notify import Notifier
 from curranthill.membership.operations import OperationsService
 from curranthill.membership.prober import PeerService, Prober
 from curranthill.membership.spread import ConfigurationSpread
@@ -64,6 +65,11 @@
             ),
             clock=app.clock,
         )
+        self.notifier = Notifier(
+            app=app,
+            view=self.view,
+            channels=self.channels,
+        )
         self.directory = HostDirectory(
             app=app,
             host_list=self.platform.host_list,
--- a/src/curranthill/gateway/notify.py
+++ b/src/curranthill/membership/notify.py
@@ -6,7 +6,7 @@
 
 from curranthill.application import Application
 from curranthill.errors import PeerError
-from curranthill.membership import Member, View
+from curranthill.membership.view import Member, View
 from curranthill.protocol import Channels, inner_pb2
 from curranthill.protocol.calls import call_notify
 
--- a/src/curranthill/membership/view.py
+++ b/src/curranthill/membership/view.py
@@ -1,7 +1,7 @@
 """What one process believes of the others."""
 
 from collections.abc import Callable, Iterator
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from loguru import logger
 
@@ -19,6 +19,18 @@
 TOMBSTONE_S: Final = 60.0
 
 
+class Load(NamedTuple):
+    """How full the data centre is that a scheduler leads.
+
+    :param widest_free: free slots of the rack that has most of them.
+    :param waiting_slots: what the jobs in its queue ask for.
+    """
+
+    free_slots: int
+    widest_free: int
+    waiting_slots: int
+
+
 class Member(NamedTuple):
     """One process.
 
@@ -34,6 +46,9 @@
     status: int = ALIVE
     revision: int = 0
     leading_epoch: int = 0
+    free_slots: int = 0
+    widest_free: int = 0
+    waiting_slots: int = 0
 
     @property
     def answers(self) -> bool:
@@ -87,17 +102,23 @@
         revision: int | None = None,
         leading_epoch: int | None = None,
         status: int | None = None,
+        load: Load | None = None,
     ) -> None:
         """Change this process's own entry and make it news."""
-        own = self.own
-        self.own = own._replace(
-            revision=own.revision if revision is None else revision,
-            leading_epoch=(
-                own.leading_epoch if leading_epoch is None else leading_epoch
-            ),
-            status=own.status if status is None else status,
-            incarnation=own.incarnation + 1,
-        )
+        asked = {
+            'revision': revision,
+            'leading_epoch': leading_epoch,
+            'status': status,
+        }
+        changes: dict[str, Any] = {
+            name: value for name, value in asked.items() if value is not None
+        }
+        if load is not None:
+            changes |= load._asdict()
+        own = self.own._replace(**changes)
+        if own == self.own:
+            return
+        self.own = own._replace(incarnation=own.incarnation + 1)
         self._make_news(own.name)
 
     def learn(self, told: Member) -> bool:
@@ -181,4 +202,4 @@
     return told.status > known.status
 
 
-__all__ = ('ALIVE', 'DEAD', 'LEFT', 'SUSPECT', 'Member', 'View')
+__all__ = ('ALIVE', 'DEAD', 'LEFT', 'SUSPECT', 'Load', 'Member', 'View')
--- a/src/curranthill/scheduler/board.py
+++ b/src/curranthill/scheduler/board.py
@@ -7,6 +7,7 @@
 
 from curranthill.configuration import Adjacency
 from curranthill.jobs import Job, Member
+from curranthill.membership import Load
 from curranthill.scheduler.cluster import Allocation, Cluster, WorkerState
 from curranthill.scheduler.estimates import Estimates
 from curranthill.scheduler.guarantees import GuaranteePlan, Unit
@@ -242,6 +243,15 @@
             self.plan.place_missing()
         return placed
 
+    def load(self) -> Load:
+        """Return how full the data centre is, for its neighbours."""
+        workers = self.cluster.workers.values()
+        return Load(
+            free_slots=sum(worker.free for worker in workers),
+            widest_free=self.cluster.most('free').total,
+            waiting_slots=sum(waiting.job.slots for waiting in self.queue),
+        )
+
     def ends_on(self, worker: WorkerState) -> list[tuple[float, int]]:
         """Return when slots of a worker are expected free, soonest first."""
         known = self._ends.get(worker.name)
--- a/src/curranthill/scheduler/leader.py
+++ b/src/curranthill/scheduler/leader.py
@@ -1,13 +1,14 @@
 """Stand for election, and run one term after another."""
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
 from curranthill.application import Application
 from curranthill.configuration import ConfigurationHolder
 from curranthill.errors import FencedError, StorageError
-from curranthill.membership import View
+from curranthill.membership import Member, View
 from curranthill.scheduler.context import Context
 from curranthill.scheduler.policies import policies
 from curranthill.scheduler.recovery import Recovered, recover
@@ -16,10 +17,15 @@
 from curranthill.telemetry import metrics
 
 
+#: How often neighbours are told how full a data centre is, in seconds.
+LOAD_INTERVAL_S = 1.0
+
+
 class Leader:
     """One scheduler's leadership of its data centre.
 
     :param view: told of the epoch, so that peers find the active scheduler.
+    :param tell_moved: tells a data centre's scheduler of a job given to it.
     """
 
     def __init__(  # noqa: WPS211
@@ -31,8 +37,10 @@
         directory: HostDirectory,
         configuration: ConfigurationHolder,
         view: View,
+        tell_moved: Callable[[str, str], None],
     ) -> None:
         """Start as a standby."""
+        self._tell_moved = tell_moved
         self.term: Term | None = None
         self.recovered: Recovered | None = None
         self._app = app
@@ -50,6 +58,7 @@
         """Stand for election from now on."""
         self._app.spawn(self._run(), name='election')
         self._app.spawn(self._scan(), name='scan of open jobs')
+        self._app.spawn(self._tell_load(), name='load')
 
     async def stop(self) -> None:
         """End the term and give the lease up; members run on."""
@@ -116,20 +125,31 @@
             data_centre=self._data_centre,
             directory=self._directory,
             configuration=self._configuration,
-            elsewhere=self._quick_elsewhere,
+            neighbours=self._neighbours,
+            tell_moved=self._tell_moved,
         )
 
-    def _quick_elsewhere(self) -> bool:
-        """Return whether another data centre of the region has a leader."""
+    def _neighbours(self) -> list[Member]:
+        """Return the leaders of the region's other data centres."""
         places = self._configuration.document.data_centres
         own = places.get(self._data_centre)
-        return own is not None and any(
-            member.leading_epoch
+        if own is None:
+            return []
+        return [
+            member
+            for member in self._view.alive('scheduler')
+            if member.leading_epoch
             and member.data_centre != self._data_centre
             and member.data_centre in places
             and places[member.data_centre].region == own.region
-            for member in self._view.alive('scheduler')
-        )
+        ]
+
+    async def _tell_load(self) -> None:
+        """Tell neighbours now and then how full this data centre is."""
+        while True:
+            await self._app.clock.sleep(LOAD_INTERVAL_S)
+            if self.term is not None:
+                self._view.update_own(load=self.term.board.load())
 
     def _workers_changed(self) -> None:
         if self.term is not None:
--- a/src/curranthill/scheduler/term.py
+++ b/src/curranthill/scheduler/term.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, Final
 
 from loguru import logger
@@ -17,6 +17,7 @@
 from curranthill.scheduler.board import Board, Decision, Waiting
 from curranthill.scheduler.context import Context
 from curranthill.scheduler.gang import Gang, GangEnd, next_attempt
+from curranthill.scheduler.offload import Move, Neighbour, Offload
 from curranthill.scheduler.policies import Policy
 from curranthill.scheduler.quick import QuickReserve
 from curranthill.scheduler.roster import Roster
@@ -38,7 +39,9 @@
     :param context: interfaces and settings.
     :param policy: who gets which place.
     :param data_centre: the data centre that is led.
-    :param elsewhere: whether another data centre can take quick work.
+    :param neighbours: returns the region's other active schedulers.
+    :param tell_moved: tells a data centre's scheduler of a job that is now
+        its own.
     """
 
     def __init__(
@@ -49,16 +52,23 @@
         data_centre: str,
         directory: HostDirectory,
         configuration: ConfigurationHolder,
-        elsewhere: Callable[[], bool],
+        neighbours: Callable[[], Sequence[Neighbour]],
+        tell_moved: Callable[[str, str], None],
     ) -> None:
         """Start with an empty board."""
-        self._elsewhere = elsewhere
+        self._neighbours = neighbours
+        self._tell_moved = tell_moved
         self.board = Board()
         self.quick = QuickReserve(
             board=self.board,
             clock=context.clock,
             least=context.placement.quick_slots,
         )
+        self._offload = Offload(
+            board=self.board,
+            clock=context.clock,
+            neighbours=neighbours,
+        )
         self.gangs: dict[str, Gang] = {}
         self._wake = asyncio.Event()
         self.roster = Roster(
@@ -192,11 +202,33 @@
             await self._context.clock.sleep(TICK_S)
             self.roster.judge()
             self.quick.give_way(
-                wanted=self._elsewhere() and self._rack_is_wanted(),
+                wanted=bool(self._neighbours()) and self._rack_is_wanted(),
             )
             self._preempt(self.quick.adjust(), 'for quick work')
+            for move in self._offload.choose():
+                self._spawn(self._move(move))
             self._wake.set()
 
+    async def _move(self, move: Move) -> None:
+        """Give a waiting job to a data centre that has room for it now."""
+        job_id = move.job_id
+        waiting = self.board.queue.remove(job_id)
+        stored = self._known.pop(job_id, None)
+        if waiting is None or stored is None:
+            return
+        logger.bind(job=job_id, step='offload', peer=move.data_centre).info(
+            'goes to {}, which has room: {}',
+            move.data_centre,
+            move.reason,
+        )
+        try:
+            await self._context.store.move(stored, move.data_centre)
+        except StorageError:
+            # Whether it moved or not, its row tells.
+            await self._submit_later(stored)
+            return
+        self._tell_moved(move.data_centre, job_id)
+
     def _rack_is_wanted(self) -> bool:
         """Return whether a job wants a rack that the reserve stands in.
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -192,8 +192,12 @@
             directory=self.directory,
             configuration=self.configuration,
             view=View(own=own, clock=site.clock),
+            tell_moved=self._on_moved,
         )
 
+    def _on_moved(self, data_centre: str, job_id: str) -> None:
+        """Nobody is told: a site has one data centre."""
+
     async def start(self) -> None:
         """Read the host list and stand for election."""
         await self.directory.start()
