--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -28,7 +28,7 @@
 
 #: How long a job waits, in run times of its own, before workers are kept
 #: for it.
-PATIENCE: Final = 0.5
+PATIENCE: Final = 1.0
 
 #: How often the order of all lines is looked at, in seconds.
 REVIEW_S: Final = 1.0
@@ -131,6 +131,10 @@
             'both',
             price=_failure_price(job),
         )
+        if place is None:
+            place = find_place(board.cluster, job.slots, job.adjacent, 'free')
+            if place is not None and not board.plan.make_way(place):
+                place = None
         if place is not None:
             return place
 
@@ -198,23 +202,36 @@
         job = waiting.job
         if not may_fit(board.cluster, job.slots, job.adjacent, 'free'):
             return None
-        hard = not job.preemptible or job.preemptions >= self._preemptions
         before = self._reservations.before(board, job, now_s)
-        trial = _Trial(job.slots, job.adjacent, hard, before)
-        if trial in failed:
-            return None
-        place = self._find(board, job, trial)
-        if place is None:
-            failed.add(trial)
-            return None
-        self._reservations.drop(job.job_id)
-        return board.place(
-            waiting,
-            place,
-            hard=hard,
-            now_s=now_s,
-            reason='borrowed, to stay' if hard else 'borrowed',
-        )
+        for hard in self._manners(job):
+            trial = _Trial(job.slots, job.adjacent, hard, before)
+            if trial in failed:
+                continue
+            place = self._find(board, job, trial)
+            if place is None:
+                failed.add(trial)
+                continue
+            self._reservations.drop(job.job_id)
+            return board.place(
+                waiting,
+                place,
+                hard=hard,
+                now_s=now_s,
+                reason='borrowed, to stay' if hard else 'borrowed',
+            )
+        return None
+
+    def _manners(self, job: Job) -> tuple[bool, ...]:
+        """Return whether to place a job hard or soft, in order of trial.
+
+        One that was stopped often is placed to stay if the promises allow
+        it; if not, it borrows again rather than wait for ever.
+        """
+        if not job.preemptible:
+            return (True,)
+        if job.preemptions >= self._preemptions:
+            return (True, False)
+        return (False,)
 
     def _find(
         self,
