Keep work where it was accepted; keep at most half of the workers

Cause: with the choice by load, a second's burst went to one data centre, and reservations together could keep every worker of the only rack.

--- a/src/curranthill/gateway/jobs.py
+++ b/src/curranthill/gateway/jobs.py
@@ -241,6 +241,8 @@
             for guarantee in workspace.guarantees
             if guarantee.shape == shape_name
         ]
+        if self._data_centre in promised:
+            return self._data_centre
         if promised:
             return min(promised, key=self._crowding)
         if not workspace.borrowing:
@@ -255,6 +257,10 @@
             for name, place in document.data_centres.items()
             if fits(shape, place)
         ]
+        # The balancer spreads callers; news of load is seconds old, and to
+        # follow it here would send a whole burst to one place.
+        if self._data_centre in able:
+            return self._data_centre
         if able:
             return min(able, key=self._crowding)
         raise refuse(
--- a/src/curranthill/scheduler/offload.py
+++ b/src/curranthill/scheduler/offload.py
@@ -9,11 +9,15 @@
 from typing import Final, NamedTuple, Protocol
 
 from curranthill.clock import Clock
+from curranthill.jobs import birth_of
 from curranthill.scheduler.board import Board, ShapeKey, Waiting
 
 #: How long a job waits here before another place is considered, in seconds.
 PATIENCE_S: Final = 1.0
 
+#: The same for a job that came from elsewhere, lest it go to and fro.
+MOVED_PATIENCE_S: Final = 10.0
+
 #: How long a place counts as fuller by what was sent there, in seconds;
 #: longer than its next news takes.
 MEMORY_S: Final = 3.0
@@ -100,7 +104,9 @@
         entitled = self._board.plan.free_unit(key.workspace, key.shape)
         may_borrow = self._board.may_borrow.get(key.workspace, True)
         waited_s = now_s - waiting.since_s
-        return entitled is not None or not may_borrow or waited_s < PATIENCE_S
+        moved = birth_of(waiting.job.job_id) != waiting.job.home
+        patience_s = MOVED_PATIENCE_S if moved else PATIENCE_S
+        return entitled is not None or not may_borrow or waited_s < patience_s
 
     def _place_for(
         self,
@@ -112,13 +118,13 @@
             (self._left(place), place)
             for place in places
             if place.widest_free - self._sent_to(place) >= slots
-            and self._left(place) >= slots
         ]
         if not able:
             return None
         return max(able, key=_most_left)[1]
 
     def _left(self, place: Neighbour) -> int:
+        """Return the slots that its own queue does not ask for either."""
         taken = place.waiting_slots + self._sent_to(place)
         return place.free_slots - taken
 
--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -27,7 +27,8 @@
     """Workers on which waiting gangs are expected to fit first.
 
     Later jobs may use a kept worker only if they are expected to end by then
-    (backfill). The rest of the rack stays open to everybody.
+    (backfill). The rest of the rack stays open to everybody, and at least
+    half of all workers do, unless the first gang alone needs more.
     """
 
     def __init__(self) -> None:
@@ -53,16 +54,17 @@
 
     def keep_for(self, board: Board, job: Job, now_s: float) -> None:
         """Keep the workers on which a job will fit first, if any are left."""
-        taken = {
-            reservation.rack: reservation.workers
-            for reservation in self._kept.values()
-        }
+        taken = self.barred(self._kept)
         best: Reservation | None = None
         for name, rack in board.cluster.racks.items():
             found = _in_rack(board, rack, job, taken.get(name))
             if found and (best is None or found.until_s < best.until_s):
                 best = found
-        if best is not None and best.until_s != _NEVER:
+        if best is None or best.until_s == _NEVER:
+            return
+        kept = sum(len(workers) for workers in taken.values())
+        open_after = len(board.cluster.workers) - kept - len(best.workers)
+        if not self._kept or open_after * 2 >= len(board.cluster.workers):
             until_s = max(now_s, best.until_s)
             self._kept[job.job_id] = best._replace(until_s=until_s)
 
