--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -269,8 +269,7 @@
             waiting = board.queue.head(key)
             if self._reservations.full or waiting is None:
                 return
-            run_s = max(board.run_time_s(waiting.job), LEAST_RUN_S)
-            if now_s - waiting.since_s >= PATIENCE * run_s:
+            if now_s - waiting.since_s >= _patience_s(board, waiting.job):
                 self._reservations.keep_for(board, waiting.job, now_s)
 
 
@@ -280,6 +279,18 @@
     return Guarantees(preemptions=preemptions)
 
 
+def _patience_s(board: Board, job: Job) -> float:
+    """Return how long a job waits before workers are kept for it.
+
+    Draining costs others most where a gang takes most of the data centre,
+    and is lost where the gang is then stopped for a guarantee: so a large
+    part waits longer, and each stop doubles the wait.
+    """
+    run_s = max(board.run_time_s(job), LEAST_RUN_S)
+    part = job.slots / max(1, board.cluster.slots)
+    return PATIENCE * run_s * max(1, 4 * part) * 2.0**job.preemptions
+
+
 def _failure_price(job: Job) -> Price | None:
     """Return a price that keeps a job off the workers that it failed on."""
     failed_on = frozenset(job.failed_on)
--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -11,6 +11,9 @@
 #: The most jobs for which workers are kept at the same time.
 MOST_KEPT = 4
 
+#: The part of the workers that stays open beside the first reservation.
+OPEN_SHARE = 0.75
+
 _NEVER = float('inf')
 
 
@@ -28,7 +31,7 @@
 
     Later jobs may use a kept worker only if they are expected to end by then
     (backfill). The rest of the rack stays open to everybody, and at least
-    half of all workers do, unless the first gang alone needs more.
+    three quarters of all workers do, unless the first gang needs more.
     """
 
     def __init__(self) -> None:
@@ -64,7 +67,9 @@
             return
         kept = sum(len(workers) for workers in taken.values())
         open_after = len(board.cluster.workers) - kept - len(best.workers)
-        if not self._kept or open_after * 2 >= len(board.cluster.workers):
+        if not self._kept or open_after >= OPEN_SHARE * len(
+            board.cluster.workers,
+        ):
             until_s = max(now_s, best.until_s)
             self._kept[job.job_id] = best._replace(until_s=until_s)
 
