--- a/src/curranthill/scheduler/board.py
+++ b/src/curranthill/scheduler/board.py
@@ -289,7 +289,12 @@
     ) -> None:
         self._forget_ends(members)
         self.cluster.allocate(
-            Allocation(job_id=job.job_id, members=members, hard=hard),
+            Allocation(
+                job_id=job.job_id,
+                members=members,
+                hard=hard,
+                guaranteed=unit is not None,
+            ),
         )
         if unit is None:
             held = self.borrowed.get(job.workspace, 0)
--- a/src/curranthill/scheduler/cluster.py
+++ b/src/curranthill/scheduler/cluster.py
@@ -20,7 +20,11 @@
 
 @dataclass(kw_only=True)
 class WorkerState:
-    """One worker's slots and what holds them."""
+    """One worker's slots and what holds them.
+
+    :param guaranteed: the part of the hard slots that a guarantee holds; its
+        workspace will have them back whenever it wants.
+    """
 
     name: str
     address: str
@@ -31,8 +35,15 @@
     soft: int = 0
     planned: int = 0
     quick: int = 0
+    guaranteed: int = 0
     jobs: set[str] = field(default_factory=set)
 
+    @property
+    def unpromised(self) -> int:
+        """Return the slots that no promise covers, in use or not."""
+        promised = self.planned + self.guaranteed + self.quick
+        return max(0, self.slots - promised) if self.usable else 0
+
     @property
     def free(self) -> int:
         """Return the slots that nothing holds now."""
@@ -65,6 +76,7 @@
     job_id: str
     members: tuple[Member, ...]
     hard: bool
+    guaranteed: bool = False
 
 
 class RackRoom(NamedTuple):
@@ -152,6 +164,8 @@
         self.allocations[allocation.job_id] = allocation
         for worker, slots in self._parts(allocation.members):
             worker.jobs.add(allocation.job_id)
+            if allocation.guaranteed:
+                worker.guaranteed += slots
             if allocation.hard:
                 worker.hard += slots
             else:
@@ -164,6 +178,8 @@
             return None
         for worker, slots in self._parts(allocation.members):
             worker.jobs.discard(job_id)
+            if allocation.guaranteed:
+                worker.guaranteed -= slots
             if allocation.hard:
                 worker.hard -= slots
             else:
--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -32,6 +32,9 @@
     Later jobs may use a kept worker only if they are expected to end by then
     (backfill). The rest of the rack stays open to everybody, and at least
     three quarters of all workers do, unless the first gang needs more.
+
+    Only slots that no promise covers are counted on: a worker that drains
+    for a gang into a guarantee's hands would never be free for it.
     """
 
     def __init__(self) -> None:
@@ -122,15 +125,15 @@
     job: Job,
     able: list[WorkerState],
 ) -> Reservation | None:
-    widest = max((_capacity(worker) for worker in able), default=0)
+    widest = max((worker.unpromised for worker in able), default=0)
     if job.slots <= widest:
         until_s, name = min(
             (_has_free_at_s(board, worker, job.slots), worker.name)
             for worker in able
-            if _capacity(worker) >= job.slots
+            if worker.unpromised >= job.slots
         )
         return Reservation(job.job_id, rack.name, frozenset((name,)), until_s)
-    total = sum(_capacity(worker) for worker in able)
+    total = sum(worker.unpromised for worker in able)
     if job.adjacent == 'worker' or total < job.slots:
         return None
     return _whole_workers(board, rack, job, able)
@@ -145,9 +148,9 @@
     """Take the workers that are wholly free first until they are enough."""
     times = sorted(
         (
-            _has_free_at_s(board, worker, _capacity(worker)),
+            _has_free_at_s(board, worker, worker.unpromised),
             worker.name,
-            _capacity(worker),
+            worker.unpromised,
         )
         for worker in able
     )
@@ -162,10 +165,6 @@
     return None
 
 
-def _capacity(worker: WorkerState) -> int:
-    return worker.slots - worker.quick
-
-
 def _has_free_at_s(board: Board, worker: WorkerState, slots: int) -> float:
     """Return when a worker is expected to have so many slots free."""
     free = worker.free
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -402,6 +402,20 @@
         placed = {decision.job.job_id for decision in policy.decide(board, 41)}
         self.assertEqual(placed, {'dc-3'})
 
+    def test_no_worker_is_kept_for_what_promises_never_leave(self) -> None:
+        """A gang that needs promised slots does not idle the rest."""
+        board = make_board(racks=1)
+        one_rack = document({'ledger': [('pair', 1)]})
+        board.plan.configure(one_rack, 'dc')
+        policy = policies.get('guarantees')(5)
+        wait_on(board, shaped('dc-1', 'ledger', 'pair', run_time_s=1000))
+        policy.decide(board, 1)
+        wait_on(board, shaped('dc-2', 'audit', 'rack', run_time_s=1), 1)
+        policy.decide(board, 500)
+        wait_on(board, shaped('dc-3', 'casework', 'block'), 500)
+        placed = [one.job.job_id for one in policy.decide(board, 502)]
+        self.assertEqual(placed, ['dc-3'])
+
     def test_estimates_follow_what_runs_took(self) -> None:
         """A kind that takes twice its declared time is expected to."""
         estimates = Estimates()
