--- a/src/curranthill/membership/prober.py
+++ b/src/curranthill/membership/prober.py
@@ -124,7 +124,7 @@
         target = self._next_target()
         if target is None or await self.probe(target.address):
             return
-        if not await self._relay(target):
+        if not await self.ask_others(target):
             self._channels.forget(target.address)
             self._view.suspect(target.name)
 
@@ -160,7 +160,8 @@
             )
         return contacts
 
-    async def _relay(self, target: Member) -> bool:
+    async def ask_others(self, target: Member) -> bool:
+        """Return whether a third process reaches a silent one."""
         helpers = [
             member
             for member in self._nearest(RELAYS + 1)
--- a/src/curranthill/routing/pool.py
+++ b/src/curranthill/routing/pool.py
@@ -123,6 +123,13 @@
         worker.limit = min(self.connections(spill=worker.spill), share)
         return worker.limit
 
+    def has_others(self, excluded: frozenset[str]) -> bool:
+        """Return whether there is any worker that is not excluded."""
+        return any(
+            not worker.leaving and worker.name not in excluded
+            for worker in self
+        )
+
     def candidates(self, excluded: frozenset[str]) -> list[PooledWorker]:
         """Return the workers that may take one more request.
 
--- a/src/curranthill/routing/router.py
+++ b/src/curranthill/routing/router.py
@@ -101,9 +101,9 @@
                 return await self._send(work, worker, until_s)
             except WorkerError as error:
                 self._judge(work, worker, error)
-                await self._allow_retry(work, error, until_s)
                 if not isinstance(error, WorkerBusyError):
                     excluded |= {worker.name}
+                await self._allow_retry(work, error, until_s, excluded)
             finally:
                 worker.in_flight -= 1
                 self.in_flight -= 1
@@ -251,15 +251,20 @@
         work: QuickWork,
         error: WorkerError,
         until_s: float,
+        excluded: frozenset[str],
     ) -> None:
-        """Return if the request may go to another worker, else refuse it."""
+        """Return if the request may go to another worker, else refuse it.
+
+        Once every worker has been tried it is refused at once.
+        """
         outcome = _outcome(error)
         in_time = self._clock.monotonic_s() < until_s
         if isinstance(error, WorkerBusyError) and in_time:
             await self._clock.sleep(_BUSY_WAIT_S)
             return
         safe = outcome == NOT_RUN or (work.idempotent and outcome == UNKNOWN)
-        if safe and in_time and self._retries.take():
+        safe = safe and in_time and self._pool.has_others(excluded)
+        if safe and self._retries.take():
             metrics.retries.add(1)
             return
         status = _GATEWAY_TIMEOUT if outcome == UNKNOWN else _BAD_GATEWAY
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,230 @@
+"""Views of the other processes: news, suspicion, returns, strangers."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from grpclib.exceptions import GRPCError
+from hypothesis import given
+from hypothesis import strategies as st
+
+from curranthill.application import Application
+from curranthill.errors import PeerError
+from curranthill.membership import (
+    ALIVE,
+    DEAD,
+    LEFT,
+    SUSPECT,
+    Member,
+    PeerService,
+    Prober,
+    View,
+)
+from curranthill.protocol import Channels, InnerServer, inner_pb2
+from curranthill.protocol.calls import call_probe
+from curranthill.settings import MembershipSettings
+from tests.support import ManualClock, run
+
+_NEWS = st.builds(
+    Member,
+    name=st.sampled_from(['a', 'b']),
+    role=st.just('gateway'),
+    data_centre=st.just('dc'),
+    address=st.sampled_from(['1:1', '1:2']),
+    incarnation=st.integers(min_value=1, max_value=4),
+    status=st.sampled_from([ALIVE, SUSPECT, DEAD, LEFT]),
+)
+
+
+def member(name: str, **fields: Any) -> Member:
+    """Return a member with common fields."""
+    known: dict[str, Any] = {
+        'role': 'gateway',
+        'data_centre': 'dc',
+        'address': f'{name}:1',
+        'incarnation': 1,
+    }
+    return Member(name=name, **(known | fields))
+
+
+def make_view(clock: ManualClock | None = None) -> View:
+    """Return a view that knows only itself."""
+    return View(own=member('me'), clock=clock or ManualClock())
+
+
+class ViewTest(unittest.TestCase):
+    """What is believed, in whatever order news comes."""
+
+    @given(st.lists(_NEWS, max_size=12), st.randoms(use_true_random=False))
+    def test_order_does_not_matter(self, news: Any, source: Any) -> None:
+        """Two views that hear the same end at the same status."""
+        shuffled = list(news)
+        source.shuffle(shuffled)
+        first, second = make_view(), make_view()
+        for view, told in ((first, news), (second, shuffled)):
+            for name in ('a', 'b'):
+                view.learn(member(name, address='1:1', incarnation=0))
+            for one in told:
+                view.learn(one)
+        for name in ('a', 'b'):
+            one, two = first.get(name), second.get(name)
+            assert one is not None
+            assert two is not None
+            self.assertEqual(
+                (one.incarnation, one.status),
+                (two.incarnation, two.status),
+            )
+
+    def test_a_doubted_process_refutes(self) -> None:
+        """It raises its incarnation, which wins everywhere."""
+        view, other = make_view(), make_view()
+        view.learn(member('me', status=SUSPECT))
+        self.assertGreater(view.own.incarnation, 1)
+        other.learn(member('me2', incarnation=1))
+        other.suspect('me2')
+        self.assertTrue(other.learn(member('me2', incarnation=2)))
+
+    def test_silence_becomes_death_and_a_return_is_believed(self) -> None:
+        """Flapping: dead, then back with a higher incarnation."""
+        clock = ManualClock()
+        view = make_view(clock)
+        view.learn(member('a'))
+        for incarnation in (2, 3, 4):
+            view.suspect('a')
+            run(clock.advance(3))
+            view.expire(3)
+            self.assertEqual(len(view.alive()), 1)
+            view.learn(member('a', incarnation=incarnation))
+            self.assertEqual(len(view.alive()), 2)
+
+    def test_late_news_of_a_dead_process_loses(self) -> None:
+        """A tombstone keeps it out until it is truly new."""
+        clock = ManualClock()
+        view = make_view(clock)
+        view.learn(member('a', status=DEAD))
+        self.assertIsNone(view.get('a'))
+        view.learn(member('a'))
+        view.learn(member('a', status=DEAD))
+        self.assertFalse(view.learn(member('a')))
+        run(clock.advance(61))
+        view.expire(3)
+        self.assertIsNone(view.get('a'))
+
+    def test_a_reused_address_is_another_process(self) -> None:
+        """Names tell processes apart, not addresses."""
+        view = make_view()
+        view.learn(member('old', address='9:9'))
+        view.learn(member('old', address='9:9', status=LEFT, incarnation=2))
+        view.learn(member('new', address='9:9'))
+        names = {one.name for one in view.alive()}
+        self.assertEqual(names, {'me', 'new'})
+
+    def test_news_is_passed_on_a_bounded_number_of_times(self) -> None:
+        """Each change leaves the news after some probes."""
+        view = make_view()
+        view.learn(member('a'))
+        told = [view.take_news(6) for _ in range(50)]
+        self.assertTrue(told[0])
+        self.assertEqual(told[-1], [])
+
+
+class Peer:
+    """One process's membership over loopback."""
+
+    def __init__(self, name: str, *, key: str = 'key') -> None:
+        """Make the parts."""
+        self.app = Application(name=name)
+        self.view = View(own=member(name), clock=self.app.clock)
+        self.channels = Channels(key=key)
+        self.prober = Prober(
+            app=self.app,
+            view=self.view,
+            channels=self.channels,
+            settings=MembershipSettings(),
+            seed=1,
+        )
+        self.server = InnerServer(
+            key=key,
+            handlers=[PeerService(prober=self.prober, content=_nothing)],
+        )
+
+    async def start(self) -> str:
+        """Serve and return the address."""
+        await self.server.start('127.0.0.1', 0)
+        address = f'127.0.0.1:{self.server.port}'
+        self.view.own = self.view.own._replace(address=address)
+        return address
+
+    async def stop(self) -> None:
+        """Close all."""
+        await self.server.stop()
+        await self.channels.close()
+
+
+def _nothing(above_revision: int) -> inner_pb2.ConfigurationContent:
+    return inner_pb2.ConfigurationContent()
+
+
+class PeerTest(unittest.TestCase):
+    """Probes over the inner protocol."""
+
+    def test_a_newcomer_gets_the_full_view(self) -> None:
+        """One probe tells both sides of all."""
+
+        async def case() -> None:
+            peers = [Peer('a'), Peer('b'), Peer('c')]
+            addresses = [await peer.start() for peer in peers]
+            self.assertTrue(await peers[1].prober.probe(addresses[0]))
+            self.assertTrue(
+                await peers[2].prober.probe(addresses[0], full_view=True),
+            )
+            names = {one.name for one in peers[2].view.alive()}
+            self.assertEqual(names, {'a', 'b', 'c'})
+            for peer in peers:
+                await peer.stop()
+
+        run(case())
+
+    def test_a_strangers_message_changes_nothing(self) -> None:
+        """Without the key the call is refused and the view stays."""
+
+        async def case() -> None:
+            peer, stranger = Peer('a'), Peer('evil', key='guess')
+            address = await peer.start()
+            with self.assertRaises(PeerError) as caught:
+                await stranger.channels.call(
+                    address,
+                    call_probe,
+                    inner_pb2.ProbeRequest(
+                        sender=inner_pb2.Member(name='evil', address='1:1'),
+                    ),
+                    2,
+                )
+            self.assertIsInstance(caught.exception.__cause__, GRPCError)
+            self.assertEqual(len(peer.view.alive()), 1)
+            await stranger.channels.close()
+            await peer.stop()
+
+        run(case())
+
+    def test_one_that_cannot_be_reached_from_here_is_asked_for(self) -> None:
+        """An asymmetric link: a third process still reaches it."""
+
+        async def case() -> None:
+            first, helper, target = Peer('a'), Peer('b'), Peer('c')
+            for peer in (first, helper, target):
+                await peer.start()
+            first.view.learn(helper.view.own)
+            unreachable = target.view.own._replace(address='127.0.0.1:1')
+            first.view.learn(unreachable)
+            answers = await asyncio.gather(
+                first.prober.probe(unreachable.address),
+                helper.prober.probe(target.view.own.address),
+            )
+            self.assertEqual(answers, [False, True])
+            reached = await first.prober.ask_others(target.view.own)
+            self.assertTrue(reached)
+            for peer in (first, helper, target):
+                await peer.stop()
+
+        run(case())
