--- a/src/curranthill/standin/server.py
+++ b/src/curranthill/standin/server.py
@@ -268,6 +268,7 @@
             {
                 'starts': [asdict(start) for start in worker.starts],
                 'quick_runs': worker.quick_runs,
+                'quick_running': worker.quick_running,
                 'most_connections': worker.most_connections,
                 'free_slots': worker.free_slots(),
             },
--- a/src/curranthill/standin/worker.py
+++ b/src/curranthill/standin/worker.py
@@ -108,14 +108,14 @@
         self._started: set[AttemptId] = set()
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
         self._ended_s: dict[AttemptId, float] = {}
-        self._quick_running = 0
+        self.quick_running = 0
         self._quick_waiting: deque[str] = deque()
         self._changed = asyncio.Event()
 
     def free_slots(self) -> int:
         """Return the slots that neither a lease nor quick work holds."""
         self._lapse()
-        return self.slots - self._held_slots() - self._quick_running
+        return self.slots - self._held_slots() - self.quick_running
 
     def running(self) -> list[AttemptId]:
         """Return the attempts that run now."""
@@ -246,13 +246,13 @@
     async def quick(self, request: QuickRequest) -> QuickReply:
         """Run one quick request as soon as a slot is free."""
         await self._take_turn(request)
-        self._quick_running += 1
+        self.quick_running += 1
         runs = self.quick_runs.get(request.request_id, 0)
         self.quick_runs[request.request_id] = runs + 1
         try:
             answer = await self._run_quick(request)
         finally:
-            self._quick_running -= 1
+            self.quick_running -= 1
         return QuickReply(
             body=answer,
             content_type='application/json',
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,198 @@
+"""The programs as separate processes over loopback."""
+
+import json
+import os
+import signal
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from typing import Any
+from urllib import request as http
+
+from bench.processes import KEY, ROOT, Processes, get_json
+
+BIN = Path(sys.executable).parent
+SITE = ROOT / 'examples' / 'tenggara' / 'configuration'
+
+
+def run_program(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run one program to its end."""
+    program, *options = arguments
+    return subprocess.run(  # noqa: S603
+        [str(BIN / program), *options],
+        check=False,
+        capture_output=True,
+        text=True,
+        env=os.environ | {'CURRANTHILL_KEY': KEY},
+    )
+
+
+def ask(url: str, token: str, body: Any = None) -> Any:
+    """Make one request of a workspace and return its JSON."""
+    call = http.Request(  # noqa: S310
+        url,
+        data=None if body is None else json.dumps(body).encode(),
+        headers={'Authorization': f'Bearer demo-{token}'},
+    )
+    with http.urlopen(call, timeout=60) as reply:  # noqa: S310
+        return json.loads(reply.read())
+
+
+class ProcessesTest(unittest.TestCase):
+    """One site of eight processes serves all tests of this class."""
+
+    processes: Processes
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the site."""
+        cls.temporary = tempfile.TemporaryDirectory()
+        cls.work = Path(cls.temporary.name)
+        cls.processes = Processes(
+            folder=SITE,
+            work=cls.work / 'run',
+            gateways=2,
+        )
+        cls.processes.start()
+        cls.operator = str(cls.work / 'run' / 'operator.json')
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """End the processes that were started here."""
+        cls.processes.stop()
+        cls.temporary.cleanup()
+
+    temporary: tempfile.TemporaryDirectory[str]
+    work: Path
+    operator: str
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command against the site."""
+        return run_program(
+            'curranthill',
+            *arguments,
+            '--settings',
+            self.operator,
+        )
+
+    def test_a_gang_of_sixteen_runs_on_two_workers_of_a_rack(self) -> None:
+        """Accepted, reserved, started, finished, its result fetched."""
+        gateway = self.processes.gateways[0]
+        job = ask(
+            f'{gateway}/v1/workspaces/gearbox/kinds/fatigue-sweep/requests',
+            'gearbox',
+            {'run_s': 0.5},
+        )
+        url = f'{gateway}/v1/jobs/{job["id"]}'
+        self.assertEqual(
+            ask(f'{url}?wait_s=30', 'gearbox')['state'], 'finished'
+        )
+        self.assertEqual(ask(f'{url}/result', 'gearbox')['members'], 2)
+        hosts = get_json(f'{self.processes.standin}/v1/hosts')['hosts']
+        racks = [
+            host['rack']
+            for host in hosts
+            for start in get_json(f'{host["address"]}/audit')['starts']
+            if start['job'] == job['id']
+        ]
+        self.assertEqual(len(racks), 2)
+        self.assertEqual(len(set(racks)), 1)
+
+    def test_a_planned_stop_cuts_no_request(self) -> None:
+        """SIGTERM while a request runs: it is answered, then the end."""
+        gateway = self.processes.gateways[-1]
+        answers: list[Any] = []
+        path = 'distributors/kinds/catalogue-check/requests'
+        thread = threading.Thread(
+            target=lambda: answers.append(
+                ask(
+                    f'{gateway}/v1/workspaces/{path}',
+                    'distributors',
+                    {'run_s': 1.5},
+                ),
+            ),
+        )
+        thread.start()
+        name = self.processes.names('gateway')[-1]
+        hosts = get_json(f'{self.processes.standin}/v1/hosts')['hosts']
+        while not any(
+            get_json(f'{host["address"]}/audit')['quick_running']
+            for host in hosts
+        ):
+            self.assertTrue(thread.is_alive())
+        self.processes.kill(name, signal.SIGTERM)
+        thread.join()
+        self.assertEqual(len(answers), 1)
+        self.assertEqual(self.processes.running[name].wait(30), 0)
+
+    def test_status_shows_each_process_and_its_revision(self) -> None:
+        """Three leaders, everybody at the same revision."""
+        status = json.loads(self.operate('status', '--json').stdout)
+        leaders = [one for one in status if one['leads_epoch'] != '-']
+        self.assertEqual(len(leaders), 3)
+        self.assertEqual({one['revision'] for one in status}, {1})
+
+    def test_explain_and_jobs_and_drain(self) -> None:
+        """What operators ask is answered, with the stated exit codes."""
+        self.assertEqual(self.operate('explain', 'none').returncode, 1)
+        listed = self.operate('jobs', 'cyberjaya-a', '--json')
+        self.assertIsInstance(json.loads(listed.stdout), list)
+        drained = self.operate('drain', 'sa-r1-w08', 'shah-alam')
+        self.assertEqual(drained.stdout, 'sa-r1-w08 takes no new work.\n')
+        wrong = self.operate('drain', 'nobody', 'shah-alam')
+        self.assertEqual(wrong.returncode, 1)
+
+    def test_history_and_diff(self) -> None:
+        """The revision in force is the folder's."""
+        history = json.loads(self.operate('config', 'history', '--json').stdout)
+        self.assertEqual([one['revision'] for one in history], [1])
+        diff = self.operate('config', 'diff', str(SITE), '--json')
+        self.assertEqual(json.loads(diff.stdout), [])
+
+
+class CommandTest(unittest.TestCase):
+    """Exit codes and checks without a site."""
+
+    def test_versions_and_help(self) -> None:
+        """Each program tells its version and its exit codes."""
+        for role in ('', '-gateway', '-scheduler', '-standin', '-load'):
+            program = f'curranthill{role}'
+            version = run_program(program, '--version')
+            self.assertEqual(version.stdout, 'curranthill 0.1.0\n')
+            self.assertIn('Exit codes', run_program(program, '--help').stdout)
+
+    def test_check_settings(self) -> None:
+        """A wrong file ends with 2 and names each field."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'gateway.json'
+            path.write_text('{"host": {"name": "e1"}, "spare": 1}')
+            wrong = run_program(
+                'curranthill-gateway',
+                '--settings',
+                str(path),
+                '--check-settings',
+            )
+        self.assertEqual(wrong.returncode, 2)
+        for part in ('host.data_centre', 'platform', 'spare'):
+            self.assertIn(part, wrong.stderr)
+
+    def test_config_check_and_merge(self) -> None:
+        """The same folder always gives the same digest."""
+        checked = run_program('curranthill', 'config', 'check', str(SITE))
+        self.assertEqual(checked.returncode, 0)
+        digests = {
+            run_program(
+                'curranthill',
+                'config',
+                'merge',
+                str(SITE),
+                '--digest',
+            ).stdout
+            for _ in range(2)
+        }
+        self.assertEqual(len(digests), 1)
+        missing = run_program('curranthill', 'config', 'check', 'nowhere')
+        self.assertEqual(missing.returncode, 1)
