--- a/bench/membership.py
+++ b/bench/membership.py
@@ -15,6 +15,8 @@
 from typing import Any
 
 import uvloop
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from loguru import logger
 
 from bench.processes import HOST, ROOT
@@ -36,6 +38,18 @@
 ENOUGH = 99
 
 
+class MortalService(PeerService):
+    """A service that stops answering on connections that are open, too."""
+
+    dead = False
+
+    async def Probe(self, stream: Any) -> None:  # noqa: N802
+        """Answer a probe while alive."""
+        if self.dead:
+            raise GRPCError(Status.UNAVAILABLE, 'dead')
+        await super().Probe(stream)
+
+
 class BenchNode:
     """One daemon's membership, nothing else."""
 
@@ -59,10 +73,11 @@
             settings=self.settings,
             seed=number,
         )
-        self.server = InnerServer(
-            key=KEY,
-            handlers=[PeerService(prober=self.prober, content=_no_content)],
+        self.service = MortalService(
+            prober=self.prober,
+            content=_no_content,
         )
+        self.server = InnerServer(key=KEY, handlers=[self.service])
 
     async def serve(self) -> str:
         """Listen; return the address."""
@@ -73,6 +88,7 @@
 
     async def stop(self) -> None:
         """End as a crash does."""
+        self.service.dead = True
         await self.app.stop()
         await self.server.stop()
         await self.channels.close()
--- a/src/curranthill/scheduler/offload.py
+++ b/src/curranthill/scheduler/offload.py
@@ -10,7 +10,7 @@
 
 from curranthill.clock import Clock
 from curranthill.jobs import birth_of
-from curranthill.scheduler.board import Board, ShapeKey, Waiting
+from curranthill.scheduler.board import Board, Waiting
 
 #: How long a job waits here before another place is considered, in seconds.
 PATIENCE_S: Final = 1.0
@@ -23,7 +23,7 @@
 MEMORY_S: Final = 3.0
 
 #: Jobs given away in one look.
-MOST: Final = 8
+MOST: Final = 16
 
 
 class Neighbour(Protocol):
@@ -89,22 +89,22 @@
         moves: list[Move] = []
         if not places:
             return moves
-        heads = sorted(self._board.queue.heads(), key=_head_age)
-        for key, waiting in heads:
+        for waiting in sorted(self._board.queue, key=_age):
             if len(moves) >= MOST:
                 break
-            if self._stays(key, waiting, now_s):
+            if self._stays(waiting, now_s):
                 continue
             place = self._place_for(waiting, places)
             if place is not None:
                 moves.append(self._send(waiting, place, now_s))
         return moves
 
-    def _stays(self, key: ShapeKey, waiting: Waiting, now_s: float) -> bool:
-        entitled = self._board.plan.free_unit(key.workspace, key.shape)
-        may_borrow = self._board.may_borrow.get(key.workspace, True)
+    def _stays(self, waiting: Waiting, now_s: float) -> bool:
+        job = waiting.job
+        entitled = self._board.plan.free_unit(job.workspace, job.shape)
+        may_borrow = self._board.may_borrow.get(job.workspace, True)
         waited_s = now_s - waiting.since_s
-        moved = birth_of(waiting.job.job_id) != waiting.job.home
+        moved = birth_of(job.job_id) != job.home
         patience_s = MOVED_PATIENCE_S if moved else PATIENCE_S
         return entitled is not None or not may_borrow or waited_s < patience_s
 
@@ -146,8 +146,8 @@
         )
 
 
-def _head_age(head: tuple[ShapeKey, Waiting]) -> float:
-    return head[1].since_s
+def _age(waiting: Waiting) -> float:
+    return waiting.since_s
 
 
 def _most_left(place: tuple[int, Neighbour]) -> int:
