A budget of writes for each daemon; the heartbeat passes beside it

Cause: with 7,200 tasks arriving at once the table's 400 writes a second were used up, heartbeats were refused with them, and leadership went to and fro: 20,915 placements for 7,200 tasks, six takeovers in two minutes. Change: writes of jobs and keys go through a budget of 40 a second a daemon (platform.writes_per_s); what would wait over 5 s is refused as not sent. The leader's heartbeat is not counted.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -51,6 +51,8 @@
     :param work: where settings and logs are written.
     :param schedulers: schedulers for each data centre.
     :param placement: placement settings of the schedulers.
+    :param writes_per_s: each daemon's budget; the table takes ten times a
+        daemon's default, or four times a higher one.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         gateways: int = 1,
         placement: dict[str, Any] | None = None,
         leases: dict[str, Any] | None = None,
+        writes_per_s: float = 40,
     ) -> None:
         """Write nothing and start nothing yet."""
         self.work = work
@@ -74,6 +77,7 @@
         self._gateways = gateways
         self._placement = placement or {}
         self._leases = leases or {}
+        self._writes_per_s = writes_per_s
         self._ports: dict[str, int] = {}
         self._settings: dict[str, Path] = {}
 
@@ -81,7 +85,17 @@
         """Start everything and wait until it serves."""
         self.work.mkdir(parents=True, exist_ok=True)
         port = self.standin.rpartition(':')[2]
-        self._run('standin', 'standin', [str(self.folder), '--port', port])
+        self._run(
+            'standin',
+            'standin',
+            [
+                str(self.folder),
+                '--port',
+                port,
+                '--writes-per-s',
+                str(max(400, 4 * self._writes_per_s)),
+            ],
+        )
         self._wait(lambda: get_json(f'{self.standin}/counts'))
         self._write_settings()
         self._apply()
@@ -132,7 +146,10 @@
                     'data_centre': place,
                     'region': self.document.data_centres[place].region,
                 },
-                'platform': {'url': self.standin},
+                'platform': {
+                    'url': self.standin,
+                    'writes_per_s': self._writes_per_s,
+                },
                 'membership': {'port': self._ports[name], 'seeds': seeds},
                 'logs': {'level': 'INFO', 'style': 'readable'},
             }
--- a/src/curranthill/gateway/daemon.py
+++ b/src/curranthill/gateway/daemon.py
@@ -17,6 +17,7 @@
     choices,
 )
 from curranthill.settings import GatewaySettings
+from curranthill.storage import WriteBudget
 from curranthill.workers import WorkerClients, worker_clients
 
 #: Connections that a worker takes when no configuration says otherwise.
@@ -111,6 +112,10 @@
                 table=table,
                 clock=clock,
                 retention_s=self._settings.callers.key_retention_s,
+                budget=WriteBudget(
+                    clock=clock,
+                    per_s=self._settings.platform.writes_per_s,
+                ),
             ),
             objects=self.node.platform.objects,
             notifier=notifier,
--- a/src/curranthill/jobs/store.py
+++ b/src/curranthill/jobs/store.py
@@ -13,7 +13,15 @@
 from curranthill.errors import ConflictError
 from curranthill.jobs.lifecycle import next_state
 from curranthill.jobs.records import ENDED, Job, job_document, job_from
-from curranthill.storage import ABSENT, Check, Committer, Row, Table, Write
+from curranthill.storage import (
+    ABSENT,
+    Check,
+    Committer,
+    Row,
+    Table,
+    Write,
+    WriteBudget,
+)
 
 PAGE_ROWS: Final = 200
 
@@ -42,6 +50,7 @@
     :param table: the platform's table.
     :param clock: for waits between two looks at a lost reply.
     :param retention_s: how long an ended job and its key are kept.
+    :param budget: bounds this process's writes.
     """
 
     def __init__(
@@ -50,12 +59,17 @@
         table: Table,
         clock: Clock,
         retention_s: float = 86400,
+        budget: WriteBudget | None = None,
     ) -> None:
         """Keep the table."""
         self._table = table
         self._clock = clock
         self._retention_s = retention_s
-        self._committer = Committer(table=table, clock=clock)
+        self._committer = Committer(
+            table=table,
+            clock=clock,
+            budget=budget,
+        )
 
     async def accept(self, job: Job, key: KeyRecord | None) -> Stored:
         """Keep a new job, with its idempotency key if it has one.
--- a/src/curranthill/scheduler/daemon.py
+++ b/src/curranthill/scheduler/daemon.py
@@ -9,6 +9,7 @@
 from curranthill.scheduler.leader import Leader
 from curranthill.scheduler.service import SchedulerService
 from curranthill.settings import SchedulerSettings
+from curranthill.storage import WriteBudget
 from curranthill.workers import WorkerClients, worker_clients
 
 
@@ -80,7 +81,14 @@
         table = self.node.platform.table
         return Context(
             clock=self.app.clock,
-            store=JobStore(table=table, clock=self.app.clock),
+            store=JobStore(
+                table=table,
+                clock=self.app.clock,
+                budget=WriteBudget(
+                    clock=self.app.clock,
+                    per_s=self._settings.platform.writes_per_s,
+                ),
+            ),
             objects=self.node.platform.objects,
             election=Election(
                 table=table,
--- a/src/curranthill/settings/records.py
+++ b/src/curranthill/settings/records.py
@@ -21,6 +21,8 @@
     """How the platform's services are reached and how hard.
 
     :param client: a name in the registry of platform clients.
+    :param writes_per_s: writes of jobs and keys by one process; the leader's
+        heartbeat is not counted.
     :param list_interval_s: how often the host list is read.
     :param revision_interval_s: how often the revision row is read.
     """
@@ -29,6 +31,7 @@
     client: str = 'http'
     list_interval_s: float = 2.0
     revision_interval_s: float = 3.0
+    writes_per_s: float = 40.0
 
 
 class MembershipSettings(NamedTuple):
--- a/src/curranthill/storage/__init__.py
+++ b/src/curranthill/storage/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's table, object store and host list."""
 
+from curranthill.storage.budget import WriteBudget
 from curranthill.storage.commit import Committer
 from curranthill.storage.directory import HostDirectory
 from curranthill.storage.http import content_digest, http_platform
@@ -36,6 +37,7 @@
     'Table',
     'Transaction',
     'Write',
+    'WriteBudget',
     'content_digest',
     'http_platform',
     'platforms',
--- a/src/curranthill/storage/commit.py
+++ b/src/curranthill/storage/commit.py
@@ -10,6 +10,7 @@
     ReplyLostError,
     StorageError,
 )
+from curranthill.storage.budget import WriteBudget
 from curranthill.storage.interface import Table
 from curranthill.storage.records import Check, Transaction, Write
 from curranthill.telemetry.metrics import metrics
@@ -26,10 +27,18 @@
 
     :param table: the platform's table.
     :param clock: the clock of the waits between two looks.
+    :param budget: bounds the writes; without one they pass at once.
     """
 
-    def __init__(self, *, table: Table, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        table: Table,
+        clock: Clock,
+        budget: WriteBudget | None = None,
+    ) -> None:
         """Keep the table and the clock."""
+        self._budget = budget
         self._table = table
         self._clock = clock
 
@@ -53,6 +62,8 @@
             writes=tuple(writes),
             checks=tuple(checks),
         )
+        if self._budget is not None:
+            await self._budget.take()
         metrics.table_writes.add(1)
         try:
             return await self._table.transact(transaction)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from curranthill.errors import ConflictError, FencedError
+from curranthill.errors import ConflictError, FencedError, NotSentError
 from curranthill.jobs import ENDED, KeyRecord, birth_of, new_job_id
 from curranthill.standin import FaultSettings
-from curranthill.storage import Transaction
+from curranthill.storage import Transaction, WriteBudget
 from curranthill.workers import AttemptId, LeaseRequest, Task, Token
 from tests.harness import Site
 from tests.support import make_job, run
@@ -386,3 +386,40 @@
                 self.assertEqual(site.starts(job_id), starts)
 
         on_site(case)
+
+
+class WriteBudgetTest(unittest.TestCase):
+    """A burst of jobs must not cost the lease, nor storm the table."""
+
+    def test_writes_pass_at_the_budgets_rate(self) -> None:
+        """After the burst's second, so many a second and no more."""
+
+        async def case(site: Site) -> None:
+            budget = WriteBudget(clock=site.clock, per_s=10)
+            passed: list[float] = []
+
+            async def write() -> None:
+                await budget.take()
+                passed.append(site.clock.monotonic_s())
+
+            begun_s = site.clock.monotonic_s()
+            tasks = [asyncio.create_task(write()) for _ in range(40)]
+            await site.clock.until(lambda: all(task.done() for task in tasks))
+            for second in range(4):
+                by_then = [one for one in passed if one <= begun_s + second]
+                self.assertLessEqual(len(by_then), 10 * (second + 1))
+
+        on_site(case)
+
+    def test_what_would_wait_too_long_is_refused_as_not_sent(self) -> None:
+        """The caller hears at once that nothing was written."""
+
+        async def case(site: Site) -> None:
+            budget = WriteBudget(clock=site.clock, per_s=1)
+            tasks = [asyncio.create_task(budget.take()) for _ in range(10)]
+            await site.clock.advance(20)
+            refused = [task for task in tasks if task.exception()]
+            self.assertEqual(len(refused), 4)
+            self.assertIsInstance(refused[0].exception(), NotSentError)
+
+        on_site(case)
