Do not drop news of jobs that comes while a call is under way

Change: only what was told is removed (test test_news_that_comes_during_a_call_is_not_lost fails before, passes now).

--- a/src/curranthill/membership/notify.py
+++ b/src/curranthill/membership/notify.py
@@ -61,7 +61,8 @@
         while self._news[data_centre] and tries < _TRIES:
             batch = self._news[data_centre][:_BATCH]
             if await self._tell(data_centre, batch):
-                self._news[data_centre] = self._news[data_centre][_BATCH:]
+                # More may have come meanwhile; only what was told goes.
+                del self._news[data_centre][: len(batch)]
                 tries = 0
             else:
                 tries += 1
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,10 +20,11 @@
     Prober,
     View,
 )
+from curranthill.membership.notify import Notifier
 from curranthill.protocol import Channels, InnerServer, inner_pb2
 from curranthill.protocol.calls import call_probe
 from curranthill.settings import MembershipSettings
-from tests.support import ManualClock, run
+from tests.support import ManualClock, run, settle
 
 _NEWS = st.builds(
     Member,
@@ -165,6 +166,46 @@
     return inner_pb2.ConfigurationContent()
 
 
+class _SlowChannels:
+    """Channels whose calls end only when a test says so."""
+
+    def __init__(self) -> None:
+        """Start with no call."""
+        self.told: list[str] = []
+        self.gate = asyncio.Event()
+
+    async def call(self, *given: Any) -> None:
+        """Keep what was told, after the gate."""
+        await self.gate.wait()
+        self.told.extend(given[2].job_ids)
+
+
+class NotifierTest(unittest.TestCase):
+    """News of jobs to the active scheduler."""
+
+    def test_news_that_comes_during_a_call_is_not_lost(self) -> None:
+        """Every job is told of exactly once."""
+
+        async def case() -> None:
+            app = Application(name='g')
+            view = make_view()
+            view.learn(member('s', role='scheduler', leading_epoch=1))
+            channels: Any = _SlowChannels()
+            notifier = Notifier(app=app, view=view, channels=channels)
+            jobs = [f'j{number}' for number in range(300)]
+            for job_id in jobs[:40]:
+                notifier.notify('dc', job_id)
+            await settle()
+            for job_id in jobs[40:]:
+                notifier.notify('dc', job_id)
+            channels.gate.set()
+            await settle()
+            self.assertEqual(channels.told, jobs)
+            await app.stop()
+
+        run(case())
+
+
 class PeerTest(unittest.TestCase):
     """Probes over the inner protocol."""
 
