--- a/bench/placement.py
+++ b/bench/placement.py
@@ -25,7 +25,7 @@
 }
 
 #: Runs at the same time; each has eight mostly idle processes.
-PARALLEL = 4
+PARALLEL = 6
 
 
 def run_once(deployment: str, policy: str, seed: int) -> dict[str, Any]:
--- a/src/curranthill/membership/notify.py
+++ b/src/curranthill/membership/notify.py
@@ -62,7 +62,8 @@
             batch = self._news[data_centre][:_BATCH]
             if await self._tell(data_centre, batch):
                 # More may have come meanwhile; only what was told goes.
-                del self._news[data_centre][: len(batch)]
+                news = self._news[data_centre]
+                self._news[data_centre] = news[len(batch) :]
                 tries = 0
             else:
                 tries += 1
