Polls carry only what has changed

Change: a poll names its attempts only if they are not those of the last one; the answer has ended leases, those that were not named, and named attempts that the worker does not hold.

--- a/src/curranthill/errors.py
+++ b/src/curranthill/errors.py
@@ -96,6 +96,10 @@
         self.seen_epoch = seen_epoch
 
 
+class LastPollForgottenError(WorkerError):
+    """The worker does not remember the last poll; name the attempts again."""
+
+
 class TaskFailedError(WorkerError):
     """The worker ran the task and the task failed."""
 
@@ -141,6 +145,7 @@
     'ConflictError',
     'CurranthillError',
     'FencedError',
+    'LastPollForgottenError',
     'LeaseLapsedError',
     'NotSentError',
     'Outcome',
--- a/src/curranthill/scheduler/watch.py
+++ b/src/curranthill/scheduler/watch.py
@@ -5,7 +5,11 @@
 
 from loguru import logger
 
-from curranthill.errors import FencedError, WorkerError
+from curranthill.errors import (
+    FencedError,
+    LastPollForgottenError,
+    WorkerError,
+)
 from curranthill.scheduler.context import Context
 from curranthill.workers import (
     ENDED_STATES,
@@ -66,6 +70,7 @@
         self._listener = listener
         self._live: set[AttemptId] = set()
         self._ended: set[AttemptId] = set()
+        self._told: frozenset[AttemptId] | None = None
         self._closed = False
         self._last_contact_s = context.clock.monotonic_s()
 
@@ -85,9 +90,12 @@
     async def run(self) -> None:
         """Poll until fenced, closed or cancelled."""
         while not self._closed:
-            renewed = tuple(self._live)
+            renewed = frozenset(self._live)
             try:
                 report = await self._poll(renewed)
+            except LastPollForgottenError:
+                self._told = None
+                continue
             except FencedError as error:
                 self._context.election.step_down(error.message)
                 return
@@ -97,29 +105,27 @@
                 continue
             self._last_contact_s = self._context.clock.monotonic_s()
             self._listener.on_contact(self.name, True, report.leaving)
-            self._take(report, renewed)
+            self._told = renewed
+            self._take(report)
             if report.leaving:
                 # A leaving worker answers at once; do not spin.
                 await self._context.clock.sleep(_RETRY_S)
 
-    async def _poll(self, renewed: tuple[AttemptId, ...]) -> WorkerReport:
+    async def _poll(self, renewed: frozenset[AttemptId]) -> WorkerReport:
+        """Poll, naming the attempts only if they are not those of last time."""
         leases = self._context.leases
         return await self._client.poll(
             self._context.election.token,
             leases.member_term_s,
             leases.poll_wait_s,
-            renewed,
+            None if renewed == self._told else tuple(renewed),
             tuple(self._ended),
         )
 
-    def _take(
-        self,
-        report: WorkerReport,
-        renewed: tuple[AttemptId, ...],
-    ) -> None:
+    def _take(self, report: WorkerReport) -> None:
         reported = {lease.attempt_id: lease for lease in report.leases}
-        for attempt_id in renewed:
-            if attempt_id not in reported and attempt_id in self._live:
+        for attempt_id in report.unknown:
+            if attempt_id in self._live:
                 self._tell(attempt_id, LOST, 'The worker forgot its lease.')
         for attempt_id, lease in reported.items():
             news = MemberNews(
--- a/src/curranthill/standin/server.py
+++ b/src/curranthill/standin/server.py
@@ -14,6 +14,7 @@
     ConflictError,
     CurranthillError,
     FencedError,
+    LastPollForgottenError,
     NotSentError,
     TaskFailedError,
     WorkerBusyError,
@@ -41,6 +42,7 @@
     (WorkerBusyError, 409),
     (FencedError, 412),
     (TaskFailedError, 422),
+    (LastPollForgottenError, 428),
     (WorkerError, 410),
 )
 
@@ -431,13 +433,19 @@
         token,
         asked['term_s'],
         asked['wait_s'],
-        [AttemptId(*attempt_id) for attempt_id in asked['attempts']],
+        _named(asked['attempts']),
         [AttemptId(*attempt_id) for attempt_id in asked['known_ended']],
     )
     leases = [lease._asdict() for lease in report.leases]
     return report._asdict() | {'leases': leases}
 
 
+def _named(attempts: list[Any] | None) -> list[AttemptId] | None:
+    if attempts is None:
+        return None
+    return [AttemptId(*attempt_id) for attempt_id in attempts]
+
+
 async def _stop(worker: WorkerModel, token: Token, asked: _Body) -> _Body:
     checkpoint = await worker.stop(
         token,
--- a/src/curranthill/standin/worker.py
+++ b/src/curranthill/standin/worker.py
@@ -7,13 +7,14 @@
 import asyncio
 import json
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from curranthill.clock import Clock
 from curranthill.errors import (
     FencedError,
+    LastPollForgottenError,
     TaskFailedError,
     WorkerBusyError,
     WorkerError,
@@ -104,6 +105,7 @@
         self._clock = clock
         self._closed = False
         self._seen = Token(epoch=0, holder='')
+        self._last_poll: tuple[Token, frozenset[AttemptId]] | None = None
         self._leases: dict[AttemptId, _Lease] = {}
         self._started: set[AttemptId] = set()
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
@@ -180,12 +182,13 @@
         token: Token,
         term_s: float,
         wait_s: float,
-        attempts: Sequence[AttemptId],
+        attempts: Sequence[AttemptId] | None,
         known_ended: Sequence[AttemptId],
     ) -> WorkerReport:
         """Renew leases; answer once another has ended or time passes."""
         self._fence(token)
-        self._renew(term_s, attempts)
+        named = self._named(token, attempts)
+        self._renew(term_s, named)
         deadline_s = self._clock.monotonic_s() + wait_s
         known = frozenset(known_ended)
         while not self._any_ended(known) and not self.leaving:
@@ -193,8 +196,10 @@
             if left_s <= 0 or self._closed or self._seen != token:
                 break
             await self._wait_change(left_s)
+        reports = [lease for lease in self._reports() if _is_news(lease, named)]
         return WorkerReport(
-            leases=self._reports(),
+            leases=tuple(reports),
+            unknown=tuple(one for one in named if one not in self._leases),
             free_slots=self.free_slots(),
             leaving=self.leaving,
         )
@@ -331,7 +336,19 @@
             self._notify()
         self._lapse()
 
-    def _renew(self, term_s: float, attempts: Sequence[AttemptId]) -> None:
+    def _named(
+        self,
+        token: Token,
+        attempts: Sequence[AttemptId] | None,
+    ) -> frozenset[AttemptId]:
+        """Return the attempts that a poll names, if only by the last one."""
+        if attempts is not None:
+            self._last_poll = (token, frozenset(attempts))
+        if self._last_poll is None or self._last_poll[0] != token:
+            raise self._error(LastPollForgottenError, 'no last poll', 'poll')
+        return self._last_poll[1]
+
+    def _renew(self, term_s: float, attempts: Iterable[AttemptId]) -> None:
         expires_s = self._clock.monotonic_s() + term_s
         for attempt_id in attempts:
             lease = self._leases.get(attempt_id)
@@ -426,6 +443,15 @@
         return kind(message, step=step, peer=self.name)
 
 
+def _is_news(lease: LeaseReport, named: frozenset[AttemptId]) -> bool:
+    """Return whether the caller of a poll cannot know this of a lease."""
+    return (
+        lease.attempt_id not in named
+        or lease.state in ENDED_STATES
+        or lease.used_slots > lease.slots
+    )
+
+
 def _asked(body: bytes) -> dict[str, Any]:
     try:
         asked = json.loads(body or b'{}')
--- a/src/curranthill/workers/http.py
+++ b/src/curranthill/workers/http.py
@@ -9,6 +9,7 @@
 
 from curranthill.errors import (
     FencedError,
+    LastPollForgottenError,
     TaskFailedError,
     WorkerBusyError,
     WorkerError,
@@ -45,6 +46,7 @@
     409: WorkerBusyError,
     410: WorkerError,
     422: TaskFailedError,
+    428: LastPollForgottenError,
     503: WorkerBusyError,
 }
 _HTTP_OK = 200
@@ -101,14 +103,15 @@
         token: Token,
         term_s: float,
         wait_s: float,
-        attempts: Sequence[AttemptId],
+        attempts: Sequence[AttemptId] | None,
         known_ended: Sequence[AttemptId],
     ) -> WorkerReport:
         """Renew leases and wait for an end."""
+        named = None if attempts is None else [list(one) for one in attempts]
         body = _token(token) | {
             'term_s': term_s,
             'wait_s': wait_s,
-            'attempts': [list(attempt_id) for attempt_id in attempts],
+            'attempts': named,
             'known_ended': [list(attempt_id) for attempt_id in known_ended],
         }
         reply = await self._post(
--- a/src/curranthill/workers/interface.py
+++ b/src/curranthill/workers/interface.py
@@ -45,12 +45,16 @@
         token: Token,
         term_s: float,
         wait_s: float,
-        attempts: Sequence[AttemptId],
+        attempts: Sequence[AttemptId] | None,
         known_ended: Sequence[AttemptId],
     ) -> WorkerReport:
         """Renew the named leases; answer once one ends or ``wait_s`` pass.
 
         An end that the caller knows already does not cut the wait short.
+        No attempts at all (``None``) means those of the last poll under the
+        same token, which keeps a poll small while nothing changes.
+
+        :raises LastPollForgottenError: if the worker remembers no such poll.
         """
 
     async def stop(
--- a/src/curranthill/workers/records.py
+++ b/src/curranthill/workers/records.py
@@ -74,9 +74,15 @@
 
 
 class WorkerReport(NamedTuple):
-    """A worker's answer to a poll."""
+    """A worker's answer to a poll.
+
+    :param leases: leases that the poll did not name, and named ones that
+        have ended or use more than they hold.
+    :param unknown: named attempts of which the worker holds no lease.
+    """
 
     leases: tuple[LeaseReport, ...]
+    unknown: tuple[AttemptId, ...]
     free_slots: int
     leaving: bool
 
@@ -107,6 +113,7 @@
     leases = tuple(lease_from(lease) for lease in entry['leases'])
     return WorkerReport(
         leases=leases,
+        unknown=tuple(AttemptId(*one) for one in entry['unknown']),
         free_slots=entry['free_slots'],
         leaving=entry['leaving'],
     )
