One way to run a daemon and one refusal for an absent platform

Cause: the two daemons' command lines were the same lines twice, and the problem for a platform that is away was built in three places. Change: run_from_file and platform_away; nothing else changes.

--- a/src/curranthill/commands/daemons.py
+++ b/src/curranthill/commands/daemons.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Final, NoReturn, TypeVar
+from typing import Annotated, Final, NoReturn, Protocol, TypeVar
 
 import typer
 import uvloop
@@ -13,8 +13,8 @@
 from curranthill import __version__
 from curranthill.application import Application
 from curranthill.errors import CurranthillError
-from curranthill.settings import read_settings
-from curranthill.telemetry import LogStyle, configure_logs, provide
+from curranthill.settings import HostSettings, LogSettings, read_settings
+from curranthill.telemetry import configure_logs, provide
 
 #: Exit codes of every command.
 DONE: Final = 0
@@ -67,23 +67,56 @@
     raise typer.Exit(code)
 
 
+class DaemonSettings(Protocol):
+    """What every daemon's settings have in common."""
+
+    @property
+    def host(self) -> HostSettings:
+        """Return where the daemon runs."""
+
+    @property
+    def logs(self) -> LogSettings:
+        """Return how its log lines look."""
+
+    @property
+    def metrics_port(self) -> int:
+        """Return where its metrics can be pulled; 0 means nowhere."""
+
+
+Daemon = TypeVar('Daemon', bound=DaemonSettings)
+
+
+def run_from_file(
+    path: Path,
+    record_type: type[Daemon],
+    make: Callable[[Daemon], Application],
+    *,
+    role: str,
+    check_only: bool,
+) -> None:
+    """Run a daemon by its settings file, or only check the file."""
+    settings = settings_or_exit(record_type, path)
+    if check_only:
+        typer.echo('The settings are in order.')
+        return
+    if settings.metrics_port:
+        provide(PrometheusMetricReader())
+        start_http_server(settings.metrics_port, addr=settings.host.address)
+    run_daemon(
+        lambda: make(settings),
+        name=f'{settings.host.name}/{role}',
+        logs=settings.logs,
+    )
+
+
 def run_daemon(
     make: Callable[[], Application],
     *,
     name: str,
-    style: LogStyle,
-    level: str,
-    metrics_port: int,
-    address: str,
+    logs: LogSettings,
 ) -> None:
-    """Run a daemon until SIGTERM.
-
-    :param metrics_port: where metrics can be pulled; 0 means nowhere.
-    """
-    configure_logs(style=style, level=level, process=name)
-    if metrics_port:
-        provide(PrometheusMetricReader())
-        start_http_server(metrics_port, addr=address)
+    """Run a daemon until SIGTERM."""
+    configure_logs(style=logs.style, level=logs.level, process=name)
     try:
         uvloop.run(_run(make))
     except CurranthillError as error:
@@ -105,5 +138,6 @@
     'Version',
     'fail',
     'run_daemon',
+    'run_from_file',
     'settings_or_exit',
 )
--- a/src/curranthill/commands/gateway.py
+++ b/src/curranthill/commands/gateway.py
@@ -7,8 +7,7 @@
     CheckOnly,
     SettingsPath,
     Version,
-    run_daemon,
-    settings_or_exit,
+    run_from_file,
 )
 from curranthill.gateway.daemon import GatewayDaemon
 from curranthill.settings import GatewaySettings
@@ -24,17 +23,12 @@
     version: Version = False,
 ) -> None:
     """Run a gateway until SIGTERM, then stop gracefully."""
-    record = settings_or_exit(GatewaySettings, settings)
-    if check_settings:
-        typer.echo('The settings are in order.')
-        return
-    run_daemon(
-        lambda: GatewayDaemon(settings=record).app,
-        name=f'{record.host.name}/gateway',
-        style=record.logs.style,
-        level=record.logs.level,
-        metrics_port=record.metrics_port,
-        address=record.host.address,
+    run_from_file(
+        settings,
+        GatewaySettings,
+        lambda record: GatewayDaemon(settings=record).app,
+        role='gateway',
+        check_only=check_settings,
     )
 
 
--- a/src/curranthill/commands/scheduler.py
+++ b/src/curranthill/commands/scheduler.py
@@ -7,8 +7,7 @@
     CheckOnly,
     SettingsPath,
     Version,
-    run_daemon,
-    settings_or_exit,
+    run_from_file,
 )
 from curranthill.scheduler.daemon import SchedulerDaemon
 from curranthill.settings import SchedulerSettings
@@ -24,17 +23,12 @@
     version: Version = False,
 ) -> None:
     """Run a scheduler until SIGTERM, then stop gracefully."""
-    record = settings_or_exit(SchedulerSettings, settings)
-    if check_settings:
-        typer.echo('The settings are in order.')
-        return
-    run_daemon(
-        lambda: SchedulerDaemon(settings=record).app,
-        name=f'{record.host.name}/scheduler',
-        style=record.logs.style,
-        level=record.logs.level,
-        metrics_port=record.metrics_port,
-        address=record.host.address,
+    run_from_file(
+        settings,
+        SchedulerSettings,
+        lambda record: SchedulerDaemon(settings=record).app,
+        role='scheduler',
+        check_only=check_settings,
     )
 
 
--- a/src/curranthill/commands/standin.py
+++ b/src/curranthill/commands/standin.py
@@ -10,6 +10,7 @@
 from curranthill.commands.daemons import EPILOG, Version, run_daemon
 from curranthill.configuration import checked, merge, read_folder
 from curranthill.configuration.records import ConfigurationDocument
+from curranthill.settings import LogSettings
 from curranthill.standin import SiteEntry, StandinServer
 
 app = typer.Typer(add_completion=True, rich_markup_mode=None)
@@ -80,10 +81,7 @@
     run_daemon(
         lambda: _application(options),
         name='standin',
-        style='readable',
-        level='INFO',
-        metrics_port=0,
-        address=host,
+        logs=LogSettings(style='readable'),
     )
 
 
--- a/src/curranthill/gateway/jobs.py
+++ b/src/curranthill/gateway/jobs.py
@@ -26,7 +26,7 @@
     StorageError,
 )
 from curranthill.membership.notify import Notifier
-from curranthill.gateway.problems import refuse
+from curranthill.gateway.problems import platform_away, refuse
 from curranthill.gateway.requests import CallerRequest
 from curranthill.jobs import (
     CANCELLED,
@@ -45,6 +45,8 @@
 _FIRST_LOOK_S: Final = 0.05
 _LONGEST_LOOK_S: Final = 1.0
 
+_AWAY: Final = 'The platform cannot keep or tell this now.'
+
 #: The crowding of a data centre of which nothing is heard.
 _UNHEARD: Final = 1e6
 
@@ -90,9 +92,9 @@
         except ConflictError:
             return await self._first_of(request)
         except NotSentError as error:
-            raise self._platform_away(error, NOT_RUN) from error
+            raise platform_away(error, _AWAY, NOT_RUN) from error
         except ReplyLostError as error:
-            raise self._platform_away(error, UNKNOWN) from error
+            raise platform_away(error, _AWAY, UNKNOWN) from error
         logger.bind(
             job=job.job_id,
             workspace=job.workspace,
@@ -110,7 +112,7 @@
         try:
             stored = await self._store.load(job_id)
         except StorageError as error:
-            raise self._platform_away(error, UNKNOWN) from error
+            raise platform_away(error, _AWAY, UNKNOWN) from error
         if stored is None or stored.job.workspace != workspace:
             raise refuse(
                 HTTPStatus.NOT_FOUND,
@@ -140,7 +142,7 @@
         try:
             body = await self._objects.get(job.result_name)
         except StorageError as error:
-            raise self._platform_away(error, UNKNOWN) from error
+            raise platform_away(error, _AWAY, UNKNOWN) from error
         if body is None or len(body) != job.result_bytes:
             raise refuse(
                 HTTPStatus.BAD_GATEWAY,
@@ -168,7 +170,7 @@
                 retry_after_s=1,
             ) from error
         except StorageError as error:
-            raise self._platform_away(error, UNKNOWN) from error
+            raise platform_away(error, _AWAY, UNKNOWN) from error
         if stored is None:
             raise refuse(
                 HTTPStatus.NOT_FOUND,
@@ -183,7 +185,7 @@
         try:
             key = await self._store.key_record(request.key_row)
         except StorageError as error:
-            raise self._platform_away(error, UNKNOWN) from error
+            raise platform_away(error, _AWAY, UNKNOWN) from error
         if key is None:
             raise refuse(
                 HTTPStatus.CONFLICT,
@@ -283,20 +285,6 @@
         crowding = (leader.waiting_slots + 1) / (leader.free_slots + 1)
         return (crowding, not own, data_centre)
 
-    def _platform_away(
-        self,
-        error: StorageError,
-        outcome: Outcome,
-    ) -> RefusedError:
-        return RefusedError(
-            'The platform cannot keep or tell this now.',
-            step=error.step,
-            peer=error.peer,
-            status=HTTPStatus.SERVICE_UNAVAILABLE,
-            outcome=outcome,
-            retry_after_s=2,
-        )
-
 
 def job_body(job: Job) -> str:
     """Return what a caller sees of a job, as JSON."""
--- a/src/curranthill/gateway/keyed.py
+++ b/src/curranthill/gateway/keyed.py
@@ -15,7 +15,7 @@
     ReplyLostError,
     StorageError,
 )
-from curranthill.gateway.problems import refuse
+from curranthill.gateway.problems import platform_away, refuse
 from curranthill.gateway.requests import CallerRequest
 from curranthill.routing import QuickWork, Router
 from curranthill.storage import ABSENT, Committer, Row, Table, Write
@@ -103,13 +103,10 @@
         except ConflictError:
             return None
         except StorageError as error:
-            raise RefusedError(
+            raise platform_away(
+                error,
                 'The platform cannot keep the key now.',
-                step=error.step,
-                peer=error.peer,
-                status=HTTPStatus.SERVICE_UNAVAILABLE,
-                outcome=NOT_RUN,
-                retry_after_s=2,
+                NOT_RUN,
             ) from error
 
     async def _run_marked(
@@ -204,13 +201,10 @@
         try:
             return await self._table.read(request.key_row)
         except (StorageError, ReplyLostError) as error:
-            raise RefusedError(
+            raise platform_away(
+                error,
                 'The platform cannot tell what this key stands for now.',
-                step=error.step,
-                peer=error.peer,
-                status=HTTPStatus.SERVICE_UNAVAILABLE,
-                outcome=UNKNOWN,
-                retry_after_s=2,
+                UNKNOWN,
             ) from error
 
     def _refuse_other(
--- a/src/curranthill/gateway/problems.py
+++ b/src/curranthill/gateway/problems.py
@@ -7,10 +7,13 @@
 
 from aiohttp import web
 
-from curranthill.errors import NOT_RUN, Outcome, RefusedError
+from curranthill.errors import NOT_RUN, Outcome, RefusedError, StorageError
 
 MEDIA_TYPE = 'application/problem+json'
 
+#: When to come back while the platform is away, in seconds.
+PLATFORM_RETRY_S = 2
+
 
 class Problem(TypedDict):
     """The fields of a problem document."""
@@ -64,4 +67,26 @@
     )
 
 
-__all__ = ('MEDIA_TYPE', 'Problem', 'problem_response', 'refuse')
+def platform_away(
+    error: StorageError,
+    message: str,
+    outcome: Outcome,
+) -> RefusedError:
+    """Return an error for what the platform cannot keep or tell now."""
+    return RefusedError(
+        message,
+        step=error.step,
+        peer=error.peer,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        outcome=outcome,
+        retry_after_s=PLATFORM_RETRY_S,
+    )
+
+
+__all__ = (
+    'MEDIA_TYPE',
+    'Problem',
+    'platform_away',
+    'problem_response',
+    'refuse',
+)
