Read all open rows every five minutes, not every five seconds

Cause: at 7,200 tasks the scheduler moved 601 KB/s in the watched window: the scan of all open rows, about a kilobyte each. Change: every 300 s. News of jobs that a gateway could not bring within its tries waits for that long.

--- a/src/curranthill/settings/records.py
+++ b/src/curranthill/settings/records.py
@@ -147,6 +147,8 @@
     :param quarantine_s: how long a worker on which different jobs fail gets
         no work before it is probed.
     :param quarantine_failures: how many different jobs those are.
+    :param scan_interval_s: how often all open rows are read, for jobs of
+        which no news arrived; a row has about a kilobyte.
     :param adopt_marked_s: how long after its home's lease lapsed a marked
         idempotent job may be run elsewhere.
     """
@@ -159,7 +161,7 @@
     quarantine_s: float = 30.0
     quarantine_failures: int = 3
     adopt_marked_s: float = 300.0
-    scan_interval_s: float = 5.0
+    scan_interval_s: float = 300.0
 
 
 class SchedulerSettings(NamedTuple):
