--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -28,7 +28,7 @@
 
 #: How long a job waits, in run times of its own, before workers are kept
 #: for it.
-PATIENCE: Final = 1.0
+PATIENCE: Final = 4.0
 
 #: How often the order of all lines is looked at, in seconds.
 REVIEW_S: Final = 1.0
