--- a/bench/promises.py
+++ b/bench/promises.py
@@ -151,6 +151,7 @@
             results['urgent'] = asyncio.run(urgent(processes))
         finally:
             processes.stop()
+        _keep(results)
         cut_off = 'shah-alam'
         processes = Processes(
             folder=SITE,
@@ -163,10 +164,14 @@
             results['revisions'] = revisions(processes, cut_off)
         finally:
             processes.stop()
+    _keep(results)
+    print(json.dumps(results, indent=2))
+
+
+def _keep(results: dict[str, Any]) -> None:
     out = ROOT / 'bench' / 'results'
     out.mkdir(parents=True, exist_ok=True)
     (out / 'promises.json').write_text(json.dumps(results, indent=2) + '\n')
-    print(json.dumps(results, indent=2))
 
 
 if __name__ == '__main__':
--- a/bench/quick.py
+++ b/bench/quick.py
@@ -229,21 +229,27 @@
     async def ask(number: int) -> bool:
         return await client.quick(gateway)
 
-    load = asyncio.create_task(timed(ask, 3000, 24))
-    await asyncio.sleep(2)
-    runs_before = _quick_runs(own)
-    used = [host for host in own if runs_before[host['host']]]
-    for host in used[: max(1, len(used) // 4)]:
+    idle = _quick_runs(own)
+    await timed(ask, 600, 24)
+    before = _quick_runs(own)
+    # Only workers that the gateway sends to now.
+    used = [host for host in own if before[host['host']] > idle[host['host']]]
+    failing = used[: max(1, len(used) // 4)]
+    for host in failing:
         post_json(f'{host["address"]}/faults', {'fails': True})
-    await load
-    for host in own:
+    callers = await timed(ask, 6000, 24)
+    for host in failing:
         post_json(f'{host["address"]}/faults', {})
-    runs = sum(_quick_runs(own).values())
+    after = _quick_runs(own)
+    names = {host['host'] for host in failing}
+    sent = {name: after[name] - before[name] for name in after}
     return {
         'workers_used': len(used),
-        'failing': max(1, len(used) // 4),
-        'callers': load.result(),
-        'sent_to_workers': runs,
+        'failing': len(failing),
+        'callers': callers,
+        'sent_to_failing': sum(sent[name] for name in names),
+        'sent_in_all': sum(sent.values()),
+        'sent_a_request': round(sum(sent.values()) / callers['requests'], 4),
     }
 
 
