--- a/bench/promises.py
+++ b/bench/promises.py
@@ -33,9 +33,13 @@
     times_s: list[float] = []
     async with aiohttp.ClientSession() as session:
         gateway = processes.gateways[0]
-        for _ in range(40):
+        for _ in range(90):
             await _submit(session, gateway, 'spindle', 'spindle-estimate', 600)
-        await asyncio.sleep(5)
+        await asyncio.sleep(8)
+        free = sum(
+            sum(workers)
+            for workers in get_json(f'{processes.standin}/free').values()
+        )
         for _ in range(URGENT):
             begun_s = time.monotonic()
             job = await _submit(session, gateway, 'gearbox', 'fatigue-sweep', 1)
@@ -44,6 +48,7 @@
             await asyncio.sleep(3)
     return {
         'gangs': len(times_s),
+        'free_slots_before': free,
         'p50_s': round(percentile(times_s, 0.5), 3),
         'worst_s': round(max(times_s), 3),
         'past_bound': sum(one > BOUND_S for one in times_s),
--- a/src/curranthill/standin/worker.py
+++ b/src/curranthill/standin/worker.py
@@ -42,6 +42,9 @@
 #: can travel, so that a late start finds it ended.
 REMEMBER_ENDED_S = 900.0
 
+#: How long after a start the first usage is reported, in seconds.
+USAGE_LAG_S = 1.0
+
 #: How often the quick lane of a full worker looks for its turn, in seconds.
 _TURN_S = 0.002
 
@@ -423,11 +426,19 @@
                 epoch=lease.token.epoch,
                 holder=lease.token.holder,
                 reason=lease.reason,
-                used_slots=lease.used_slots,
+                used_slots=self._usage_told(lease),
             )
             for lease in self._leases.values()
         )
 
+    def _usage_told(self, lease: _Lease) -> float:
+        """Return the usage as it was measured some time ago: none at first."""
+        record = lease.record
+        if record is None:
+            return 0.0
+        age_s = self._clock.monotonic_s() - record.started_s
+        return lease.used_slots if age_s >= USAGE_LAG_S else 0.0
+
     def _lease(self, attempt_id: AttemptId, step: str) -> _Lease:
         lease = self._leases.get(attempt_id)
         if lease is None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -447,3 +447,25 @@
             self.assertIsInstance(refused[0].exception(), NotSentError)
 
         on_site(case)
+
+
+class UsageTest(unittest.TestCase):
+    """Workers report what tasks use, with a lag."""
+
+    def test_overuse_is_reported_only_after_the_lag(self) -> None:
+        """A named lease that uses more than it holds becomes news."""
+
+        async def case(site: Site) -> None:
+            worker = site.workers['w0']
+            token, attempt = Token(1, 'a'), AttemptId('dc-1', 1)
+            worker.reserve(token, LeaseRequest(attempt, 1, 60))
+            body = '{"run_s": 50, "use_slots": 3}'
+            worker.start(token, attempt, Task('s', 'k', body, 0, 1))
+            await site.clock.advance(0.5)
+            early = await worker.poll(token, 60, 0, [attempt], [])
+            self.assertEqual(early.leases, ())
+            await site.clock.advance(1)
+            late = await worker.poll(token, 60, 0, None, [])
+            self.assertEqual([one.used_slots for one in late.leases], [3])
+
+        on_site(case)
