--- a/bench/scale.py
+++ b/bench/scale.py
@@ -60,7 +60,7 @@
             'block': {'accelerators': 4, 'adjacent': 'worker'},
         },
         'kinds': {
-            'work': {
+            'batch': {
                 'service': 's',
                 'lane': 'long',
                 'shape': 'single',
@@ -145,7 +145,7 @@
     team = f'team-{number % scale.teams}'
     for _ in range(50):
         async with session.post(
-            f'{gateway}/v1/workspaces/{team}/kinds/work/requests',
+            f'{gateway}/v1/workspaces/{team}/kinds/batch/requests',
             json={'run_s': 36000},
             headers={'Authorization': f'Bearer demo-{team}'},
         ) as reply:
