--- /dev/null
+++ b/deploy/host.py
@@ -0,0 +1,10 @@
+"""Starts the host program from a checkout, without installing it."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent / 'src'))
+
+from curranthill.commands.host import main  # noqa: E402
+
+main()
--- a/src/curranthill/commands/daemons.py
+++ b/src/curranthill/commands/daemons.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Final, NoReturn, Protocol, TypeVar
+from typing import Annotated, Protocol, TypeVar
 
 import typer
 import uvloop
@@ -10,49 +10,27 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from prometheus_client import start_http_server
 
-from curranthill import __version__
 from curranthill.application import Application
+from curranthill.commands.options import (
+    DONE,
+    EPILOG,
+    FAILED,
+    WRONG_USE,
+    CheckOnly,
+    Version,
+    fail,
+)
 from curranthill.errors import CurranthillError
 from curranthill.settings import HostSettings, LogSettings, read_settings
 from curranthill.telemetry import configure_logs, provide
 
-#: Exit codes of every command.
-DONE: Final = 0
-FAILED: Final = 1
-WRONG_USE: Final = 2
-
-EPILOG: Final = 'Exit codes: 0 done, 1 failed, 2 wrong use.'
-
 SettingsPath = Annotated[
     Path,
     typer.Option('--settings', help='The settings file, JSON with comments.'),
 ]
-CheckOnly = Annotated[
-    bool,
-    typer.Option('--check-settings', help='Check the settings and end.'),
-]
-
 Settings = TypeVar('Settings')
 
 
-def show_version(asked: bool) -> None:
-    """Print the version and end, if it was asked for."""
-    if asked:
-        typer.echo(f'curranthill {__version__}')
-        raise typer.Exit(DONE)
-
-
-Version = Annotated[
-    bool,
-    typer.Option(
-        '--version',
-        callback=show_version,
-        is_eager=True,
-        help='Print the version and end.',
-    ),
-]
-
-
 def settings_or_exit(record: type[Settings], path: Path) -> Settings:
     """Return checked settings; print every fault and end if there are any."""
     try:
@@ -61,12 +39,6 @@
         fail(error.message, WRONG_USE)
 
 
-def fail(message: str, code: int = FAILED) -> NoReturn:
-    """Print a message to standard error and end."""
-    typer.echo(message, err=True)
-    raise typer.Exit(code)
-
-
 class DaemonSettings(Protocol):
     """What every daemon's settings have in common."""
 
--- /dev/null
+++ b/src/curranthill/dispatch/__init__.py
@@ -0,0 +1,37 @@
+"""The leader of a scheduling domain: election, placement, leases, recovery."""
+
+from curranthill.dispatch.election import Election, StoreHealth
+from curranthill.dispatch.leader import Leader, RevisionSource, WorkerFeed
+from curranthill.dispatch.leadership import Leadership, LeadershipLostError
+from curranthill.dispatch.workers import (
+    EndReport,
+    LeaseOrder,
+    LeaseReport,
+    RejectedError,
+    RunReport,
+    StartOrder,
+    TaskWorker,
+    WorkerConnector,
+    WorkerEntry,
+    WorkerGoneError,
+)
+
+__all__ = (
+    'Election',
+    'EndReport',
+    'Leader',
+    'Leadership',
+    'LeadershipLostError',
+    'LeaseOrder',
+    'LeaseReport',
+    'RejectedError',
+    'RevisionSource',
+    'RunReport',
+    'StartOrder',
+    'StoreHealth',
+    'TaskWorker',
+    'WorkerConnector',
+    'WorkerEntry',
+    'WorkerFeed',
+    'WorkerGoneError',
+)
--- /dev/null
+++ b/src/curranthill/dispatch/election.py
@@ -0,0 +1,160 @@
+"""Each host watches the leader's row and takes over when it falls silent."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from curranthill.clock import Clock
+from curranthill.dispatch.journal import HEARTBEAT_S
+from curranthill.dispatch.leadership import (
+    Leadership,
+    LeaderRow,
+    take_over,
+)
+from curranthill.errors import StorageError
+from curranthill.storage.rows import RowStore, StoredRow
+from curranthill.tasks import decode, tables
+from curranthill.telemetry.events import events
+
+#: How often a standby reads the leader's row, in seconds.
+POLL_S: Final = 0.35
+
+#: A leader silent for so long is replaced, in seconds: four heartbeats, so
+#: that one lost write and one slow one do not change the leader.
+SILENCE_S: Final = 4 * HEARTBEAT_S
+
+#: Spread of the takeovers of several standbys, in seconds.
+JITTER_S: Final = 0.3
+
+#: Two readings further apart than this say nothing of the time between.
+READING_GAP_S: Final = 1.2
+
+#: The store counts as unreachable after so long without an answer, in seconds.
+UNREACHABLE_S: Final = 0.9
+
+
+class StoreHealth:
+    """Whether this host reaches the store, from its own readings."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start as unreachable, until the first answer."""
+        self._clock = clock
+        self._answered_s = -UNREACHABLE_S
+        self._was_reachable = False
+
+    def answered(self) -> None:
+        """Take note of an answer."""
+        self._answered_s = self._clock.monotonic_s()
+        if not self._was_reachable:
+            self._was_reachable = True
+            events.log('store_reachable')
+
+    def failed(self, error: StorageError) -> None:
+        """Take note of a failure."""
+        if self._was_reachable and not self.reachable:
+            self._was_reachable = False
+            events.log('store_unreachable', error=str(error))
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the store answered of late."""
+        age_s = self._clock.monotonic_s() - self._answered_s
+        return age_s < UNREACHABLE_S
+
+
+class Election:
+    """Follows the leader's row; leads when it wins it.
+
+    :param lead: runs one term and returns when it is over.
+    :param health: is told of each reading.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        clock: Clock,
+        holder: str,
+        lead: Callable[[Leadership], Awaitable[None]],
+        health: StoreHealth,
+    ) -> None:
+        """Start with no row seen."""
+        self._store = store
+        self._clock = clock
+        self._holder = holder
+        self._lead = lead
+        self._health = health
+        self._version = -1
+        self._unchanged_since_s = 0.0
+        self._read_s = 0.0
+        self._silence_s = SILENCE_S
+        self._resigned = False
+
+    @property
+    def leader_silent_s(self) -> float:
+        """Return for how long the leader's row is known not to change."""
+        return self._read_s - self._unchanged_since_s
+
+    def resign(self) -> None:
+        """Never try to lead again."""
+        self._resigned = True
+
+    async def run(self) -> None:
+        """Watch and lead until cancelled."""
+        while True:
+            try:
+                row = await self._store.read(tables.LEADER, tables.LEADER_KEY)
+            except StorageError as error:
+                self._health.failed(error)
+            else:
+                self._health.answered()
+                self._note(row)
+                await self._consider(row)
+            await self._clock.sleep(POLL_S * random.uniform(0.8, 1.2))
+
+    def _note(self, row: StoredRow | None) -> None:
+        """Keep for how long the row has been seen unchanged."""
+        now_s = self._clock.monotonic_s()
+        version = row.version if row else 0
+        gap_s = now_s - self._read_s
+        if version != self._version or gap_s > READING_GAP_S:
+            self._unchanged_since_s = now_s
+            self._silence_s = SILENCE_S + random.uniform(0, JITTER_S)
+        self._version = version
+        self._read_s = now_s
+
+    async def _consider(self, row: StoredRow | None) -> None:
+        if self._resigned:
+            return
+        holder = decode(row.content, LeaderRow).holder if row else ''
+        if holder and self.leader_silent_s < self._silence_s:
+            return
+        if not holder:
+            # A vacancy is seen by all at once.
+            await self._clock.sleep(random.uniform(0, JITTER_S / 3))
+        try:
+            leadership = await take_over(
+                store=self._store,
+                clock=self._clock,
+                holder=self._holder,
+                seen=row,
+            )
+        except StorageError as error:
+            events.log('takeover_failed', error=str(error))
+            return
+        if leadership is None or self._resigned:
+            return
+        leading = asyncio.ensure_future(self._run_term(leadership))
+        while not leading.done():
+            # The leader's own writes tell whether the store answers.
+            if leadership.age_s < UNREACHABLE_S:
+                self._health.answered()
+            await asyncio.wait((leading,), timeout=POLL_S)
+        leading.result()
+
+    async def _run_term(self, leadership: Leadership) -> None:
+        await self._lead(leadership)
+
+
+__all__ = ('Election', 'StoreHealth')
--- /dev/null
+++ b/src/curranthill/dispatch/jobs.py
@@ -0,0 +1,135 @@
+"""Jobs as the leader holds them: what is ready, what runs, what is over."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from curranthill.dispatch.runs import Run
+from curranthill.tasks import (
+    COMPLETED,
+    ENDED,
+    JobProgress,
+    JobSpec,
+    Step,
+    TaskKey,
+    TaskProgress,
+)
+
+
+class ReadyStep(NamedTuple):
+    """Tasks of one step whose turn has come and of which no run can exist."""
+
+    occurrence: int
+    number: int
+    step: Step
+    tasks: tuple[TaskKey, ...]
+
+
+class ActiveJob:
+    """One accepted job that still matters to the leader.
+
+    :param runs: the newest run of each task that may exist.
+    """
+
+    def __init__(self, *, spec: JobSpec, progress: JobProgress) -> None:
+        """Take in a job with its progress as stored."""
+        self.spec = spec
+        self.progress = progress
+        self.runs: dict[TaskKey, Run] = {}
+        self._done_steps: set[tuple[int, int]] = set()
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the job's state is final."""
+        return self.progress.state in ENDED
+
+    @property
+    def begun(self) -> bool:
+        """Return whether any task ever started."""
+        return bool(self.progress.tasks)
+
+    def ready_steps(self, now_s: float) -> Iterator[ReadyStep]:
+        """Yield what may start at a wall-clock time in seconds."""
+        if self.ended:
+            return
+        for occurrence in range(self.spec.occurrences):
+            if self.spec.due_s(occurrence) > now_s:
+                return
+            for number, step in enumerate(self.spec.steps):
+                ready = self._ready_step(occurrence, number, step)
+                if ready is not None:
+                    yield ready
+
+    def keys_of(self, occurrence: int, number: int) -> Iterator[TaskKey]:
+        """Yield the keys of one step's tasks."""
+        for rank in range(self.spec.steps[number].width):
+            yield TaskKey(self.spec.job_id, occurrence, number, rank)
+
+    def step_of(self, key: TaskKey) -> Step:
+        """Return the step of a task."""
+        return self.spec.steps[key.step]
+
+    def members_of(self, key: TaskKey) -> tuple[TaskKey, ...]:
+        """Return the tasks that run and end with this one."""
+        if self.step_of(key).gang:
+            return tuple(self.keys_of(key.occurrence, key.step))
+        return (key,)
+
+    def next_attempt(self, tasks: tuple[TaskKey, ...]) -> int:
+        """Return an attempt number above all those of the tasks."""
+        known = (self.progress.peek(key) for key in tasks)
+        return 1 + max((task.attempt for task in known if task), default=0)
+
+    def step_done(self, occurrence: int, number: int) -> bool:
+        """Return whether all tasks of a step are done."""
+        if (occurrence, number) in self._done_steps:
+            return True
+        done = all(self._is_done(key) for key in self.keys_of(occurrence, number))
+        if done:
+            self._done_steps.add((occurrence, number))
+        return done
+
+    def check_completed(self, now_s: float) -> bool:
+        """Set the job's state once every task is done."""
+        if self.ended or any(step.perpetual for step in self.spec.steps):
+            return False
+        for occurrence in range(self.spec.occurrences):
+            for number, _ in enumerate(self.spec.steps):
+                if not self.step_done(occurrence, number):
+                    return False
+        self.progress.state = COMPLETED
+        self.progress.ended_at_s = now_s
+        return True
+
+    def _is_done(self, key: TaskKey) -> bool:
+        task = self.progress.peek(key)
+        return task is not None and task.done
+
+    def _is_waiting(self, key: TaskKey) -> bool:
+        task = self.progress.peek(key)
+        if key in self.runs:
+            return False
+        return task is None or not (task.done or task.worker)
+
+    def _ready_step(
+        self,
+        occurrence: int,
+        number: int,
+        step: Step,
+    ) -> ReadyStep | None:
+        if self.step_done(occurrence, number):
+            return None
+        if not all(self.step_done(occurrence, one) for one in step.after):
+            return None
+        keys = tuple(self.keys_of(occurrence, number))
+        waiting = tuple(key for key in keys if self._is_waiting(key))
+        if not waiting or (step.gang and len(waiting) < len(keys)):
+            return None
+        return ReadyStep(occurrence, number, step, waiting)
+
+
+def checkpoint_of(tasks: list[TaskProgress]) -> str:
+    """Return the newest checkpoint that any of the tasks has."""
+    return max((task.checkpoint for task in tasks), default='')
+
+
+__all__ = ('ActiveJob', 'ReadyStep', 'checkpoint_of')
--- /dev/null
+++ b/src/curranthill/dispatch/journal.py
@@ -0,0 +1,109 @@
+"""Group commit of jobs' progress: one write under way, the rest gather."""
+
+import asyncio
+from typing import Final
+
+from curranthill.clock import Clock
+from curranthill.dispatch.jobs import ActiveJob
+from curranthill.dispatch.leadership import Leadership
+from curranthill.storage.rows import RowPut, RowRemoval
+from curranthill.tasks import encode, tables
+
+#: Most jobs in one write; the platform takes 100 entries a call.
+JOBS_PER_WRITE: Final = 64
+
+#: Most bytes of progress in one write; the platform takes 1 MB a call, and
+#: its encoding makes three bytes into four.
+BYTES_PER_WRITE: Final = 600_000
+
+#: The leader writes at least so often, in seconds, so that others see it
+#: alive; a standby takes over after some four silent intervals.
+HEARTBEAT_S: Final = 0.35
+
+
+class Journal:
+    """Writes progress rows under the leader's condition."""
+
+    def __init__(self, *, leadership: Leadership, clock: Clock) -> None:
+        """Start with nothing to write."""
+        self._leadership = leadership
+        self._clock = clock
+        self._dirty: dict[str, ActiveJob] = {}
+        self._removals: list[RowRemoval] = []
+        self._pending: bytes = b''
+        self._pending_written: bytes = b''
+        self._wake = asyncio.Event()
+        self._next: asyncio.Future[None] | None = None
+
+    def note(self, job: ActiveJob) -> None:
+        """Have a job's progress written."""
+        self._dirty[job.spec.job_id] = job
+        self._wake.set()
+
+    def note_pending(self, content: bytes) -> None:
+        """Have the queue lengths written with the next write."""
+        self._pending = content
+
+    def remove(self, removals: list[RowRemoval]) -> None:
+        """Have rows removed."""
+        self._removals.extend(removals)
+
+    async def saved(self) -> None:
+        """Return once all that was noted so far is stored."""
+        if self._next is None:
+            self._next = asyncio.get_running_loop().create_future()
+        self._wake.set()
+        await asyncio.shield(self._next)
+
+    async def run(self) -> None:
+        """Write until leadership is lost.
+
+        :raises LeadershipLostError: then; who waits is told the same.
+        """
+        while True:
+            await self._wait()
+            self._wake.clear()
+            waiting, self._next = self._next, None
+            try:
+                await self._write_all()
+            except BaseException as error:
+                if waiting is not None and not waiting.done():
+                    waiting.set_exception(error)
+                    waiting.exception()
+                raise
+            if waiting is not None and not waiting.done():
+                waiting.set_result(None)
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(HEARTBEAT_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _write_all(self) -> None:
+        """Write all that is noted now; at least the heartbeat."""
+        jobs = list(self._dirty.values())
+        self._dirty.clear()
+        batch: list[RowPut] = []
+        size = 0
+        for job in jobs:
+            content = encode(job.progress)
+            if len(batch) >= JOBS_PER_WRITE or size > BYTES_PER_WRITE:
+                await self._leadership.write(batch)
+                batch = []
+                size = 0
+            batch.append(RowPut(tables.PROGRESS, job.spec.job_id, content))
+            size += len(content)
+        if self._pending != self._pending_written:
+            batch.append(
+                RowPut(tables.LEADER, tables.PENDING_KEY, self._pending),
+            )
+        pending = self._pending
+        removals = self._removals[: JOBS_PER_WRITE // 3]
+        self._removals = self._removals[len(removals) :]
+        await self._leadership.write(batch, removals)
+        self._pending_written = pending
+
+
+__all__ = ('HEARTBEAT_S', 'Journal')
--- /dev/null
+++ b/src/curranthill/dispatch/leadership.py
@@ -0,0 +1,188 @@
+"""The leader's row: who may write, and the one way a leader writes.
+
+Every write of a leader replaces the leader's row under the condition that it
+is as the leader last wrote it. So a write of a former leader fails, a write
+that lands late fails, and each write is a heartbeat too.
+"""
+
+import uuid
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from curranthill.clock import Clock
+from curranthill.errors import CurranthillError, StorageError
+from curranthill.storage.rows import (
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    RowRemoval,
+    RowStore,
+    StoredRow,
+)
+from curranthill.tasks import tables
+from curranthill.tasks.progress import decode, encode
+from curranthill.telemetry.events import events
+
+#: The wait between two tries of one write, in seconds: a store that is down
+#: for seconds is then tried some ten times a second by the one leader.
+RETRY_DELAY_S: Final = 0.1
+
+
+class LeaderRow(msgspec.Struct, array_like=True):
+    """The leader's row.
+
+    :param holder: the leading process, or empty after it stepped down.
+    :param epoch: grows by one with each change of the holder.
+    :param operation: unique to each write, so that a lost reply is found.
+    """
+
+    holder: str = ''
+    epoch: int = 0
+    operation: str = ''
+
+
+class LeadershipLostError(CurranthillError):
+    """Another process leads, or this one stepped down."""
+
+
+class Leadership:
+    """One term of one leader.
+
+    :param row: the leader's row as this process wrote it.
+    :param version: the version of that row.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        clock: Clock,
+        row: LeaderRow,
+        version: int,
+    ) -> None:
+        """Keep the row that this process wrote."""
+        self._store = store
+        self._clock = clock
+        self._row = row
+        self._version = version
+        self._lost = False
+        self.confirmed_s = clock.monotonic_s()
+
+    @property
+    def epoch(self) -> int:
+        """Return the number of this term."""
+        return self._row.epoch
+
+    @property
+    def lost(self) -> bool:
+        """Return whether this term is known to be over."""
+        return self._lost
+
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since the last write known to have applied."""
+        return self._clock.monotonic_s() - self.confirmed_s
+
+    async def write(
+        self,
+        puts: Sequence[RowPut] = (),
+        removals: Sequence[RowRemoval] = (),
+        *,
+        holder: str | None = None,
+    ) -> None:
+        """Write rows with the heartbeat; retry until the outcome is known.
+
+        :param holder: who leads from then on; this process by default.
+        :raises LeadershipLostError: if another process leads.
+        """
+        row = LeaderRow(
+            holder=self._row.holder if holder is None else holder,
+            epoch=self._row.epoch,
+            operation=uuid.uuid4().hex,
+        )
+        own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
+        while not self._lost:
+            sent_s = self._clock.monotonic_s()
+            version = await self._try(own, puts, removals, row.operation)
+            if version:
+                self._version = version
+                self._row = row
+                self.confirmed_s = sent_s
+                return
+            await self._clock.sleep(RETRY_DELAY_S)
+        raise LeadershipLostError('This process leads no more.', step='write')
+
+    def abandon(self) -> None:
+        """Let every later write fail."""
+        self._lost = True
+
+    async def _try(
+        self,
+        own: RowPut,
+        puts: Sequence[RowPut],
+        removals: Sequence[RowRemoval],
+        operation: str,
+    ) -> int:
+        """Return the row's new version, or 0 if the write must be retried."""
+        check = RowCheck(tables.LEADER, tables.LEADER_KEY, self._version)
+        try:
+            return await self._store.commit(
+                checks=(check,),
+                puts=(own, *puts),
+                removals=removals,
+            )
+        except RowConflictError as conflict:
+            return self._settle(conflict.rows, operation)
+        except StorageError as error:
+            events.log('leader_write_retried', error=str(error))
+            return 0
+
+    def _settle(self, rows: tuple[StoredRow, ...], operation: str) -> int:
+        """Tell this write's own earlier try from another leader's write."""
+        for stored in rows:
+            row = decode(stored.content, LeaderRow)
+            if row.operation == operation:
+                return stored.version
+        self._lost = True
+        events.log('leadership_lost', epoch=self._row.epoch)
+        raise LeadershipLostError('Another process leads.', step='write')
+
+
+async def take_over(
+    *,
+    store: RowStore,
+    clock: Clock,
+    holder: str,
+    seen: StoredRow | None,
+) -> Leadership | None:
+    """Become the leader if the row is still as seen; else return nothing.
+
+    :raises StorageError: if the store did not say.
+    """
+    former = LeaderRow() if seen is None else decode(seen.content, LeaderRow)
+    row = LeaderRow(
+        holder=holder,
+        epoch=former.epoch + 1,
+        operation=uuid.uuid4().hex,
+    )
+    check = RowCheck(
+        tables.LEADER,
+        tables.LEADER_KEY,
+        seen.version if seen else 0,
+    )
+    own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
+    try:
+        version = await store.commit(checks=(check,), puts=(own,))
+    except RowConflictError:
+        return None
+    return Leadership(store=store, clock=clock, row=row, version=version)
+
+
+__all__ = (
+    'LeaderRow',
+    'Leadership',
+    'LeadershipLostError',
+    'take_over',
+)
--- /dev/null
+++ b/src/curranthill/dispatch/rooms.py
@@ -0,0 +1,95 @@
+"""Room on workers while one round of placements is worked out."""
+
+from collections.abc import Iterable
+
+from curranthill.dispatch.runs import STOPPING, Run
+from curranthill.dispatch.workers import WorkerEntry
+from curranthill.tasks import Resources, Step, TaskKey
+
+
+class Room:
+    """One worker's room in one round.
+
+    :param free: what no run takes now.
+    :param soon: what will be free once the runs being stopped have ended,
+        less what waiting urgent tasks have claimed of it.
+    :param trusted: whether tasks here have ended well of late.
+    """
+
+    __slots__ = ('_counts', 'entry', 'free', 'runs', 'soon', 'trusted')
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        runs: Iterable[Run],
+        trusted: bool,
+    ) -> None:
+        """Add up the runs that take room."""
+        self.entry = entry
+        self.runs = [run for run in runs]
+        self.trusted = trusted
+        self._counts: dict[tuple[str, int, int], int] = {}
+        free = entry.room
+        soon = entry.room
+        for run in self.runs:
+            free = free.minus(run.needs)
+            if run.state != STOPPING:
+                soon = soon.minus(run.needs)
+            self._count(run.key)
+        self.free = free
+        self.soon = soon
+
+    def fits_now(self, needs: Resources) -> bool:
+        """Return whether a task fits without taking what others claimed."""
+        return self.free.covers(needs) and self.soon.covers(needs)
+
+    def allows(self, key: TaskKey, step: Step) -> bool:
+        """Return whether a step's own limits let a task run here."""
+        label = step.required_label
+        if label and label not in self.entry.labels:
+            return False
+        if not step.max_per_worker:
+            return True
+        count = self._counts.get((key.job_id, key.occurrence, key.step), 0)
+        return count < step.max_per_worker
+
+    def near(self, rack: str) -> bool:
+        """Return whether this worker stands in a rack."""
+        return rack in self.entry.labels
+
+    def place(self, key: TaskKey, needs: Resources) -> None:
+        """Take room for a task that starts now."""
+        self.free = self.free.minus(needs)
+        self.soon = self.soon.minus(needs)
+        self._count(key)
+
+    def unplace(self, key: TaskKey, needs: Resources) -> None:
+        """Give back what :meth:`place` took."""
+        self.free = self.free.plus(needs)
+        self.soon = self.soon.plus(needs)
+        self._counts[(key.job_id, key.occurrence, key.step)] -= 1
+
+    def claim(self, needs: Resources) -> None:
+        """Keep room that is becoming free for a task that waits for it."""
+        self.soon = self.soon.minus(needs)
+
+    def evict(self, run: Run) -> None:
+        """Count a run's room as becoming free."""
+        if run in self.runs:
+            self.soon = self.soon.plus(run.needs)
+            self.runs.remove(run)
+
+    def _count(self, key: TaskKey) -> None:
+        step = (key.job_id, key.occurrence, key.step)
+        self._counts[step] = self._counts.get(step, 0) + 1
+
+
+def room_needed(step: Step) -> Resources:
+    """Return what a task of a step takes of a worker's room."""
+    if step.fills:
+        return step.needs._replace(cpu_millis=0)
+    return step.needs
+
+
+__all__ = ('Room', 'room_needed')
--- /dev/null
+++ b/src/curranthill/dispatch/runs.py
@@ -0,0 +1,83 @@
+"""Runs as the leader knows them."""
+
+from typing import Final, Literal
+
+from curranthill.tasks import Resources, TaskKey
+
+#: A run's life at the leader. ``marked``: stored, not yet ordered.
+#: ``ordered``: the start is under way. ``unknown``: it may or may not exist.
+RunState = Literal['marked', 'ordered', 'unknown', 'running', 'stopping']
+
+MARKED: Final = 'marked'
+ORDERED: Final = 'ordered'
+UNKNOWN: Final = 'unknown'
+RUNNING: Final = 'running'
+STOPPING: Final = 'stopping'
+
+
+class Run:
+    """One run of one task on one worker; it takes room until its end is known.
+
+    :param needs: the room it takes.
+    :param priority: that of its queue; 0 goes first.
+    """
+
+    __slots__ = (
+        'attempt',
+        'checkpoint',
+        'done_percent',
+        'key',
+        'needs',
+        'ordered_token',
+        'percent_changed_s',
+        'priority',
+        'settled_s',
+        'start_percent',
+        'started_s',
+        'state',
+        'stop_sent_s',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        *,
+        key: TaskKey,
+        attempt: int,
+        worker_id: str,
+        needs: Resources,
+        priority: int,
+        state: RunState,
+        now_s: float,
+    ) -> None:
+        """Make a run that takes its room from now on."""
+        self.key = key
+        self.attempt = attempt
+        self.worker_id = worker_id
+        self.needs = needs
+        self.priority = priority
+        self.state: RunState = state
+        self.checkpoint = ''
+        self.done_percent = 0.0
+        self.start_percent = -1.0
+        self.started_s = now_s
+        self.percent_changed_s = now_s
+        self.settled_s = now_s
+        self.stop_sent_s = 0.0
+        self.ordered_token = 0
+
+    @property
+    def name(self) -> tuple[TaskKey, int]:
+        """Return what tells this run from all others."""
+        return (self.key, self.attempt)
+
+
+__all__ = (
+    'MARKED',
+    'ORDERED',
+    'RUNNING',
+    'STOPPING',
+    'UNKNOWN',
+    'Run',
+    'RunState',
+)
--- /dev/null
+++ b/src/curranthill/dispatch/session.py
@@ -0,0 +1,498 @@
+"""The leader's dealings with one life of one worker, straight down.
+
+The session renews the worker's lease while anything may run there, reads
+what runs and what ended, and raises the fencing token after every order
+whose effect is unknown: once a call under the raised token is answered, no
+older order can take effect any more.
+"""
+
+import asyncio
+from typing import Final, Protocol
+
+from curranthill.clock import Clock
+from curranthill.dispatch.runs import (
+    MARKED,
+    ORDERED,
+    RUNNING,
+    STOPPING,
+    UNKNOWN,
+    Run,
+)
+from curranthill.dispatch.workers import (
+    FENCE,
+    EndReport,
+    LeaseOrder,
+    LeaseReport,
+    RejectedError,
+    RunReport,
+    StartOrder,
+    TaskWorker,
+    WorkerEntry,
+    WorkerGoneError,
+)
+from curranthill.errors import WorkerError
+from curranthill.tasks import Resources, TaskKey, Timing
+from curranthill.telemetry.events import events
+
+#: Raises of the token that one epoch has room for; far above what one term
+#: of one leader makes at one raise a lost reply.
+RAISES_PER_EPOCH: Final = 1 << 20
+
+#: How long a renewal waits at the worker for an end, in seconds: three
+#: renewals then fall into the shortest lease of six seconds.
+RENEWAL_WAIT_S: Final = 1.5
+
+#: The pause after a renewal without an answer, in seconds.
+MISSED_DELAY_S: Final = 0.25
+
+#: A worker's clock may be 2% slow; its lease then lasts so much longer.
+CLOCK_DRIFT: Final = 1.02
+
+#: Added to every lease before it counts as lapsed, in seconds: covers the
+#: error of the estimated worker clock and the time a kill takes.
+LAPSE_MARGIN_S: Final = 0.4
+
+#: How long a leader that cannot write goes on renewing leases, in seconds:
+#: longer than the outages of the store that work should survive. A successor
+#: waits as long before it takes an unreachable worker's lease as lapsed.
+RENEW_WITHOUT_STORE_S: Final = 12.0
+
+#: How soon an unanswered stop is sent again, in seconds.
+STOP_REPEAT_S: Final = 0.5
+
+
+class SessionOwner(Protocol):
+    """Who is told of what a session learns."""
+
+    def may_renew(self) -> bool:
+        """Return whether the leader may still extend leases."""
+
+    def may_order(self) -> bool:
+        """Return whether the leader may still start and stop tasks."""
+
+    def run_reported(self, session: 'WorkerSession', run: Run) -> None:
+        """Take note of a run's progress."""
+
+    def run_ended(self, session: 'WorkerSession', end: EndReport) -> None:
+        """Take note of an end; the run takes no more room."""
+
+    def run_vanished(
+        self,
+        session: 'WorkerSession',
+        run: Run,
+        reason: str,
+    ) -> None:
+        """Take note that a run does not exist and never will."""
+
+    def needs_of(self, key: TaskKey) -> Resources:
+        """Return the room a task takes, for runs found at a worker."""
+
+    async def ends_saved(self) -> None:
+        """Return once every end noted so far is stored."""
+
+    def session_changed(self, session: 'WorkerSession') -> None:
+        """Look at placements again."""
+
+
+class WorkerSession:
+    """One life of one worker.
+
+    :param entry: the worker as listed last.
+    :param runs: all runs that may exist there, by task and attempt.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        worker: TaskWorker | None,
+        owner: SessionOwner,
+        clock: Clock,
+        timing: Timing,
+        epoch: int,
+    ) -> None:
+        """Start with nothing known of the worker."""
+        self.entry = entry
+        self.runs: dict[tuple[TaskKey, int], Run] = {}
+        self.listed = worker is not None
+        self.gone = False
+        self.reachable = False
+        self.synced = False
+        self.failed_ends_s: list[float] = []
+        self._worker = worker
+        self._owner = owner
+        self._clock = clock
+        self._timing = timing
+        self._token = epoch * RAISES_PER_EPOCH
+        self._acknowledged = 0
+        self._noted = 0
+        self._worker_clock_s = entry.clock_s
+        self._clock_read_s = clock.monotonic_s()
+        # A former leader may have gone on renewing for so long.
+        self._lapse_s = self._lease_end_s() + RENEW_WITHOUT_STORE_S
+        self._urgent = asyncio.Event()
+        self._order_turn = asyncio.Lock()
+
+    @property
+    def worker_id(self) -> str:
+        """Return the id of this life of the worker."""
+        return self.entry.worker_id
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether new tasks may be placed here."""
+        return (
+            self.listed
+            and self.reachable
+            and self.synced
+            and not self.gone
+            and not self.entry.leaving
+        )
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token of the next order."""
+        return self._token
+
+    @property
+    def connected(self) -> bool:
+        """Return whether the worker's address is known."""
+        return self._worker is not None
+
+    def connect(self, worker: TaskWorker) -> None:
+        """Take a client of a worker whose address was not known."""
+        self._worker = worker
+        self.wake()
+
+    def wake(self) -> None:
+        """Look at the worker at once."""
+        self._urgent.set()
+
+    async def run(self) -> None:
+        """Renew the lease while anything may run; end with this life."""
+        while not self.gone:
+            if self._is_idle():
+                await self._urgent.wait()
+            self._urgent.clear()
+            await self._renew()
+
+    async def start(self, run: Run, payload: str, ticket: str = '') -> None:
+        """Order one start; the run's state tells what became of it."""
+        async with self._order_turn:
+            if run.state != MARKED or self.runs.get(run.name) is not run:
+                return
+            if not self._owner.may_order() or self._worker is None:
+                self._vanish(run, 'not ordered')
+                return
+            run.state = ORDERED
+            run.ordered_token = self._token
+            order = StartOrder(
+                task=run.key,
+                attempt=run.attempt,
+                payload=payload,
+                deadline_s=self._next_deadline_s(),
+                token=self._token,
+                checkpoint=run.checkpoint,
+                ticket=ticket,
+            )
+            await self._order_start(run, order)
+
+    async def stop(self, run: Run) -> None:
+        """Order one stop; the run takes room until its end is listed."""
+        async with self._order_turn:
+            if self.runs.get(run.name) is not run or self._worker is None:
+                return
+            if run.state == MARKED:
+                self._vanish(run, 'stopped before its start')
+                return
+            run.state = STOPPING
+            run.stop_sent_s = self._clock.monotonic_s()
+            if not self._owner.may_order():
+                return
+            try:
+                await self._worker.stop(run.key, run.attempt, self._token)
+            except WorkerError as error:
+                events.log(
+                    'stop_unanswered',
+                    task=str(run.key),
+                    attempt=run.attempt,
+                    worker=self.worker_id,
+                    error=str(error),
+                )
+                self._raise_token()
+            self._urgent.set()
+
+    async def _order_start(self, run: Run, order: StartOrder) -> None:
+        assert self._worker is not None  # noqa: S101
+        try:
+            clock_s = await self._worker.start(order)
+        except RejectedError as rejected:
+            self._start_rejected(run, rejected)
+        except WorkerGoneError:
+            self._end_life()
+        except WorkerError as error:
+            events.log(
+                'start_unanswered',
+                task=str(run.key),
+                attempt=run.attempt,
+                worker=self.worker_id,
+                error=str(error),
+            )
+            if run.state == ORDERED:
+                run.state = UNKNOWN
+            self._raise_token()
+        else:
+            self._read_clock(clock_s)
+            run.settled_s = self._clock.monotonic_s()
+            run.percent_changed_s = run.settled_s
+            if run.state == ORDERED:
+                run.state = RUNNING
+            self._urgent.set()
+
+    def _start_rejected(self, run: Run, rejected: RejectedError) -> None:
+        events.log(
+            'start_rejected',
+            task=str(run.key),
+            attempt=run.attempt,
+            worker=self.worker_id,
+            reason=rejected.reason,
+        )
+        if rejected.reason == FENCE:
+            run.state = UNKNOWN
+            self._raise_token()
+            return
+        self._vanish(run, f'rejected: {rejected.reason}')
+
+    def _is_idle(self) -> bool:
+        return (
+            self.synced
+            and not self.runs
+            and self._acknowledged == self._noted
+            and not self._urgent.is_set()
+        )
+
+    async def _renew(self) -> None:
+        """Make one renewal and take in its answer."""
+        if self._worker is None or not self._owner.may_renew():
+            await self._clock.sleep(MISSED_DELAY_S)
+            self._check_lapse()
+            return
+        order = LeaseOrder(
+            token=self._token,
+            acknowledged=self._acknowledged,
+            deadline_s=self._next_deadline_s(),
+            wait_s=self._renewal_wait_s(),
+        )
+        sent_s = self._clock.monotonic_s()
+        try:
+            report = await self._call(order)
+        except RejectedError as rejected:
+            self._renewal_rejected(order, rejected)
+            await self._clock.sleep(MISSED_DELAY_S)
+        except WorkerGoneError:
+            self._end_life()
+        except WorkerError as error:
+            await self._missed(error)
+        else:
+            if report is not None:
+                await self._take(report, order, sent_s)
+
+    async def _call(self, order: LeaseOrder) -> LeaseReport | None:
+        """Return the report, or nothing if something more urgent came up."""
+        assert self._worker is not None  # noqa: S101
+        renewal = asyncio.ensure_future(self._worker.renew(order))
+        urgent = asyncio.ensure_future(self._urgent.wait())
+        try:
+            await asyncio.wait(
+                (renewal, urgent),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not renewal.done() and order.token == self._token:
+                # News of the same token can wait until the answer.
+                await asyncio.wait((renewal,))
+            return renewal.result() if renewal.done() else None
+        finally:
+            urgent.cancel()
+            renewal.cancel()
+
+    def _renewal_wait_s(self) -> float:
+        if not self.synced or self._acknowledged < self._noted:
+            return 0.0
+        return RENEWAL_WAIT_S if self.runs else 0.0
+
+    def _next_deadline_s(self) -> float:
+        """Return the end of a new lease on the worker's clock."""
+        now_s = self._clock.monotonic_s()
+        worker_now_s = self._worker_clock_s + now_s - self._clock_read_s
+        self._lapse_s = max(self._lapse_s, self._lease_end_s())
+        return worker_now_s + self._timing.lease_s
+
+    def _lease_end_s(self) -> float:
+        """Return when a lease given now has surely lapsed, on our clock."""
+        lease_s = self._timing.lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
+        return self._clock.monotonic_s() + lease_s
+
+    def _read_clock(self, clock_s: float) -> None:
+        self._worker_clock_s = clock_s
+        self._clock_read_s = self._clock.monotonic_s()
+
+    def _renewal_rejected(
+        self,
+        order: LeaseOrder,
+        rejected: RejectedError,
+    ) -> None:
+        events.log(
+            'renewal_rejected',
+            worker=self.worker_id,
+            reason=rejected.reason,
+            token=order.token,
+        )
+        if order.token == self._token:
+            self._raise_token()
+
+    async def _missed(self, error: WorkerError) -> None:
+        """A renewal without an answer: its effect is unknown."""
+        if self.reachable:
+            events.log(
+                'worker_unreachable',
+                worker=self.worker_id,
+                error=str(error),
+                runs=len(self.runs),
+            )
+            self.reachable = False
+            self._owner.session_changed(self)
+        self._raise_token()
+        await self._clock.sleep(MISSED_DELAY_S)
+        self._check_lapse()
+
+    def _check_lapse(self) -> None:
+        """Give up all runs once no lease can reach this far."""
+        if self._clock.monotonic_s() < self._lapse_s:
+            return
+        for run in list(self.runs.values()):
+            self._vanish(run, 'lease lapsed')
+        if not self.listed:
+            self._end_life()
+
+    def _raise_token(self) -> None:
+        self._token += 1
+        self.synced = False
+        for run in self.runs.values():
+            if run.state == ORDERED:
+                run.state = UNKNOWN
+        self._urgent.set()
+
+    def _end_life(self) -> None:
+        if self.gone:
+            return
+        self.gone = True
+        events.log('worker_gone', worker=self.worker_id, runs=len(self.runs))
+        for run in list(self.runs.values()):
+            self._vanish(run, 'worker gone')
+        self._urgent.set()
+        self._owner.session_changed(self)
+
+    def end_life(self) -> None:
+        """Take this life of the worker as over."""
+        self._end_life()
+
+    async def _take(
+        self,
+        report: LeaseReport,
+        order: LeaseOrder,
+        sent_s: float,
+    ) -> None:
+        self._read_clock(report.clock_s)
+        if not self.reachable:
+            self.reachable = True
+            events.log('worker_reachable', worker=self.worker_id)
+        if order.token == self._token:
+            self.synced = True
+            # Orders of lower tokens are shut out, so no lease is longer.
+            self._lapse_s = self._lease_end_s()
+        seen = {(one.task, one.attempt) for one in report.runs}
+        new_ends = [end for end in report.ends if end.number > self._noted]
+        seen.update((end.task, end.attempt) for end in new_ends)
+        for one in report.runs:
+            self._take_run(one)
+        for run in list(self.runs.values()):
+            if run.name not in seen:
+                self._check_absent(run, order, sent_s)
+        await self._take_ends(new_ends)
+        self._owner.session_changed(self)
+
+    def _take_run(self, report: RunReport) -> None:
+        run = self.runs.get((report.task, report.attempt))
+        now_s = self._clock.monotonic_s()
+        if run is None:
+            run = self._adopt_stray(report, now_s)
+        if run.state in {ORDERED, UNKNOWN}:
+            run.state = RUNNING
+            run.settled_s = now_s
+        if report.done_percent != run.done_percent:
+            run.percent_changed_s = now_s
+        if run.start_percent < 0:
+            run.start_percent = report.done_percent
+        run.done_percent = report.done_percent
+        if report.checkpoint:
+            run.checkpoint = report.checkpoint
+        if run.state == STOPPING:
+            if now_s - run.stop_sent_s > STOP_REPEAT_S:
+                run.stop_sent_s = now_s
+                asyncio.ensure_future(self.stop(run))
+            return
+        self._owner.run_reported(self, run)
+
+    def _adopt_stray(self, report: RunReport, now_s: float) -> Run:
+        """Take in a run that no row names; it is stopped."""
+        events.log(
+            'stray_run',
+            task=str(report.task),
+            attempt=report.attempt,
+            worker=self.worker_id,
+        )
+        run = Run(
+            key=report.task,
+            attempt=report.attempt,
+            worker_id=self.worker_id,
+            needs=self._owner.needs_of(report.task),
+            priority=0,
+            state=STOPPING,
+            now_s=now_s,
+        )
+        self.runs[run.name] = run
+        return run
+
+    def _check_absent(self, run: Run, order: LeaseOrder, sent_s: float) -> None:
+        """Give up a run that an answer should have listed and did not."""
+        if run.state == UNKNOWN:
+            if run.ordered_token < order.token:
+                self._vanish(run, 'never started')
+        elif run.state in {RUNNING, STOPPING} and run.settled_s < sent_s:
+            self._vanish(run, 'not listed')
+
+    async def _take_ends(self, ends: list[EndReport]) -> None:
+        """Note the ends; acknowledge them only once they are stored."""
+        if not ends:
+            return
+        for end in ends:
+            self._owner.run_ended(self, end)
+            self.runs.pop((end.task, end.attempt), None)
+            self._noted = max(self._noted, end.number)
+        noted = self._noted
+        self._owner.session_changed(self)
+        await self._owner.ends_saved()
+        self._acknowledged = noted
+
+    def _vanish(self, run: Run, reason: str) -> None:
+        if self.runs.get(run.name) is not run:
+            return
+        self.runs.pop(run.name)
+        self._owner.run_vanished(self, run, reason)
+
+
+__all__ = (
+    'RENEW_WITHOUT_STORE_S',
+    'SessionOwner',
+    'WorkerSession',
+)
--- /dev/null
+++ b/src/curranthill/entry/__init__.py
@@ -0,0 +1,6 @@
+"""What any host does for callers, and the configuration it goes by."""
+
+from curranthill.entry.desk import Desk
+from curranthill.entry.revisions import RevisionFollower
+
+__all__ = ('Desk', 'RevisionFollower')
--- /dev/null
+++ b/src/curranthill/entry/desk.py
@@ -0,0 +1,202 @@
+"""What any host does for callers: accept, tell, cancel, count."""
+
+from typing import Any, Final
+
+import msgspec
+
+from curranthill.clock import Clock
+from curranthill.errors import (
+    FAILED,
+    NOT_RUN,
+    UNKNOWN,
+    RefusedError,
+    ReplyLostError,
+    StorageError,
+)
+from curranthill.storage.rows import (
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    RowStore,
+)
+from curranthill.tasks import (
+    ENDED,
+    QUEUED,
+    JobProgress,
+    JobSpec,
+    Queue,
+    decode,
+    encode,
+    tables,
+)
+from curranthill.telemetry.events import events
+
+#: How long a request waits for a store that refuses, in seconds: long enough
+#: for one moment over the store's rate, short enough for callers to turn to
+#: another host in time.
+REFUSED_PATIENCE_S: Final = 0.25
+
+#: How long a request waits to learn what became of a write, in seconds.
+UNCERTAIN_PATIENCE_S: Final = 1.5
+
+#: The pause between two tries, in seconds.
+RETRY_DELAY_S: Final = 0.05
+
+#: When a caller should come back after a refusal, in seconds.
+RETRY_AFTER_S: Final = 1.0
+
+
+class Desk:
+    """Callers' requests, answered from the store by any host."""
+
+    def __init__(self, *, store: RowStore, clock: Clock) -> None:
+        """Keep the store."""
+        self._store = store
+        self._clock = clock
+
+    async def accept(self, spec: JobSpec, patience_s: float) -> None:
+        """Store a job; a repeat of the same id changes nothing.
+
+        A try whose effect is unknown is repeated under the same condition,
+        so the job is stored once, whichever try takes effect. Only a job of
+        which no try can have taken effect is refused as not run.
+
+        :param patience_s: how long the caller waits.
+        :raises RefusedError: if the job was not stored or may not have been.
+        """
+        until_s = self._clock.monotonic_s() + patience_s
+        refused_until_s = self._clock.monotonic_s() + REFUSED_PATIENCE_S
+        uncertain = False
+        while True:
+            try:
+                await self._insert(spec)
+            except ReplyLostError as error:
+                uncertain = True
+                reason: StorageError = error
+            except StorageError as error:
+                reason = error
+            else:
+                return
+            now_s = self._clock.monotonic_s()
+            if now_s > (until_s if uncertain else min(refused_until_s, until_s)):
+                raise self._refusal(spec.job_id, reason, uncertain=uncertain)
+            await self._clock.sleep(RETRY_DELAY_S)
+
+    async def state(self, job_id: str) -> str | None:
+        """Return a job's state, or nothing if there is no such job.
+
+        :raises RefusedError: if the store cannot be read.
+        """
+        progress = await self._progress(job_id)
+        return progress.state if progress else None
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job; return whether there is one.
+
+        :raises RefusedError: if the cancellation may not have been stored.
+        """
+        progress = await self._progress(job_id)
+        if progress is None:
+            return False
+        if progress.state in ENDED:
+            return True
+        put = RowPut(tables.INTAKE, tables.cancel_key(job_id), b'1')
+        until_s = self._clock.monotonic_s() + UNCERTAIN_PATIENCE_S
+        while True:
+            try:
+                await self._store.commit(puts=(put,))
+            except StorageError as error:
+                if self._clock.monotonic_s() > until_s:
+                    raise self._unreadable(job_id, error) from error
+                await self._clock.sleep(RETRY_DELAY_S)
+            else:
+                events.log('cancel_stored', job=job_id)
+                return True
+
+    async def pending(self, queue: Queue, *, count_afresh: bool) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        :param count_afresh: whether the leader's own count may be old.
+        :raises RefusedError: if the store cannot be read.
+        """
+        try:
+            if count_afresh:
+                return await self._count(queue.name)
+            row = await self._store.read(tables.LEADER, tables.PENDING_KEY)
+        except StorageError as error:
+            raise self._unreadable(queue.name, error) from error
+        counts: dict[str, int] = {}
+        if row is not None:
+            counts = msgspec.json.decode(row.content, type=dict[str, int])
+        return counts.get(queue.name, 0)
+
+    async def _count(self, queue: str) -> int:
+        listed = await self._store.scan(tables.PROGRESS)
+        jobs = (decode(row.content, JobProgress) for row in listed.rows)
+        return sum(
+            1
+            for job in jobs
+            if job.queue == queue and job.state == QUEUED and not job.tasks
+        )
+
+    async def _insert(self, spec: JobSpec) -> None:
+        progress = JobProgress(queue=spec.queue.name)
+        try:
+            await self._store.commit(
+                checks=(RowCheck(tables.INTAKE, spec.job_id, 0),),
+                puts=(
+                    RowPut(tables.INTAKE, spec.job_id, encode(spec)),
+                    RowPut(tables.PROGRESS, spec.job_id, encode(progress)),
+                ),
+            )
+        except RowConflictError:
+            events.log('accepted_before', job=spec.job_id)
+
+    async def _progress(self, job_id: str) -> JobProgress | None:
+        until_s = self._clock.monotonic_s() + REFUSED_PATIENCE_S
+        while True:
+            try:
+                row = await self._store.read(tables.PROGRESS, job_id)
+            except StorageError as error:
+                if self._clock.monotonic_s() > until_s:
+                    raise self._unreadable(job_id, error) from error
+                await self._clock.sleep(RETRY_DELAY_S)
+            else:
+                return decode(row.content, JobProgress) if row else None
+
+    def _refusal(
+        self,
+        job_id: str,
+        reason: StorageError,
+        *,
+        uncertain: bool,
+    ) -> RefusedError:
+        if uncertain:
+            return RefusedError(
+                f'Job {job_id} may have been accepted; ask again.',
+                step='accept',
+                status=504,
+                outcome=UNKNOWN,
+                peer=reason.peer,
+            )
+        return RefusedError(
+            f'Job {job_id} was not accepted and does not run.',
+            step='accept',
+            status=503,
+            outcome=NOT_RUN,
+            retry_after_s=RETRY_AFTER_S,
+            peer=reason.peer,
+        )
+
+    def _unreadable(self, name: str, reason: Any) -> RefusedError:
+        return RefusedError(
+            f'The store does not answer for {name} now.',
+            step='read',
+            status=503,
+            outcome=FAILED,
+            retry_after_s=RETRY_AFTER_S,
+            peer=reason.peer,
+        )
+
+
+__all__ = ('Desk',)
--- /dev/null
+++ b/src/curranthill/platform/host.py
@@ -0,0 +1,160 @@
+"""The one program of an entry host: callers, readiness, and a leader."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from prometheus_client import generate_latest
+
+from curranthill.application import Application
+from curranthill.dispatch import Election, Leader, Leadership, StoreHealth
+from curranthill.entry import Desk, RevisionFollower
+from curranthill.platform.calls import Caller
+from curranthill.platform.configuration import TABLE, decode_revision
+from curranthill.platform.front import Front
+from curranthill.platform.settings import Address, PlatformSettings
+from curranthill.platform.store import PlatformStore
+from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
+from curranthill.telemetry import provide
+from curranthill.telemetry.events import events
+
+#: A leader that has been silent for so long may have counted wrongly since.
+COUNT_AFRESH_S: Final = 1.0
+
+#: Of the time that the platform leaves for a planned stop, this share is
+#: used at most, so that the exit itself fits in.
+GRACE_SHARE: Final = 0.6
+
+#: How long a stopping host goes on taking requests of open connections, in
+#: seconds: the balancer takes two missed polls of one second to turn away.
+TURN_AWAY_S: Final = 2.5
+
+
+RequestAnswer = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class HostDaemon:
+    """All parts of one entry host."""
+
+    def __init__(self, *, settings: PlatformSettings) -> None:
+        """Build the parts; none runs yet."""
+        self._settings = settings
+        self.app = Application(name=settings.host)
+        self._leader: Leader | None = None
+        self._stopping = False
+        self.app.on_start(self._start)
+        self.app.on_stop(self._stop)
+
+    async def _start(self) -> None:
+        settings = self._settings
+        clock = self.app.clock
+        provide(PrometheusMetricReader())
+        self._caller = Caller()
+        self._store = PlatformStore(
+            caller=self._caller,
+            address=settings.store_address,
+        )
+        self._connector = PlatformConnector(caller=self._caller)
+        self._revisions = RevisionFollower(
+            store=self._store,
+            clock=clock,
+            table=TABLE,
+            decode=decode_revision,
+        )
+        self._health = StoreHealth(clock=clock)
+        self._election = Election(
+            store=self._store,
+            clock=clock,
+            holder=settings.host,
+            lead=self._lead,
+            health=self._health,
+        )
+        self._front = Front(
+            desk=Desk(store=self._store, clock=clock),
+            revisions=self._revisions,
+            clock=clock,
+            count_afresh=self._may_count_wrongly,
+        )
+        self.app.spawn(self._revisions.run(), name='revisions')
+        self._election_task = self.app.spawn(
+            self._election.run(),
+            name='election',
+        )
+        self._callers = await _serve(self._front.handle, settings.callers)
+        self._readiness = await _serve(self._ready, settings.readiness)
+        self._metrics = await _serve(_show_metrics, settings.metrics)
+        events.log('started', callers=settings.callers)
+
+    async def _stop(self) -> None:
+        """Turn callers away, hand leadership over, finish what was read."""
+        events.log('stopping', leading=self._leader is not None)
+        self._stopping = True
+        self._front.closing = True
+        self._election.resign()
+        began_s = self.app.clock.monotonic_s()
+        if self._leader is not None:
+            await self._hand_over(self._leader)
+        taken_s = self.app.clock.monotonic_s() - began_s
+        most_s = self._settings.timing.grace_s * GRACE_SHARE
+        left_s = max(0.0, min(TURN_AWAY_S, most_s) - taken_s)
+        await self.app.clock.sleep(left_s)
+        await self._callers.cleanup()
+        await self._readiness.cleanup()
+        await self._metrics.cleanup()
+        await self._caller.close()
+        events.log('stopped')
+
+    async def _hand_over(self, leader: Leader) -> None:
+        try:
+            async with asyncio.timeout(1.0):
+                await leader.step_down()
+        except TimeoutError:
+            events.log('step_down_unanswered')
+
+    async def _lead(self, leadership: Leadership) -> None:
+        self._leader = Leader(
+            store=self._store,
+            clock=self.app.clock,
+            leadership=leadership,
+            connector=self._connector,
+            worker_feed=RegisteredWorkers(),
+            timing=self._settings.timing,
+            revision=self._revisions,
+        )
+        try:
+            await self._leader.run()
+        finally:
+            self._leader = None
+
+    def _may_count_wrongly(self) -> bool:
+        if self._leader is not None:
+            return False
+        return self._election.leader_silent_s > COUNT_AFRESH_S
+
+    async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        ready = (
+            not self._stopping
+            and self._revisions.current is not None
+            and self._health.reachable
+        )
+        return web.Response(status=200 if ready else 503)
+
+
+async def _show_metrics(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(body=generate_latest(), content_type='text/plain')
+
+
+async def _serve(handler: RequestAnswer, address: Address) -> web.ServerRunner:
+    runner = web.ServerRunner(
+        web.Server(handler, access_log=None, keepalive_timeout=300),
+        shutdown_timeout=1.0,
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, address.ip, address.port, backlog=1024)
+    await site.start()
+    return runner
+
+
+__all__ = ('HostDaemon',)
--- /dev/null
+++ b/src/curranthill/platform/settings.py
@@ -0,0 +1,96 @@
+"""The platform's settings file, decoded."""
+
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from curranthill.errors import SettingsError
+from curranthill.tasks import Timing
+
+#: The environment variable that names the settings file.
+PATH_VARIABLE: Final = 'CURRANTHILL_BOOT'
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Return an address written as ``IP:PORT``."""
+        ip, port = text.rsplit(':', 1)
+        return cls(ip, int(port))
+
+
+class PlatformSettings(NamedTuple):
+    """One host's settings.
+
+    :param callers: where callers' requests arrive.
+    :param readiness: where the balancer asks whether this host is ready.
+    :param metrics: where this process shows its metrics.
+    :param store_address: the platform's metadata store.
+    """
+
+    host: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    metrics: Address
+    store_address: str
+    timing: Timing
+
+
+def read_platform_settings(path: Path) -> PlatformSettings:
+    """Return the settings in a file.
+
+    :raises SettingsError: if the file cannot be read or lacks a field.
+    """
+    try:
+        fields = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+        return _settings(fields)
+    except (OSError, KeyError, ValueError, msgspec.MsgspecError) as error:
+        raise SettingsError(
+            f'The settings file {path} cannot be used: {error!r}.',
+            step='settings',
+        ) from error
+
+
+def _settings(fields: dict[str, Any]) -> PlatformSettings:
+    listen = fields['bind_addrs']
+    return PlatformSettings(
+        host=fields['node_name'],
+        data_centre=fields['zone'],
+        callers=Address.parse(listen['front']),
+        readiness=Address.parse(listen['ready']),
+        metrics=Address(fields['ip'], fields['port_range'][0]),
+        store_address=fields['platform']['address'],
+        timing=_timing(fields.get('bounds', {})),
+    )
+
+
+def _timing(bounds: dict[str, Any]) -> Timing:
+    plain = Timing()
+    return Timing(
+        lease_s=bounds.get('max_hold_ms', plain.lease_s * 1000) / 1000,
+        stop_s=bounds.get('stop_ms', plain.stop_s * 1000) / 1000,
+        gang_timeout_s=bounds.get(
+            'gang_timeout_ms',
+            plain.gang_timeout_s * 1000,
+        )
+        / 1000,
+        status_s=bounds.get('status_s', plain.status_s),
+        far_factor=bounds.get('far_x', plain.far_factor),
+        restore_s=bounds.get('restore_ms', plain.restore_s * 1000) / 1000,
+        grace_s=bounds.get('grace_s', plain.grace_s),
+    )
+
+
+__all__ = (
+    'PATH_VARIABLE',
+    'Address',
+    'PlatformSettings',
+    'read_platform_settings',
+)
--- /dev/null
+++ b/src/curranthill/platform/store.py
@@ -0,0 +1,225 @@
+"""The platform's metadata store as a :class:`RowStore`."""
+
+import base64
+from collections.abc import Sequence
+from typing import Any, Final
+
+from curranthill.errors import NotSentError, ReplyLostError, StorageError
+from curranthill.platform.calls import (
+    Answer,
+    CallNotSentError,
+    CallUnansweredError,
+    Caller,
+)
+from curranthill.storage.rows import (
+    HistoryLostError,
+    RowChanges,
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    RowRemoval,
+    StoredRow,
+)
+
+#: Our rows share one part, since a commit stays within a part.
+OWN_PART: Final = 'main'
+
+#: Tables that the platform, its operator and its workers write have no part.
+PLATFORM_TABLES: Final = frozenset(('op', 'servers', 'status'))
+
+#: A commit takes 5 ms, and up to 70 times as long when the store is slow.
+COMMIT_TIMEOUT_S: Final = 0.7
+
+#: A reading takes 4 ms, and up to 70 times as long when the store is slow.
+READ_TIMEOUT_S: Final = 0.6
+
+#: What a feed may take beyond the wait that was asked for, in seconds.
+FEED_SLACK_S: Final = 1.0
+
+#: Rows in one reading of a table; the platform returns 500 at most.
+PAGE_ROWS: Final = 500
+
+_OK: Final = 200
+_GONE: Final = 410
+_CONFLICT: Final = 412
+
+
+class PlatformStore:
+    """Rows over the platform's HTTP calls.
+
+    :param address: the store's IP number and port.
+    """
+
+    def __init__(self, *, caller: Caller, address: str) -> None:
+        """Keep the address."""
+        self._caller = caller
+        self._address = address
+
+    async def commit(
+        self,
+        *,
+        checks: Sequence[RowCheck] = (),
+        puts: Sequence[RowPut] = (),
+        removals: Sequence[RowRemoval] = (),
+    ) -> int:
+        """Apply all or nothing and return the new version."""
+        fields = {
+            'expected_rev': [
+                {**_name(one.table, one.key), 'schema_ver': one.version}
+                for one in checks
+            ],
+            'put': [
+                {
+                    **_name(one.table, one.key),
+                    'value': base64.b64encode(one.content).decode(),
+                }
+                for one in puts
+            ],
+            'remove': [_name(one.table, one.key) for one in removals],
+        }
+        answer = await self._call(
+            'POST',
+            'rows-tx',
+            timeout_s=COMMIT_TIMEOUT_S,
+            fields=fields,
+        )
+        if answer.status == _CONFLICT:
+            raise RowConflictError(
+                'A row has another version than expected.',
+                step='commit',
+                peer=self._address,
+                rows=_rows(self._fields(answer, 'commit')),
+            )
+        self._expect_ok(answer, 'commit')
+        version: int = self._fields(answer, 'commit')['schema_ver']
+        return version
+
+    async def read(self, table: str, key: str) -> StoredRow | None:
+        """Return one row or nothing."""
+        fields = await self._get(table, {'from': key, 'limit': '1'})
+        for row in _rows(fields):
+            if row.key == key:
+                return row
+        return None
+
+    async def scan(self, table: str) -> RowChanges:
+        """Return all rows of a table, page by page."""
+        rows: list[StoredRow] = []
+        version: int | None = None
+        params = {'limit': str(PAGE_ROWS)}
+        while True:
+            fields = await self._get(table, params)
+            page = _rows(fields)
+            rows.extend(page)
+            if version is None:
+                version = fields['schema_ver']
+            if not fields.get('has_more') or not page:
+                return RowChanges(tuple(rows), version)
+            # The next key in byte order.
+            params['from'] = f'{page[-1].key}\0'
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> RowChanges:
+        """Return changes past a version, waiting for the first one."""
+        answer = await self._call(
+            'GET',
+            'rows-feed',
+            timeout_s=wait_s + FEED_SLACK_S,
+            params={
+                'table': table,
+                'after': str(after),
+                'wait_ms': str(int(wait_s * 1000)),
+            },
+        )
+        if answer.status == _GONE:
+            raise HistoryLostError(
+                f'The history of {table} past {after} is gone.',
+                step='changes',
+                peer=self._address,
+            )
+        self._expect_ok(answer, 'changes')
+        fields = self._fields(answer, 'changes')
+        return RowChanges(_rows(fields), fields['schema_ver'])
+
+    async def _get(
+        self,
+        table: str,
+        params: dict[str, str],
+    ) -> dict[str, Any]:
+        part = '' if table in PLATFORM_TABLES else OWN_PART
+        answer = await self._call(
+            'GET',
+            'rows-get',
+            timeout_s=READ_TIMEOUT_S,
+            params={'table': table, 'part': part, **params},
+        )
+        self._expect_ok(answer, 'read')
+        return self._fields(answer, 'read')
+
+    async def _call(self, method: str, path: str, **options: Any) -> Answer:
+        url = f'http://{self._address}/curranthill/{path}'
+        try:
+            return await self._caller.call(method, url, **options)
+        except CallNotSentError as error:
+            raise NotSentError(
+                f'The store cannot be reached: {error}.',
+                step=path,
+                peer=self._address,
+            ) from error
+        except CallUnansweredError as error:
+            raise ReplyLostError(
+                f'The store did not answer: {error}.',
+                step=path,
+                peer=self._address,
+            ) from error
+
+    def _expect_ok(self, answer: Answer, step: str) -> None:
+        """Raise the error of any other status: nothing was done."""
+        if answer.status == _OK:
+            return
+        if answer.status in {429, 503}:
+            raise NotSentError(
+                f'The store refused with {answer.status}.',
+                step=step,
+                peer=self._address,
+            )
+        raise StorageError(
+            f'The store answered {answer.status}: {answer.body[:200]!r}.',
+            step=step,
+            peer=self._address,
+        )
+
+    def _fields(self, answer: Answer, step: str) -> dict[str, Any]:
+        try:
+            return answer.fields()
+        except CallUnansweredError as error:
+            raise ReplyLostError(
+                f'The store did not answer: {error}.',
+                step=step,
+                peer=self._address,
+            ) from error
+
+
+def _name(table: str, key: str) -> dict[str, Any]:
+    return {'table': table, 'part': OWN_PART, 'key': key}
+
+
+def _rows(fields: dict[str, Any]) -> tuple[StoredRow, ...]:
+    return tuple(
+        StoredRow(
+            table=row['table'],
+            key=row['key'],
+            content=base64.b64decode(row.get('value') or ''),
+            # The version of this row, though it is named like a schema's.
+            version=row.get('schema_ver', 0),
+            removed=bool(row.get('removed')),
+        )
+        for row in fields.get('rows', ())
+    )
+
+
+__all__ = ('PlatformStore',)
