Load jobs before workers at a takeover; short feed waits; SIGHUP

A feed reading lost in a silent outage held the configuration back for 5 s. SIGHUP ended the process. Change: jobs first; feed waits of 1 s; a host that knows the store is away refuses at once; SIGHUP reads the settings again.

--- a/src/curranthill/commands/host.py
+++ b/src/curranthill/commands/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -35,15 +36,16 @@
 ) -> None:
     """Run an entry host until SIGTERM, then stop gracefully."""
     path = settings or Path(os.environ.get(PATH_VARIABLE, ''))
+    read = partial(read_platform_settings, path)
     try:
-        record = read_platform_settings(path)
+        record = read()
     except SettingsError as error:
         fail(error.message, WRONG_USE)
     if check_settings:
         return
     events.open(host=record.host, data_centre=record.data_centre)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(HostDaemon(settings=record).app.run())
+        runner.run(HostDaemon(read_settings=read).app.run())
 
 
 def main() -> None:
--- a/src/curranthill/dispatch/__init__.py
+++ b/src/curranthill/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """The leader of a scheduling domain: election, placement, leases, recovery."""
 
-from curranthill.dispatch.election import Election, StoreHealth
+from curranthill.dispatch.election import Election
 from curranthill.dispatch.leader import Leader, RevisionSource, WorkerFeed
 from curranthill.dispatch.leadership import Leadership, LeadershipLostError
 from curranthill.dispatch.workers import (
@@ -28,7 +28,6 @@
     'RevisionSource',
     'RunReport',
     'StartOrder',
-    'StoreHealth',
     'TaskWorker',
     'WorkerConnector',
     'WorkerEntry',
--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -8,11 +8,12 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.journal import HEARTBEAT_S
 from curranthill.dispatch.leadership import (
-    Leadership,
     LeaderRow,
+    Leadership,
     take_over,
 )
 from curranthill.errors import StorageError
+from curranthill.storage.health import UNREACHABLE_S, StoreHealth
 from curranthill.storage.rows import RowStore, StoredRow
 from curranthill.tasks import decode, tables
 from curranthill.telemetry.events import events
@@ -30,38 +31,6 @@
 #: Two readings further apart than this say nothing of the time between.
 READING_GAP_S: Final = 1.2
 
-#: The store counts as unreachable after so long without an answer, in seconds.
-UNREACHABLE_S: Final = 0.9
-
-
-class StoreHealth:
-    """Whether this host reaches the store, from its own readings."""
-
-    def __init__(self, *, clock: Clock) -> None:
-        """Start as unreachable, until the first answer."""
-        self._clock = clock
-        self._answered_s = -UNREACHABLE_S
-        self._was_reachable = False
-
-    def answered(self) -> None:
-        """Take note of an answer."""
-        self._answered_s = self._clock.monotonic_s()
-        if not self._was_reachable:
-            self._was_reachable = True
-            events.log('store_reachable')
-
-    def failed(self, error: StorageError) -> None:
-        """Take note of a failure."""
-        if self._was_reachable and not self.reachable:
-            self._was_reachable = False
-            events.log('store_unreachable', error=str(error))
-
-    @property
-    def reachable(self) -> bool:
-        """Return whether the store answered of late."""
-        age_s = self._clock.monotonic_s() - self._answered_s
-        return age_s < UNREACHABLE_S
-
 
 class Election:
     """Follows the leader's row; leads when it wins it.
@@ -157,4 +126,4 @@
         await self._lead(leadership)
 
 
-__all__ = ('Election', 'StoreHealth')
+__all__ = ('Election',)
--- a/src/curranthill/dispatch/jobs.py
+++ b/src/curranthill/dispatch/jobs.py
@@ -83,7 +83,9 @@
         """Return whether all tasks of a step are done."""
         if (occurrence, number) in self._done_steps:
             return True
-        done = all(self._is_done(key) for key in self.keys_of(occurrence, number))
+        done = all(
+            self._is_done(key) for key in self.keys_of(occurrence, number)
+        )
         if done:
             self._done_steps.add((occurrence, number))
         return done
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -63,8 +63,9 @@
 #: The pause after a failed read of the store, in seconds.
 READ_RETRY_S: Final = 0.2
 
-#: How long one reading of a feed waits at the store, in seconds.
-FEED_WAIT_S: Final = 5.0
+#: How long one reading of a feed waits at the store, in seconds: a reading
+#: that was lost in an outage is found out and repeated so soon.
+FEED_WAIT_S: Final = 1.0
 
 #: A worker whose tasks failed so often within the memory is avoided.
 DISTRUST_FAILURES: Final = 2
@@ -133,8 +134,9 @@
         events.log('leading', epoch=self._leadership.epoch)
         try:
             self._spawn(self._keep_journal())
-            servers = await self._load_workers()
+            # Jobs first: an end that a worker reports must find its job.
             intake = await self._load_jobs()
+            servers = await self._load_workers()
             self._spawn(self._follow(self._worker_feed.table, servers))
             self._spawn(self._follow(tables.INTAKE, intake))
             self._spawn(self._plan_rounds())
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -109,9 +109,7 @@
         rooms = self._rooms.get(job.spec.queue.service, [])
         chosen = self._choose(job, ready, rooms)
         if chosen:
-            workers = tuple(
-                (key, room.entry.worker_id) for key, room in chosen
-            )
+            workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
         if len(chosen) == len(ready.tasks):
             return
@@ -249,8 +247,7 @@
         """Return the work in core-seconds that a stop throws away."""
         fellows = self._fellows.get(run.name, [run])
         return sum(
-            one.needs.weight_cores * (1.0 + one.done_percent)
-            for one in fellows
+            one.needs.weight_cores * (1.0 + one.done_percent) for one in fellows
         )
 
     def _evict(self, victim: Run) -> None:
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -13,6 +13,7 @@
     ReplyLostError,
     StorageError,
 )
+from curranthill.storage.health import StoreHealth
 from curranthill.storage.rows import (
     RowCheck,
     RowConflictError,
@@ -49,8 +50,15 @@
 class Desk:
     """Callers' requests, answered from the store by any host."""
 
-    def __init__(self, *, store: RowStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        clock: Clock,
+        health: StoreHealth,
+    ) -> None:
         """Keep the store."""
+        self._health = health
         self._store = store
         self._clock = clock
 
@@ -64,7 +72,13 @@
         :param patience_s: how long the caller waits.
         :raises RefusedError: if the job was not stored or may not have been.
         """
-        until_s = self._clock.monotonic_s() + patience_s
+        if not self._health.reachable:
+            # Known to be away: refuse at once instead of after a timeout.
+            raise self._refusal(spec.job_id, None, uncertain=False)
+        until_s = self._clock.monotonic_s() + min(
+            patience_s,
+            UNCERTAIN_PATIENCE_S,
+        )
         refused_until_s = self._clock.monotonic_s() + REFUSED_PATIENCE_S
         uncertain = False
         while True:
@@ -78,7 +92,9 @@
             else:
                 return
             now_s = self._clock.monotonic_s()
-            if now_s > (until_s if uncertain else min(refused_until_s, until_s)):
+            if now_s > (
+                until_s if uncertain else min(refused_until_s, until_s)
+            ):
                 raise self._refusal(spec.job_id, reason, uncertain=uncertain)
             await self._clock.sleep(RETRY_DELAY_S)
 
@@ -167,17 +183,18 @@
     def _refusal(
         self,
         job_id: str,
-        reason: StorageError,
+        reason: StorageError | None,
         *,
         uncertain: bool,
     ) -> RefusedError:
+        peer = reason.peer if reason else 'store'
         if uncertain:
             return RefusedError(
                 f'Job {job_id} may have been accepted; ask again.',
                 step='accept',
                 status=504,
                 outcome=UNKNOWN,
-                peer=reason.peer,
+                peer=peer,
             )
         return RefusedError(
             f'Job {job_id} was not accepted and does not run.',
@@ -185,7 +202,7 @@
             status=503,
             outcome=NOT_RUN,
             retry_after_s=RETRY_AFTER_S,
-            peer=reason.peer,
+            peer=peer,
         )
 
     def _unreadable(self, name: str, reason: Any) -> RefusedError:
--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -11,8 +11,9 @@
 from curranthill.tasks import Revision
 from curranthill.telemetry.events import events
 
-#: How long one reading of the feed waits at the store, in seconds.
-FEED_WAIT_S: Final = 4.0
+#: How long one reading of the feed waits at the store, in seconds: a reading
+#: lost in an outage is repeated in time for a change to be in force in 2 s.
+FEED_WAIT_S: Final = 1.0
 
 #: The pause after a failed reading, in seconds.
 RETRY_S: Final = 0.2
@@ -72,7 +73,12 @@
         for row in rows:
             try:
                 revision = self._decode(row)
-            except (KeyError, ValueError, TypeError, msgspec.MsgspecError) as error:
+            except (
+                KeyError,
+                ValueError,
+                TypeError,
+                msgspec.MsgspecError,
+            ) as error:
                 events.log('revision_bad', key=row.key, error=repr(error))
                 continue
             if revision is not None:
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -222,7 +222,9 @@
         status=refused.status,
     )
     if refused.retry_after_s is not None:
-        response.headers['Retry-After'] = str(max(1, round(refused.retry_after_s)))
+        response.headers['Retry-After'] = str(
+            max(1, round(refused.retry_after_s))
+        )
     return response
 
 
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -1,6 +1,7 @@
 """The one program of an entry host: callers, readiness, and a leader."""
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -9,14 +10,16 @@
 from prometheus_client import generate_latest
 
 from curranthill.application import Application
-from curranthill.dispatch import Election, Leader, Leadership, StoreHealth
+from curranthill.dispatch import Election, Leader, Leadership
 from curranthill.entry import Desk, RevisionFollower
+from curranthill.errors import SettingsError
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import TABLE, decode_revision
 from curranthill.platform.front import Front
 from curranthill.platform.settings import Address, PlatformSettings
 from curranthill.platform.store import PlatformStore
 from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
+from curranthill.storage.health import StoreHealth
 from curranthill.telemetry import provide
 from curranthill.telemetry.events import events
 
@@ -36,10 +39,19 @@
 
 
 class HostDaemon:
-    """All parts of one entry host."""
+    """All parts of one entry host.
 
-    def __init__(self, *, settings: PlatformSettings) -> None:
+    :param read_settings: reads the settings, at start and at each SIGHUP.
+    """
+
+    def __init__(
+        self,
+        *,
+        read_settings: Callable[[], PlatformSettings],
+    ) -> None:
         """Build the parts; none runs yet."""
+        settings = read_settings()
+        self._read_settings = read_settings
         self._settings = settings
         self.app = Application(name=settings.host)
         self._leader: Leader | None = None
@@ -72,7 +84,11 @@
             health=self._health,
         )
         self._front = Front(
-            desk=Desk(store=self._store, clock=clock),
+            desk=Desk(
+                store=self._store,
+                clock=clock,
+                health=self._health,
+            ),
             revisions=self._revisions,
             clock=clock,
             count_afresh=self._may_count_wrongly,
@@ -82,6 +98,10 @@
             self._election.run(),
             name='election',
         )
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP,
+            self._reload,
+        )
         self._callers = await _serve(self._front.handle, settings.callers)
         self._readiness = await _serve(self._ready, settings.readiness)
         self._metrics = await _serve(_show_metrics, settings.metrics)
@@ -128,6 +148,15 @@
         finally:
             self._leader = None
 
+    def _reload(self) -> None:
+        """Read the settings again; addresses stay until the next start."""
+        try:
+            self._settings = self._read_settings()
+        except SettingsError as error:
+            events.log('reload_refused', reason=error.message)
+        else:
+            events.log('reloaded')
+
     def _may_count_wrongly(self) -> bool:
         if self._leader is not None:
             return False
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -7,9 +7,9 @@
 from curranthill.errors import NotSentError, ReplyLostError, StorageError
 from curranthill.platform.calls import (
     Answer,
+    Caller,
     CallNotSentError,
     CallUnansweredError,
-    Caller,
 )
 from curranthill.storage.rows import (
     HistoryLostError,
@@ -34,7 +34,7 @@
 READ_TIMEOUT_S: Final = 0.6
 
 #: What a feed may take beyond the wait that was asked for, in seconds.
-FEED_SLACK_S: Final = 1.0
+FEED_SLACK_S: Final = 0.5
 
 #: Rows in one reading of a table; the platform returns 500 at most.
 PAGE_ROWS: Final = 500
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -17,9 +17,9 @@
 from curranthill.errors import WorkerReplyLostError, WorkerUnreachableError
 from curranthill.platform.calls import (
     Answer,
+    Caller,
     CallNotSentError,
     CallUnansweredError,
-    Caller,
 )
 from curranthill.storage.rows import StoredRow
 from curranthill.tasks import Resources, TaskKey
