--- a/src/curranthill/clock.py
+++ b/src/curranthill/clock.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from typing import Protocol
+from collections.abc import Coroutine
+from typing import Any, Protocol
 
 
 class Clock(Protocol):
@@ -34,4 +35,25 @@
         await asyncio.sleep(delay_s)
 
 
-__all__ = ('Clock', 'SystemClock')
+async def wait_at_most(
+    work: Coroutine[Any, Any, Any] | asyncio.Future[Any],
+    *,
+    timeout_s: float,
+    clock: Clock,
+) -> bool:
+    """Wait for some work by a clock; return whether it ended in time.
+
+    A coroutine that did not end is cancelled; a future is left as it is.
+    """
+    task = asyncio.ensure_future(work)
+    sleep = asyncio.ensure_future(clock.sleep(timeout_s))
+    try:
+        await asyncio.wait((task, sleep), return_when=asyncio.FIRST_COMPLETED)
+        return task.done()
+    finally:
+        sleep.cancel()
+        if task is not work:
+            task.cancel()
+
+
+__all__ = ('Clock', 'SystemClock', 'wait_at_most')
--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from curranthill.clock import Clock
+from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.journal import HEARTBEAT_S
 from curranthill.dispatch.leadership import (
     LeaderRow,
@@ -114,16 +114,19 @@
             return
         if leadership is None or self._resigned:
             return
-        leading = asyncio.ensure_future(self._run_term(leadership))
-        while not leading.done():
-            # The leader's own writes tell whether the store answers.
-            if leadership.age_s < UNREACHABLE_S:
-                self._health.answered()
-            await asyncio.wait((leading,), timeout=POLL_S)
-        leading.result()
+        await self._run_term(leadership)
 
     async def _run_term(self, leadership: Leadership) -> None:
-        await self._lead(leadership)
+        term = asyncio.ensure_future(self._lead(leadership))
+        try:
+            while not term.done():
+                # The leader's own writes tell whether the store answers.
+                if leadership.age_s < UNREACHABLE_S:
+                    self._health.answered()
+                await wait_at_most(term, timeout_s=POLL_S, clock=self._clock)
+        finally:
+            term.cancel()
+            await asyncio.gather(term, return_exceptions=True)
 
 
 __all__ = ('Election',)
--- a/src/curranthill/dispatch/journal.py
+++ b/src/curranthill/dispatch/journal.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final
 
-from curranthill.clock import Clock
+from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.leadership import Leadership
 from curranthill.storage.rows import RowPut, RowRemoval
@@ -61,7 +61,11 @@
         :raises LeadershipLostError: then; who waits is told the same.
         """
         while True:
-            await self._wait()
+            await wait_at_most(
+                self._wake.wait(),
+                timeout_s=HEARTBEAT_S,
+                clock=self._clock,
+            )
             self._wake.clear()
             waiting, self._next = self._next, None
             try:
@@ -74,13 +78,6 @@
             if waiting is not None and not waiting.done():
                 waiting.set_result(None)
 
-    async def _wait(self) -> None:
-        try:
-            async with asyncio.timeout(HEARTBEAT_S):
-                await self._wake.wait()
-        except TimeoutError:
-            return
-
     async def _write_all(self) -> None:
         """Write all that is noted now; at least the heartbeat."""
         jobs = list(self._dirty.values())
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from curranthill.clock import Clock
+from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.jobs import ActiveJob, checkpoint_of
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import Leadership, LeadershipLostError
@@ -263,11 +263,13 @@
             task = job.progress.task(key)
             task.done = True
             task.worker = ''
-        if job.check_completed(self._clock.wall_s()):
+        now_s = self._clock.wall_s()
+        if job.check_completed(now_s):
             events.log(
                 'job_completed',
                 job=job.spec.job_id,
-                took_s=round(self._clock.wall_s() - job.spec.accepted_at_s, 2),
+                took_s=round(now_s - job.spec.accepted_at_s, 2),
+                late_s=round(now_s - job.spec.objective_s, 2),
             )
 
     def _note_failure(self, job: ActiveJob, end: EndReport) -> None:
@@ -448,11 +450,11 @@
     async def _plan_rounds(self) -> None:
         """Make a round whenever something has changed."""
         while True:
-            try:
-                async with asyncio.timeout(ROUND_INTERVAL_S):
-                    await self._changed.wait()
-            except TimeoutError:
-                self._changed.clear()
+            await wait_at_most(
+                self._changed.wait(),
+                timeout_s=ROUND_INTERVAL_S,
+                clock=self._clock,
+            )
             await self._clock.sleep(ROUND_PAUSE_S)
             self._changed.clear()
             self._plan_round()
@@ -488,16 +490,17 @@
             room = Room(
                 entry=session.entry,
                 runs=session.runs.values(),
-                trusted=self._is_trusted(session),
+                doubt=self._doubt(session),
             )
             rooms.setdefault(session.entry.service, []).append(room)
         return rooms
 
-    def _is_trusted(self, session: WorkerSession) -> bool:
+    def _doubt(self, session: WorkerSession) -> float:
+        """Return how many runs failed at a worker of late."""
         oldest_s = self._clock.monotonic_s() - FAILURE_MEMORY_S
         recent = [one for one in session.failed_ends_s if one > oldest_s]
         session.failed_ends_s = recent
-        return len(recent) < DISTRUST_FAILURES
+        return len(recent) if len(recent) >= DISTRUST_FAILURES else 0
 
     def _guaranteed(self) -> dict[str, int]:
         revision = self._revision.current
@@ -564,6 +567,7 @@
             worker_id=session.worker_id,
             needs=room_needed(job.step_of(key)),
             priority=job.spec.queue.priority,
+            checkpointable=job.step_of(key).checkpointable,
             state=MARKED,
             now_s=self._clock.monotonic_s(),
         )
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from curranthill.dispatch.evictions import Eviction, cheapest_eviction
 from curranthill.dispatch.jobs import ActiveJob, ReadyStep
-from curranthill.dispatch.rooms import Room, room_needed
-from curranthill.dispatch.runs import RUNNING, Run
+from curranthill.dispatch.rooms import Room, racks_of, room_needed
+from curranthill.dispatch.runs import Run
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: How many waiting jobs one round looks at: bounds a round's processor time
@@ -15,9 +16,13 @@
 #: Priority 0 may preempt the others.
 URGENT: Final = 0
 
-#: A task waits so many of its own run times for room near its data, since it
-#: runs longer elsewhere by the far factor.
-PATIENCE_FOR_NEARNESS: Final = 1.0
+#: A task waits so many of its estimated run times for room in the right rack:
+#: away from it, it runs longer by about as much.
+PATIENCE_FOR_RACK: Final = 2.0
+
+#: How many gangs that do not fit keep room for themselves in one round; more
+#: would leave room unused that smaller jobs could fill.
+RESERVATIONS: Final = 1
 
 
 class Placement(NamedTuple):
@@ -60,6 +65,7 @@
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._too_large: set[tuple[str, Step]] = set()
+        self._reservations = RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
         """Return the decisions for jobs in any order."""
@@ -103,162 +109,115 @@
         return covered
 
     def _place_step(self, job: ActiveJob, ready: ReadyStep) -> None:
+        urgent = job.spec.queue.priority == URGENT
         shape = (job.spec.queue.service, ready.step)
-        if shape in self._too_large:
+        if shape in self._too_large and not urgent:
             return
         rooms = self._rooms.get(job.spec.queue.service, [])
-        chosen = self._choose(job, ready, rooms)
+        groups = self._groups(job, ready, rooms)
+        chosen: list[tuple[TaskKey, Room]] = []
+        for group in groups:
+            chosen = choose_rooms(ready, group)
+            if chosen:
+                break
         if chosen:
             workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
-        if len(chosen) == len(ready.tasks):
+        missing = ready.tasks[len(chosen) :]
+        if not missing:
             return
-        if job.spec.queue.priority == URGENT:
-            missing = ready.tasks[len(chosen) :]
-            self._make_room(job, ready, missing, rooms)
-        else:
-            self._too_large.add(shape)
+        if urgent:
+            self._make_room(ready, missing, groups)
+            return
+        self._too_large.add(shape)
+        if ready.step.gang:
+            self._reserve(ready, groups)
 
-    def _choose(
+    def _groups(
         self,
         job: ActiveJob,
         ready: ReadyStep,
         rooms: list[Room],
-    ) -> list[tuple[TaskKey, Room]]:
-        """Return rooms for the tasks, in order; a gang gets all or none."""
-        if ready.step.same_rack and ready.step.gang:
-            chosen = self._choose_in_one_rack(job, ready, rooms)
-            if chosen or not self._may_go_far(job, ready.step):
-                return chosen
-        return self._choose_anywhere(job, ready, rooms)
-
-    def _choose_anywhere(
-        self,
-        job: ActiveJob,
-        ready: ReadyStep,
-        rooms: list[Room],
-    ) -> list[tuple[TaskKey, Room]]:
-        needs = room_needed(ready.step)
-        may_go_far = self._may_go_far(job, ready.step)
-        chosen: list[tuple[TaskKey, Room]] = []
-        for key in ready.tasks:
-            room = best_room(key, ready.step, needs, rooms, far=may_go_far)
-            if room is None:
-                break
-            room.place(key, needs)
-            chosen.append((key, room))
-        if ready.step.gang and len(chosen) < len(ready.tasks):
-            for key, room in chosen:
-                room.unplace(key, needs)
-            return []
-        return chosen
-
-    def _choose_in_one_rack(
-        self,
-        job: ActiveJob,
-        ready: ReadyStep,
-        rooms: list[Room],
-    ) -> list[tuple[TaskKey, Room]]:
-        for rack in _racks(rooms):
-            inside = [room for room in rooms if room.near(rack)]
-            chosen = self._choose_anywhere(job, ready, inside)
-            if chosen:
-                return chosen
-        return []
+    ) -> list[list[Room]]:
+        """Return the sets of rooms that a step may be placed in, best first.
 
-    def _may_go_far(self, job: ActiveJob, step: Step) -> bool:
-        """Return whether the tasks may run away from their data or rack."""
-        if job.spec.queue.priority == URGENT:
-            return True
+        Tasks that run longer away from a rack wait for it, unless it could
+        never hold them or they have waited for as long as that costs.
+        """
+        racks = list(_near_racks(ready.step, rooms))
+        near = [rack for rack in racks if could_ever_hold(ready, rack)]
+        if near == racks == []:
+            return [rooms]
         waited_s = self._now_s - job.spec.accepted_at_s
-        return waited_s > PATIENCE_FOR_NEARNESS * step.estimate_s
+        patience_s = PATIENCE_FOR_RACK * ready.step.estimate_s
+        if not near or waited_s > patience_s:
+            near.append(rooms)
+        return near
 
     def _make_room(
         self,
-        job: ActiveJob,
         ready: ReadyStep,
         missing: tuple[TaskKey, ...],
-        rooms: list[Room],
+        groups: list[list[Room]],
     ) -> None:
         """Stop what is needed for urgent tasks, and keep what gets free."""
-        needs = room_needed(ready.step)
-        for key in missing:
-            room = self._claimable(key, ready.step, needs, rooms)
-            if room is None:
-                room = self._evict_for(key, ready.step, needs, rooms)
-            if room is not None:
-                room.claim(needs)
-
-    def _claimable(
-        self,
-        key: TaskKey,
-        step: Step,
-        needs: Resources,
-        rooms: list[Room],
-    ) -> Room | None:
-        fitting = (
-            room
-            for room in rooms
-            if room.soon.covers(needs) and room.allows(key, step)
-        )
-        return next(fitting, None)
-
-    def _evict_for(
-        self,
-        key: TaskKey,
-        step: Step,
-        needs: Resources,
-        rooms: list[Room],
-    ) -> Room | None:
-        """Choose the room whose victims lose the least work."""
-        best: tuple[float, Room, list[Run]] | None = None
-        for room in rooms:
-            if not room.allows(key, step) or not room.entry.room.covers(needs):
-                continue
-            victims = self._victims_in(room, needs)
-            if victims is None:
-                continue
-            cost = sum(self._loss_of(run) for run in victims)
-            if best is None or cost < best[0]:
-                best = (cost, room, victims)
-        if best is None:
-            return None
-        for victim in best[2]:
-            self._evict(victim)
-        return best[1]
-
-    def _victims_in(self, room: Room, needs: Resources) -> list[Run] | None:
-        """Return the cheapest runs whose end lets the task fit, if any."""
-        soon = room.soon
-        victims = []
-        candidates = [
-            run
-            for run in room.runs
-            if run.priority > URGENT and run.state == RUNNING
-        ]
-        for run in sorted(candidates, key=self._loss_of):
-            if soon.covers(needs):
-                break
-            soon = soon.plus(run.needs)
-            victims.append(run)
-        return victims if soon.covers(needs) else None
-
-    def _loss_of(self, run: Run) -> float:
-        """Return the work in core-seconds that a stop throws away."""
-        fellows = self._fellows.get(run.name, [run])
-        return sum(
-            one.needs.weight_cores * (1.0 + one.done_percent) for one in fellows
-        )
-
-    def _evict(self, victim: Run) -> None:
-        for run in self._fellows.get(victim.name, [victim]):
-            if run in self._victims:
-                continue
+        needed = [missing] if ready.step.gang else [(key,) for key in missing]
+        for tasks in needed:
+            best: Eviction | None = None
+            for group in groups:
+                found = cheapest_eviction(
+                    tasks,
+                    ready.step,
+                    group,
+                    self._fellows,
+                )
+                if found and (best is None or found.loss < best.loss):
+                    best = found
+            if best is not None:
+                self._evict(best, room_needed(ready.step))
+
+    def _evict(self, eviction: Eviction, needs: Resources) -> None:
+        for run in eviction.victims:
             self._victims.append(run)
             for rooms in self._rooms.values():
                 for room in rooms:
-                    if room.entry.worker_id == run.worker_id:
-                        room.evict(run)
+                    room.evict(run)
+        for room in eviction.rooms:
+            room.claim(needs)
+
+    def _reserve(self, ready: ReadyStep, groups: list[list[Room]]) -> None:
+        """Keep room for a gang that does not fit yet, where most is free."""
+        if not self._reservations or not groups:
+            return
+        self._reservations -= 1
+        needs = room_needed(ready.step)
+        group = max(
+            groups,
+            key=lambda rooms: sum(max(room.soon.gpus, 0) for room in rooms),
+        )
+        for room in reserve_rooms(ready, group):
+            room.claim(needs)
+
+
+def choose_rooms(
+    ready: ReadyStep,
+    rooms: list[Room],
+) -> list[tuple[TaskKey, Room]]:
+    """Take rooms for the tasks, in order; a gang takes all or none."""
+    needs = room_needed(ready.step)
+    chosen: list[tuple[TaskKey, Room]] = []
+    for key in ready.tasks:
+        room = best_room(key, ready.step, needs, rooms)
+        if room is None:
+            break
+        room.place(key, needs)
+        chosen.append((key, room))
+    whole = ready.step.gang or ready.step.same_rack
+    if whole and len(chosen) < len(ready.tasks):
+        for key, room in chosen:
+            room.unplace(key, needs)
+        return []
+    return chosen
 
 
 def best_room(
@@ -266,37 +225,71 @@
     step: Step,
     needs: Resources,
     rooms: Iterable[Room],
-    *,
-    far: bool,
 ) -> Room | None:
-    """Return where a task fits best now: near its data, then tightest.
-
-    :param far: whether the task may run away from its data.
-    """
+    """Return where a task fits best now: trusted, then tightest."""
     best: Room | None = None
-    best_rank: tuple[bool, bool, int, int] | None = None
+    best_rank: tuple[float, int, int] | None = None
     for room in rooms:
         if not room.fits_now(needs) or not room.allows(key, step):
             continue
-        away = bool(step.data_rack) and not room.near(step.data_rack)
-        if away and not far:
-            continue
-        rank = (
-            not room.trusted,
-            away,
-            room.free.gpus - needs.gpus,
-            room.free.cpu_millis,
-        )
+        rank = (room.doubt, room.free.gpus - needs.gpus, room.free.cpu_millis)
         if best_rank is None or rank < best_rank:
             best = room
             best_rank = rank
     return best
 
 
-def _racks(rooms: list[Room]) -> list[str]:
-    """Return all labels; those that are kinds only make larger groups."""
-    labels = {label for room in rooms for label in room.entry.labels[1:]}
-    return sorted(labels)
+def reserve_rooms(ready: ReadyStep, rooms: list[Room]) -> list[Room]:
+    """Return a room for each task, the emptiest first, as if it were idle."""
+    needs = room_needed(ready.step)
+    left = {room.entry.worker_id: room.entry.room for room in rooms}
+    reserved: list[Room] = []
+    by_room = sorted(rooms, key=lambda room: -room.soon.gpus)
+    for room in by_room:
+        free = left[room.entry.worker_id]
+        while len(reserved) < len(ready.tasks) and free.covers(needs):
+            free = free.minus(needs)
+            reserved.append(room)
+    return reserved
+
+
+def could_ever_hold(ready: ReadyStep, rooms: list[Room]) -> bool:
+    """Return whether idle rooms would hold what must start together."""
+    needs = room_needed(ready.step)
+    together = ready.step.gang or ready.step.same_rack
+    wanted = len(ready.tasks) if together else 1
+    held = 0
+    for room in rooms:
+        held += _copies(room, ready.step, needs)
+        if held >= wanted:
+            return True
+    return False
+
+
+def _copies(room: Room, step: Step, needs: Resources) -> int:
+    """Return how many tasks of a step an idle room holds."""
+    label = step.required_label
+    if label and label not in room.entry.labels:
+        return 0
+    copies = (
+        min(
+            have // need
+            for have, need in zip(room.entry.room, needs, strict=True)
+            if need > 0
+        )
+        if any(needs)
+        else step.width
+    )
+    return min(copies, step.max_per_worker or copies)
+
+
+def _near_racks(step: Step, rooms: list[Room]) -> Iterable[list[Room]]:
+    """Yield the racks in which a step runs fast; none if it does anywhere."""
+    if step.data_rack:
+        yield [room for room in rooms if room.near(step.data_rack)]
+    elif step.same_rack:
+        for rack in racks_of(rooms):
+            yield [room for room in rooms if room.near(rack)]
 
 
-__all__ = ('Placement', 'Plan', 'Planner', 'best_room')
+__all__ = ('Placement', 'Plan', 'Planner')
--- a/src/curranthill/dispatch/rooms.py
+++ b/src/curranthill/dispatch/rooms.py
@@ -13,22 +13,22 @@
     :param free: what no run takes now.
     :param soon: what will be free once the runs being stopped have ended,
         less what waiting urgent tasks have claimed of it.
-    :param trusted: whether tasks here have ended well of late.
+    :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     """
 
-    __slots__ = ('_counts', 'entry', 'free', 'runs', 'soon', 'trusted')
+    __slots__ = ('_counts', 'doubt', 'entry', 'free', 'runs', 'soon')
 
     def __init__(
         self,
         *,
         entry: WorkerEntry,
         runs: Iterable[Run],
-        trusted: bool,
+        doubt: float,
     ) -> None:
         """Add up the runs that take room."""
         self.entry = entry
         self.runs = [run for run in runs]
-        self.trusted = trusted
+        self.doubt = doubt
         self._counts: dict[tuple[str, int, int], int] = {}
         free = entry.room
         soon = entry.room
@@ -85,6 +85,11 @@
         self._counts[step] = self._counts.get(step, 0) + 1
 
 
+def racks_of(rooms: Iterable[Room]) -> list[str]:
+    """Return the racks in which the workers stand."""
+    return sorted({room.entry.rack for room in rooms})
+
+
 def room_needed(step: Step) -> Resources:
     """Return what a task of a step takes of a worker's room."""
     if step.fills:
@@ -92,4 +97,4 @@
     return step.needs
 
 
-__all__ = ('Room', 'room_needed')
+__all__ = ('Room', 'racks_of', 'room_needed')
--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -14,17 +14,28 @@
 RUNNING: Final = 'running'
 STOPPING: Final = 'stopping'
 
+#: What a stop loses of a task with checkpoints, in seconds: the stop makes a
+#: checkpoint, so only the work while it is made.
+CHECKPOINT_LOSS_S: Final = 0.3
+
+#: What starting again costs besides, in seconds: the stop, a round, a start.
+RESTART_S: Final = 0.3
+
 
 class Run:
     """One run of one task on one worker; it takes room until its end is known.
 
     :param needs: the room it takes.
     :param priority: that of its queue; 0 goes first.
+    :param checkpointable: whether a stop loses only the newest work.
+    :param age_s: how long it has run, as of the newest report.
     """
 
     __slots__ = (
+        'age_s',
         'attempt',
         'checkpoint',
+        'checkpointable',
         'done_percent',
         'key',
         'needs',
@@ -47,6 +58,7 @@
         worker_id: str,
         needs: Resources,
         priority: int,
+        checkpointable: bool,
         state: RunState,
         now_s: float,
     ) -> None:
@@ -56,6 +68,8 @@
         self.worker_id = worker_id
         self.needs = needs
         self.priority = priority
+        self.checkpointable = checkpointable
+        self.age_s = 0.0
         self.state: RunState = state
         self.checkpoint = ''
         self.done_percent = 0.0
@@ -66,6 +80,14 @@
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
+    @property
+    def loss_core_s(self) -> float:
+        """Return the work that a stop throws away, in core-seconds."""
+        lost_s = self.age_s
+        if self.checkpointable:
+            lost_s = min(lost_s, CHECKPOINT_LOSS_S)
+        return self.needs.weight_cores * (lost_s + RESTART_S)
+
     @property
     def name(self) -> tuple[TaskKey, int]:
         """Return what tells this run from all others."""
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -280,7 +280,9 @@
         order = LeaseOrder(
             token=self._token,
             acknowledged=self._acknowledged,
-            deadline_s=self._next_deadline_s(),
+            # A worker that does not answer is only looked at: were its lease
+            # extended by calls that may yet arrive, it would never lapse.
+            deadline_s=self._next_deadline_s() if self.reachable else 0.0,
             wait_s=self._renewal_wait_s(),
         )
         sent_s = self._clock.monotonic_s()
@@ -434,6 +436,7 @@
         if run.start_percent < 0:
             run.start_percent = report.done_percent
         run.done_percent = report.done_percent
+        run.age_s = now_s - run.started_s
         if report.checkpoint:
             run.checkpoint = report.checkpoint
         if run.state == STOPPING:
@@ -457,6 +460,7 @@
             worker_id=self.worker_id,
             needs=self._owner.needs_of(report.task),
             priority=0,
+            checkpointable=False,
             state=STOPPING,
             now_s=now_s,
         )
--- a/src/curranthill/dispatch/workers.py
+++ b/src/curranthill/dispatch/workers.py
@@ -41,6 +41,11 @@
     clock_s: float = 0.0
     remaining_s: float = 0.0
 
+    @property
+    def rack(self) -> str:
+        """Return the rack, which stands last among the labels."""
+        return self.labels[-1] if self.labels else ''
+
 
 class RunReport(NamedTuple):
     """One run that the worker has.
@@ -94,7 +99,8 @@
     """A renewal that also reads what runs and what ended.
 
     :param acknowledged: ends up to this number may be forgotten.
-    :param deadline_s: on the worker's clock; nothing runs past it.
+    :param deadline_s: on the worker's clock; nothing runs past it. 0 leaves
+        the lease as it is.
     :param wait_s: how long the answer may wait for an end.
     """
 
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -10,7 +10,7 @@
 from curranthill.entry import Desk, RevisionFollower
 from curranthill.errors import NOT_RUN, RefusedError
 from curranthill.platform.configuration import SubmittedJob, step_from
-from curranthill.tasks import JobSpec, Queue, Revision, faults_of
+from curranthill.tasks import JobSpec, Queue, Revision, Step, faults_of
 from curranthill.telemetry.events import events
 
 #: How long a caller waits that does not say so, in seconds.
@@ -124,6 +124,8 @@
             queue=target.queue.name,
             workspace=target.workspace,
             revision=revision.number,
+            steps=[_summary(step) for step in spec.steps],
+            objective_s=round(spec.objective_s - spec.accepted_at_s, 2),
             took_s=round(self._clock.monotonic_s() - began_s, 4),
         )
         return _json({})
@@ -192,6 +194,13 @@
     return body
 
 
+def _summary(step: Step) -> dict[str, Any]:
+    """Return what a log line tells of a step: its fields that are set."""
+    fields = step._asdict()
+    fields['needs'] = list(step.needs)
+    return {name: field for name, field in fields.items() if field}
+
+
 def _patience_s(request: web.BaseRequest) -> float:
     try:
         patience_s = float(request.headers['Deadline-Ms']) / 1000
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -121,10 +121,11 @@
     async def renew(self, order: LeaseOrder) -> LeaseReport:
         """Renew the lease and return what runs and what ended."""
         fields = {
-            'deadline_ms': int(order.deadline_s * 1000),
             'fencing_token': order.token,
             'acked_through': order.acknowledged,
         }
+        if order.deadline_s:
+            fields['deadline_ms'] = int(order.deadline_s * 1000)
         if order.wait_s:
             fields['wait_ms'] = int(order.wait_s * 1000)
         answer = await self._call(
--- /dev/null
+++ b/src/curranthill/standin/rows.py
@@ -0,0 +1,205 @@
+"""A store of rows in memory, with the faults that a real one shows."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Final
+
+from curranthill.clock import Clock
+from curranthill.errors import NotSentError, ReplyLostError
+from curranthill.storage.rows import (
+    HistoryLostError,
+    RowChanges,
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    RowRemoval,
+    StoredRow,
+)
+
+#: What a commit takes, in seconds.
+COMMIT_S: Final = 0.005
+
+#: When a caller gives up on an answer, in seconds.
+GIVE_UP_S: Final = 0.7
+
+#: How often a waiting feed looks for news, in seconds.
+FEED_POLL_S: Final = 0.005
+
+
+class RowModel:
+    """The rows and their history.
+
+    :param down: hosts that get no answer; ``*`` stands for all.
+    :param refusing: hosts whose calls are refused; ``*`` stands for all.
+    :param lose_next: how many of the next commits apply without an answer.
+    :param late_next: how many of the next commits apply ``late_s`` later.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start empty and without faults."""
+        self.clock = clock
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.down: set[str] = set()
+        self.refusing: set[str] = set()
+        self.lose_next = 0
+        self.late_next = 0
+        self.late_s = 2.0
+        self.commits = 0
+        self._version = 0
+        self._history: list[StoredRow] = []
+        self._oldest = 0
+        self._late: set[asyncio.Task[None]] = set()
+
+    def client(self, host: str) -> 'RowClient':
+        """Return the store as one host reaches it."""
+        return RowClient(model=self, host=host)
+
+    def forget_history(self) -> None:
+        """Drop all history, so that feeds must read again."""
+        self._history.clear()
+        self._oldest = self._version
+
+    def apply(
+        self,
+        checks: Sequence[RowCheck],
+        puts: Sequence[RowPut],
+        removals: Sequence[RowRemoval],
+    ) -> int:
+        """Apply all or nothing and return the new version."""
+        names = [(check.table, check.key) for check in checks]
+        for check in checks:
+            row = self.rows.get((check.table, check.key))
+            if (row.version if row else 0) != check.version:
+                raise RowConflictError(
+                    'A row has another version.',
+                    step='commit',
+                    rows=tuple(
+                        self.rows[name] for name in names if name in self.rows
+                    ),
+                )
+        self.commits += 1
+        self._version += 1
+        for put in puts:
+            self._note(
+                StoredRow(put.table, put.key, put.content, self._version)
+            )
+        for one in removals:
+            if (one.table, one.key) in self.rows:
+                self._note(
+                    StoredRow(one.table, one.key, b'', self._version, True),
+                )
+        return self._version
+
+    def scan(self, table: str) -> RowChanges:
+        """Return a table's rows in the order of their keys."""
+        rows = [row for name, row in self.rows.items() if name[0] == table]
+        rows.sort(key=lambda row: row.key)
+        return RowChanges(tuple(rows), self._version)
+
+    def changes(self, table: str, after: int) -> RowChanges:
+        """Return what changed since a version."""
+        if after < self._oldest:
+            raise HistoryLostError('The history is gone.', step='changes')
+        rows = [
+            row
+            for row in self._history
+            if row.table == table and row.version > after
+        ]
+        return RowChanges(tuple(rows), self._version)
+
+    def apply_late(
+        self,
+        checks: Sequence[RowCheck],
+        puts: Sequence[RowPut],
+        removals: Sequence[RowRemoval],
+    ) -> None:
+        """Apply a commit some seconds on, if its checks hold then."""
+
+        async def apply() -> None:
+            await self.clock.sleep(self.late_s)
+            try:
+                self.apply(checks, puts, removals)
+            except RowConflictError:
+                return
+
+        task = asyncio.ensure_future(apply())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    def _note(self, row: StoredRow) -> None:
+        self._history.append(row)
+        if row.removed:
+            self.rows.pop((row.table, row.key))
+        else:
+            self.rows[(row.table, row.key)] = row
+
+
+class RowClient:
+    """A :class:`RowStore` over a model, with the model's faults."""
+
+    def __init__(self, *, model: RowModel, host: str) -> None:
+        """Keep whose calls these are."""
+        self._model = model
+        self._host = host
+
+    async def commit(
+        self,
+        *,
+        checks: Sequence[RowCheck] = (),
+        puts: Sequence[RowPut] = (),
+        removals: Sequence[RowRemoval] = (),
+    ) -> int:
+        """Apply all or nothing and return the new version."""
+        await self._pass('commit')
+        await self._model.clock.sleep(COMMIT_S)
+        if self._model.late_next:
+            self._model.late_next -= 1
+            self._model.apply_late(checks, puts, removals)
+            await self._give_up('commit')
+        version = self._model.apply(checks, puts, removals)
+        if self._model.lose_next:
+            self._model.lose_next -= 1
+            await self._give_up('commit')
+        return version
+
+    async def read(self, table: str, key: str) -> StoredRow | None:
+        """Return one row or nothing."""
+        await self._pass('read')
+        return self._model.rows.get((table, key))
+
+    async def scan(self, table: str) -> RowChanges:
+        """Return all rows of a table."""
+        await self._pass('scan')
+        return self._model.scan(table)
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> RowChanges:
+        """Return changes past a version, waiting for the first one."""
+        until_s = self._model.clock.monotonic_s() + wait_s
+        while True:
+            await self._pass('changes')
+            changes = self._model.changes(table, after)
+            if changes.rows or self._model.clock.monotonic_s() >= until_s:
+                return changes
+            await self._model.clock.sleep(FEED_POLL_S)
+
+    async def _pass(self, step: str) -> None:
+        """Fail as the faults say."""
+        if self._is_in(self._model.refusing):
+            raise NotSentError('Refused.', step=step, peer='rows')
+        if self._is_in(self._model.down):
+            await self._give_up(step)
+
+    async def _give_up(self, step: str) -> None:
+        await self._model.clock.sleep(GIVE_UP_S)
+        raise ReplyLostError('No answer.', step=step, peer='rows')
+
+    def _is_in(self, hosts: set[str]) -> bool:
+        return '*' in hosts or self._host in hosts
+
+
+__all__ = ('RowClient', 'RowModel')
--- /dev/null
+++ b/src/curranthill/standin/tasks.py
@@ -0,0 +1,204 @@
+"""A worker in memory that runs tasks under a lease and fencing tokens.
+
+Like the real one it protects neither its room nor a task from a second run;
+it only keeps the highest token and the lease.
+"""
+
+import asyncio
+from typing import Final, NamedTuple
+
+from curranthill.clock import Clock
+from curranthill.dispatch import (
+    EndReport,
+    LeaseOrder,
+    LeaseReport,
+    RejectedError,
+    RunReport,
+    StartOrder,
+    WorkerEntry,
+    WorkerGoneError,
+)
+from curranthill.dispatch.workers import EndKind
+from curranthill.errors import WorkerReplyLostError
+from curranthill.tasks import TaskKey
+
+#: What a call takes, in seconds.
+CALL_S: Final = 0.001
+
+#: When a caller gives up on an answer, in seconds.
+GIVE_UP_S: Final = 0.6
+
+#: How often a waiting renewal looks for ends, in seconds.
+WAIT_POLL_S: Final = 0.01
+
+
+class ActiveRun(NamedTuple):
+    """One run under way."""
+
+    task: TaskKey
+    attempt: int
+    began_s: float
+
+
+class TaskWorkerModel:
+    """One life of one worker.
+
+    :param run_s: how long each task takes.
+    :param starts: every start that took effect, in order.
+    :param cut: no call gets through.
+    :param late_next: how many of the next starts get no answer and take
+        effect ``late_s`` later.
+    :param failing: every task fails at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        clock: Clock,
+        run_s: float = 1.0,
+    ) -> None:
+        """Start with nothing running."""
+        self.entry = entry
+        self.clock = clock
+        self.run_s = run_s
+        self.starts: list[StartOrder] = []
+        self.runs: dict[tuple[TaskKey, int], ActiveRun] = {}
+        self.ends: list[EndReport] = []
+        self.acknowledged: list[EndReport] = []
+        self.cut = False
+        self.gone = False
+        self.late_next = 0
+        self.late_s = 2.0
+        self.failing = False
+        self.most_runs = 0
+        self._token = 0
+        self._deadline_s = 0.0
+        self._ended: set[tuple[TaskKey, int]] = set()
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def start(self, order: StartOrder) -> float:
+        """Start a task and return the clock."""
+        await self._pass('start')
+        if self.late_next:
+            self.late_next -= 1
+            self._start_late(order)
+            await self._give_up('start')
+        self._start(order)
+        return self.clock.monotonic_s()
+
+    async def stop(self, task: TaskKey, attempt: int, token: int) -> float:
+        """Stop a run."""
+        await self._pass('stop')
+        self._check_token(token, 'stop')
+        if (task, attempt) in self.runs:
+            self._end(self.runs[(task, attempt)], 'stopped')
+        self._ended.add((task, attempt))
+        return self.clock.monotonic_s()
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Renew the lease and return what runs and what ended."""
+        await self._pass('renew')
+        self._check_token(order.token, 'renew')
+        self._deadline_s = max(self._deadline_s, order.deadline_s)
+        self.acknowledged.extend(
+            end for end in self.ends if end.number <= order.acknowledged
+        )
+        self.ends = [
+            end for end in self.ends if end.number > order.acknowledged
+        ]
+        until_s = self.clock.monotonic_s() + order.wait_s
+        while not self.ends and self.clock.monotonic_s() < until_s:
+            await self.clock.sleep(WAIT_POLL_S)
+            await self._pass('renew')
+            self.tick()
+        return LeaseReport(
+            clock_s=self.clock.monotonic_s(),
+            runs=tuple(self._report(run) for run in self.runs.values()),
+            ends=tuple(self.ends),
+        )
+
+    def tick(self) -> None:
+        """End what is over by now."""
+        now_s = self.clock.monotonic_s()
+        for run in list(self.runs.values()):
+            if self.failing:
+                self._end(run, 'failed')
+            elif run.began_s + self.run_s <= min(now_s, self._deadline_s):
+                self._end(run, 'done')
+            elif now_s > self._deadline_s:
+                self._end(run, 'lapsed')
+
+    def _start(self, order: StartOrder) -> None:
+        self._check_token(order.token, 'start')
+        if self.clock.monotonic_s() > order.deadline_s:
+            raise self._rejection('start', 'late')
+        name = (order.task, order.attempt)
+        if name in self._ended:
+            raise self._rejection('start', 'old')
+        if name in self.runs:
+            return
+        self._deadline_s = max(self._deadline_s, order.deadline_s)
+        self.starts.append(order)
+        now_s = self.clock.monotonic_s()
+        self.runs[name] = ActiveRun(order.task, order.attempt, now_s)
+        self.most_runs = max(self.most_runs, len(self.runs))
+
+    def _start_late(self, order: StartOrder) -> None:
+        async def start() -> None:
+            await self.clock.sleep(self.late_s)
+            try:
+                self._start(order)
+            except RejectedError:
+                return
+
+        task = asyncio.ensure_future(start())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    def _report(self, run: ActiveRun) -> RunReport:
+        share = (self.clock.monotonic_s() - run.began_s) / self.run_s
+        return RunReport(run.task, run.attempt, '', min(100 * share, 99))
+
+    def _end(self, run: ActiveRun, kind: EndKind) -> None:
+        name = (run.task, run.attempt)
+        self.runs.pop(name)
+        self._ended.add(name)
+        number = 1 + len(self.ends) + len(self.acknowledged)
+        self.ends.append(EndReport(number, run.task, run.attempt, kind, ''))
+
+    def _check_token(self, token: int, step: str) -> None:
+        if token < self._token:
+            raise self._rejection(step, 'fence')
+        self._token = token
+
+    def _rejection(self, step: str, reason: str) -> RejectedError:
+        return RejectedError(
+            f'Rejected: {reason}.',
+            step=step,
+            peer=self.entry.address,
+            reason=reason,
+        )
+
+    async def _pass(self, step: str) -> None:
+        await self.clock.sleep(CALL_S)
+        if self.cut:
+            await self._give_up(step)
+        if self.gone:
+            raise WorkerGoneError(
+                'Another life answered.',
+                step=step,
+                peer=self.entry.address,
+            )
+        self.tick()
+
+    async def _give_up(self, step: str) -> None:
+        await self.clock.sleep(GIVE_UP_S)
+        raise WorkerReplyLostError(
+            'No answer.',
+            step=step,
+            peer=self.entry.address,
+        )
+
+
+__all__ = ('TaskWorkerModel',)
--- /dev/null
+++ b/tests/domain.py
@@ -0,0 +1,256 @@
+"""A scheduling domain over stand-ins: hosts, workers and a store of rows."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from curranthill.dispatch import (
+    Election,
+    Leader,
+    Leadership,
+    TaskWorker,
+    WorkerEntry,
+)
+from curranthill.entry import Desk
+from curranthill.standin.rows import RowModel
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.storage.health import StoreHealth
+from curranthill.storage.rows import RowPut, RowRemoval, StoredRow
+from curranthill.tasks import (
+    JobProgress,
+    JobSpec,
+    Queue,
+    Resources,
+    Revision,
+    Step,
+    TaskKey,
+    Timing,
+    WorkspacePromise,
+    decode,
+    tables,
+)
+from tests.support import ManualClock, run
+
+SERVICE = 'calc'
+WORKER_TABLE = 'listed'
+ROOM = Resources(cpu_millis=32_000, memory_mb=65_536, gpus=8)
+ONE_GPU = Resources(cpu_millis=4000, memory_mb=1024, gpus=1)
+
+
+def make_queue(priority: int = 1, attempts: int = 2) -> Queue:
+    """Return a queue."""
+    return Queue(
+        name=f'queue-{priority}',
+        host='jobs.example',
+        path_prefix=f'/queue-{priority}/',
+        service=SERVICE,
+        priority=priority,
+        attempts=attempts,
+        slack_factor=2.0,
+        target_s=1.0,
+    )
+
+
+def make_spec(
+    job_id: str = 'a1',
+    *steps: Step,
+    priority: int = 1,
+    attempts: int = 2,
+    workspace: str = 'alpha',
+    accepted_at_s: float = 1_700_001_000.0,
+) -> JobSpec:
+    """Return a job of one one-accelerator task, or of the given steps."""
+    return JobSpec(
+        job_id=job_id,
+        queue=make_queue(priority, attempts),
+        workspace=workspace,
+        payload='text',
+        steps=steps or (Step(width=1, needs=ONE_GPU, estimate_s=1.0),),
+        accepted_at_s=accepted_at_s,
+    )
+
+
+class ListedWorkers:
+    """Decodes the workers that a test lists."""
+
+    table = WORKER_TABLE
+
+    def decode(self, row: StoredRow) -> WorkerEntry:
+        """Return a worker's entry."""
+        return msgspec.json.decode(row.content, type=WorkerEntry)
+
+
+class FixedRevision:
+    """A configuration that does not change."""
+
+    current: Revision | None = Revision(
+        number=1,
+        queues=(make_queue(0), make_queue(1), make_queue(2)),
+        workspaces=(WorkspacePromise('alpha', ('key',), 8),),
+    )
+
+
+class Domain:
+    """A store, workers and as many hosts as a test starts."""
+
+    def __init__(self, *, workers: int = 2, run_s: float = 1.0) -> None:
+        """List the workers."""
+        self.clock = ManualClock()
+        self.rows = RowModel(clock=self.clock)
+        self.workers: dict[str, TaskWorkerModel] = {}
+        self.hosts: dict[str, TestHost] = {}
+        for number in range(workers):
+            self.add_worker(f'w{number}', run_s=run_s)
+
+    def add_worker(self, name: str, *, run_s: float = 1.0) -> TaskWorkerModel:
+        """List one more worker."""
+        entry = WorkerEntry(
+            worker_id=name,
+            service=SERVICE,
+            address=f'10.0.0.{len(self.workers)}:80',
+            data_centre='dc',
+            room=ROOM,
+            labels=('a', 'r1'),
+        )
+        model = TaskWorkerModel(entry=entry, clock=self.clock, run_s=run_s)
+        self.workers[name] = model
+        self.list_worker(entry)
+        return model
+
+    def list_worker(self, entry: WorkerEntry) -> None:
+        """Write a worker's entry."""
+        put = RowPut(WORKER_TABLE, entry.worker_id, msgspec.json.encode(entry))
+        self.rows.apply((), (put,), ())
+
+    def delist_worker(self, name: str) -> None:
+        """Remove a worker's entry."""
+        self.rows.apply((), (), (RowRemoval(WORKER_TABLE, name),))
+
+    def connect(self, entry: WorkerEntry) -> TaskWorker:
+        """Return a client of a worker."""
+        return self.workers[entry.worker_id]
+
+    def start_host(self, name: str) -> 'TestHost':
+        """Start one host."""
+        host = TestHost(domain=self, name=name)
+        self.hosts[name] = host
+        return host
+
+    async def leader(self) -> 'TestHost':
+        """Move time on until some host leads; return it."""
+        await self.clock.until(lambda: bool(self.leading()), within_s=10)
+        return self.leading()[0]
+
+    def leading(self) -> list['TestHost']:
+        """Return the hosts that believe they lead."""
+        return [host for host in self.hosts.values() if host.leader]
+
+    def progress(self, job_id: str) -> JobProgress:
+        """Return a job's stored progress."""
+        return decode(
+            self.rows.rows[(tables.PROGRESS, job_id)].content,
+            JobProgress,
+        )
+
+    def state(self, job_id: str) -> str:
+        """Return a job's stored state."""
+        return self.progress(job_id).state
+
+    async def ended(self, job_id: str, within_s: float = 60) -> str:
+        """Move time on until a job's state is final; return it."""
+        await self.clock.until(
+            lambda: self.state(job_id) in {'completed', 'failed', 'cancelled'},
+            within_s=within_s,
+        )
+        return self.state(job_id)
+
+    def starts(self, key: TaskKey) -> list[int]:
+        """Return the attempts of a task that took effect, over all workers."""
+        return [
+            order.attempt
+            for worker in self.workers.values()
+            for order in worker.starts
+            if order.task == key
+        ]
+
+    async def close(self) -> None:
+        """Kill all hosts."""
+        for host in list(self.hosts.values()):
+            await host.kill()
+
+
+class TestHost:
+    """One host: a desk, and an election that may make it the leader."""
+
+    __test__ = False
+
+    def __init__(self, *, domain: Domain, name: str) -> None:
+        """Start the host's tasks."""
+        self.name = name
+        self.leader: Leader | None = None
+        self._domain = domain
+        self._store = domain.rows.client(name)
+        self.health = StoreHealth(clock=domain.clock)
+        self.desk = Desk(
+            store=self._store,
+            clock=domain.clock,
+            health=self.health,
+        )
+        self.election = Election(
+            store=self._store,
+            clock=domain.clock,
+            holder=name,
+            lead=self._lead,
+            health=self.health,
+        )
+        self._task = asyncio.ensure_future(self.election.run())
+
+    async def accept(self, spec: JobSpec) -> None:
+        """Accept a job while time moves on."""
+        await self.during(self.desk.accept(spec, 3.0))
+
+    async def during(self, work: Awaitable[object]) -> object:
+        """Move time on until some work is done; return its result."""
+        task = asyncio.ensure_future(work)
+        await self._domain.clock.until(task.done)
+        return task.result()
+
+    async def kill(self) -> None:
+        """End all tasks at once."""
+        self._domain.hosts.pop(self.name, None)
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _lead(self, leadership: Leadership) -> None:
+        self.leader = Leader(
+            store=self._store,
+            clock=self._domain.clock,
+            leadership=leadership,
+            connector=self._domain,
+            worker_feed=ListedWorkers(),
+            timing=Timing(),
+            revision=FixedRevision(),
+        )
+        try:
+            await self.leader.run()
+        finally:
+            self.leader = None
+
+
+def in_domain(
+    case: Callable[[Domain], Awaitable[None]],
+    *,
+    workers: int = 2,
+    run_s: float = 1.0,
+) -> None:
+    """Run a test in a domain of its own and clean up."""
+
+    async def main() -> None:
+        domain = Domain(workers=workers, run_s=run_s)
+        try:
+            await case(domain)
+        finally:
+            await domain.close()
+
+    run(main())
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,392 @@
+"""Tasks run as often as they may, whatever the leader, store or worker does."""
+
+import unittest
+
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.tasks import Resources, Step, TaskKey
+from tests.domain import ONE_GPU, Domain, in_domain, make_spec
+
+FIRST = TaskKey('a1', 0, 0, 0)
+EIGHT_GPUS = Resources(cpu_millis=8000, memory_mb=1024, gpus=8)
+
+
+def gang(width: int = 2, needs: Resources = EIGHT_GPUS) -> Step:
+    """Return a step whose tasks run together."""
+    return Step(width=width, needs=needs, estimate_s=1.0, gang=True)
+
+
+def running(domain: Domain) -> int:
+    """Return how many runs all workers have."""
+    return sum(len(worker.runs) for worker in domain.workers.values())
+
+
+class StartTest(unittest.TestCase):
+    """Accepted jobs run once."""
+
+    def test_an_accepted_job_runs_once_and_completes(self) -> None:
+        """The plain path."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_the_same_id_is_one_job(self) -> None:
+        """A repeat changes nothing."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await host.accept(make_spec())
+            await domain.ended('a1')
+            await host.accept(make_spec())
+            await domain.clock.advance(5)
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_steps_wait_for_those_they_come_after(self) -> None:
+        """The second step starts after the first is done."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            first = Step(width=2, needs=ONE_GPU, estimate_s=1.0)
+            second = Step(width=1, needs=ONE_GPU, after=(0,))
+            await host.accept(make_spec('a1', first, second))
+            await domain.clock.advance(0.5)
+            self.assertEqual(domain.starts(TaskKey('a1', 0, 1, 0)), [])
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case)
+
+    def test_a_worker_is_never_given_more_than_its_room(self) -> None:
+        """Twenty tasks of one accelerator on one worker of eight."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            wide = Step(width=20, needs=ONE_GPU, estimate_s=1.0)
+            await host.accept(make_spec('a1', wide))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.workers['w0'].most_runs, 8)
+
+        in_domain(case, workers=1)
+
+    def test_a_gang_waits_until_all_of_it_fits(self) -> None:
+        """Two workers' worth on one worker does not start in part."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', gang()))
+            await domain.clock.advance(3)
+            self.assertEqual(domain.starts(FIRST), [])
+            domain.add_worker('w9')
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=1)
+
+    def test_an_urgent_job_takes_the_room_of_others(self) -> None:
+        """A full cluster starts a covered urgent job within its bound."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            wide = Step(width=16, needs=ONE_GPU, estimate_s=60.0)
+            await host.accept(make_spec('b1', wide, priority=2))
+            await domain.clock.until(lambda: running(domain) == 16)
+            urgent = Step(width=1, needs=EIGHT_GPUS, estimate_s=60.0)
+            await host.accept(make_spec('a1', urgent, priority=0))
+            await domain.clock.until(
+                lambda: bool(domain.starts(FIRST)),
+                within_s=2.7,
+            )
+            self.assertLessEqual(
+                max(worker.most_runs for worker in domain.workers.values()),
+                8,
+            )
+
+        in_domain(case, run_s=60)
+
+
+class LeaderLossTest(unittest.TestCase):
+    """Another host goes on from what is stored and what the workers have."""
+
+    def test_a_takeover_adopts_what_runs(self) -> None:
+        """No second start while the first run goes on."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await host.kill()
+            domain.start_host('h2')
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case, run_s=4)
+
+    def test_an_end_listed_during_a_takeover_is_kept(self) -> None:
+        """The run ends while nobody leads; its end is read by the next."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await host.kill()
+            await domain.clock.advance(1.2)
+            domain.start_host('h2')
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_orders_flow_again_soon_after_a_kill(self) -> None:
+        """A job accepted by a standby starts within 2.5 s of the kill."""
+
+        async def case(domain: Domain) -> None:
+            leading = domain.start_host('h1')
+            await domain.leader()
+            standby = domain.start_host('h2')
+            await domain.clock.advance(1)
+            await leading.kill()
+            await standby.accept(make_spec())
+            await domain.clock.until(
+                lambda: bool(domain.starts(FIRST)),
+                within_s=2.5,
+            )
+
+        in_domain(case)
+
+    def test_a_leader_cut_from_the_store_gives_no_order(self) -> None:
+        """Its successor starts the job; the former leader starts nothing."""
+
+        async def case(domain: Domain) -> None:
+            domain.start_host('h1')
+            await domain.leader()
+            standby = domain.start_host('h2')
+            await domain.clock.advance(1)
+            domain.rows.down.add('h1')
+            await domain.clock.advance(1)
+            await standby.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_work_survives_an_outage_of_the_store(self) -> None:
+        """Leases are renewed for nine seconds without a write."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            domain.rows.down.add('*')
+            await domain.clock.advance(9)
+            domain.rows.down.clear()
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case, run_s=12)
+
+    def test_a_planned_stop_hands_over_at_once(self) -> None:
+        """The next leader starts a job within half a second."""
+
+        async def case(domain: Domain) -> None:
+            leading = domain.start_host('h1')
+            await domain.leader()
+            standby = domain.start_host('h2')
+            await domain.clock.advance(1)
+            assert leading.leader is not None
+            await leading.during(leading.leader.step_down())
+            await leading.kill()
+            await standby.accept(make_spec())
+            await domain.clock.until(
+                lambda: bool(domain.starts(FIRST)),
+                within_s=0.6,
+            )
+
+        in_domain(case)
+
+
+class UnknownOrderTest(unittest.TestCase):
+    """An order without an answer is settled before the task starts anew."""
+
+    def test_a_start_carried_out_late_never_makes_a_second_run(self) -> None:
+        """The raised token shuts the late start out."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].late_next = 1
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            await domain.clock.advance(5)
+            self.assertEqual(len(domain.starts(FIRST)), 1)
+
+        in_domain(case, workers=1)
+
+    def test_a_cut_worker_keeps_its_task_until_its_lease_lapsed(self) -> None:
+        """The second run starts only when the first cannot go on."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            cut = next(one for one in domain.workers.values() if one.runs)
+            cut.cut = True
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=20,
+            )
+            cut.tick()
+            self.assertEqual(len(cut.runs), 0)
+
+        in_domain(case, run_s=30)
+
+    def test_a_worker_that_is_gone_loses_its_tasks_at_once(self) -> None:
+        """Another life answers: no need to wait for the lease."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            lost = next(one for one in domain.workers.values() if one.runs)
+            lost.gone = True
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=2.5,
+            )
+
+        in_domain(case, run_s=30)
+
+
+class StoreFaultTest(unittest.TestCase):
+    """Lost, late and refused writes change nothing twice."""
+
+    def test_lost_and_late_writes_leave_one_job(self) -> None:
+        """The accepting host and the leader both lose answers."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.rows.lose_next = 1
+            await host.accept(make_spec())
+            domain.rows.late_next = 1
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            await domain.clock.advance(5)
+            self.assertEqual(domain.state('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_a_lost_history_is_read_again(self) -> None:
+        """A job accepted while the feed is broken starts all the same."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            domain.rows.forget_history()
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case)
+
+
+class EndTest(unittest.TestCase):
+    """Failures count, cancelled jobs stop."""
+
+    def test_a_job_fails_after_its_attempts(self) -> None:
+        """Two failed runs, no third."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for worker in domain.workers.values():
+                worker.failing = True
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'failed')
+            await domain.clock.advance(5)
+            self.assertEqual(domain.starts(FIRST), [1, 2])
+
+        in_domain(case)
+
+    def test_a_cancelled_job_stops_and_never_starts_again(self) -> None:
+        """Also after a takeover."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await host.during(host.desk.cancel('a1'))
+            self.assertEqual(await domain.ended('a1'), 'cancelled')
+            await domain.clock.until(lambda: running(domain) == 0, within_s=1)
+            await host.kill()
+            domain.start_host('h2')
+            await domain.clock.advance(5)
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case, run_s=30)
+
+    def test_a_broken_gang_is_stopped_and_starts_whole(self) -> None:
+        """A member's worker is lost; all members start under one attempt."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', gang()))
+            await domain.clock.until(lambda: running(domain) == 2)
+            lost: TaskWorkerModel = domain.workers['w0']
+            lost.gone = True
+            domain.add_worker('w9', run_s=2)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            for rank in range(2):
+                starts = domain.starts(TaskKey('a1', 0, 0, rank))
+                self.assertEqual(starts, [1, 2])
+
+        in_domain(case, run_s=2)
+
+
+class RefusalTest(unittest.TestCase):
+    """What is refused as not run never runs."""
+
+    def test_a_host_without_the_store_refuses_at_once(self) -> None:
+        """No timeout is waited for once the outage is known."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.rows.down.add('*')
+            await domain.clock.advance(3)
+            began_s = domain.clock.monotonic_s()
+            with self.assertRaises(Exception) as caught:
+                await host.accept(make_spec())
+            self.assertEqual(getattr(caught.exception, 'status', 0), 503)
+            self.assertLess(domain.clock.monotonic_s() - began_s, 0.2)
+
+        in_domain(case)
+
+    def test_an_unknown_outcome_is_never_called_not_run(self) -> None:
+        """The write takes effect without an answer: 504, not 503."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.rows.down.add('h1')
+            with self.assertRaises(Exception) as caught:
+                await host.accept(make_spec())
+            self.assertEqual(getattr(caught.exception, 'status', 0), 504)
+
+        in_domain(case)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,294 @@
+"""One round of placement: racks, gangs, evictions, guarantees, labels."""
+
+import unittest
+from collections.abc import Sequence
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from curranthill.dispatch.jobs import ActiveJob
+from curranthill.dispatch.planner import Plan, Planner
+from curranthill.dispatch.rooms import Room
+from curranthill.dispatch.runs import RUNNING, Run
+from curranthill.dispatch.workers import WorkerEntry
+from curranthill.tasks import JobProgress, JobSpec, Resources, Step, TaskKey
+from tests.domain import ROOM, SERVICE, make_spec
+
+NOW_S = 1_700_001_000.0
+
+
+def needs(gpus: int) -> Resources:
+    """Return a task's needs."""
+    return Resources(cpu_millis=1000, memory_mb=1024, gpus=gpus)
+
+
+def make_run(
+    worker_id: str,
+    gpus: int,
+    *,
+    priority: int = 2,
+    age_s: float = 1.0,
+    job_id: str = 'other',
+    rank: int = 0,
+) -> Run:
+    """Return a run that takes accelerators of a worker."""
+    run = Run(
+        key=TaskKey(job_id, 0, 0, rank),
+        attempt=1,
+        worker_id=worker_id,
+        needs=needs(gpus),
+        priority=priority,
+        checkpointable=False,
+        state=RUNNING,
+        now_s=0.0,
+    )
+    run.age_s = age_s
+    return run
+
+
+def make_room(
+    worker_id: str,
+    rack: str,
+    *runs: Run,
+    doubt: float = 0.0,
+) -> Room:
+    """Return a worker's room."""
+    entry = WorkerEntry(
+        worker_id=worker_id,
+        service=SERVICE,
+        address='10.0.0.1:80',
+        data_centre='dc',
+        room=ROOM,
+        labels=('a', rack),
+    )
+    return Room(entry=entry, runs=runs, doubt=doubt)
+
+
+def plan(
+    rooms: list[Room],
+    *specs: JobSpec,
+    guaranteed: dict[str, int] | None = None,
+    fellows: Sequence[Run] = (),
+) -> Plan:
+    """Make one round."""
+    planner = Planner(
+        rooms={SERVICE: rooms},
+        guaranteed=guaranteed or {},
+        now_s=NOW_S,
+        fellows={run.name: list(fellows) for run in fellows},
+    )
+    return planner.plan(
+        [
+            ActiveJob(
+                spec=spec,
+                progress=JobProgress(queue=spec.queue.name, tasks={}),
+            )
+            for spec in specs
+        ],
+    )
+
+
+def placed(decided: Plan) -> dict[str, list[str]]:
+    """Return the workers of each placed job."""
+    return {
+        one.job.spec.job_id: [worker for _, worker in one.workers]
+        for one in decided.placements
+    }
+
+
+class RackTest(unittest.TestCase):
+    """Tasks that run longer apart stay together."""
+
+    def test_a_gang_of_one_rack_is_placed_in_one_rack(self) -> None:
+        """Two workers of one rack are free, and one of another."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8)),
+            make_room('a2', 'r1'),
+            make_room('b1', 'r2'),
+            make_room('b2', 'r2'),
+        ]
+        step = Step(width=2, needs=needs(8), gang=True, same_rack=True)
+        decided = plan(rooms, make_spec('j1', step))
+        self.assertEqual(placed(decided), {'j1': ['b1', 'b2']})
+
+    def test_an_urgent_gang_makes_room_in_one_rack(self) -> None:
+        """It stops the cheaper run rather than run apart."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8, age_s=5)),
+            make_room('a2', 'r1'),
+            make_room('b1', 'r2', make_run('b1', 8, age_s=50)),
+            make_room('b2', 'r2'),
+        ]
+        step = Step(width=2, needs=needs(8), gang=True, same_rack=True)
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        self.assertEqual(placed(decided), {})
+        self.assertEqual([run.worker_id for run in decided.victims], ['a1'])
+
+    def test_a_gang_too_wide_for_any_rack_runs_apart(self) -> None:
+        """Three workers' worth over racks of two."""
+        rooms = [
+            make_room('a1', 'r1'),
+            make_room('a2', 'r1'),
+            make_room('b1', 'r2'),
+        ]
+        step = Step(width=3, needs=needs(8), gang=True, same_rack=True)
+        decided = plan(rooms, make_spec('j1', step))
+        self.assertEqual(len(placed(decided)['j1']), 3)
+
+    def test_a_task_waits_for_its_data_and_then_goes_elsewhere(self) -> None:
+        """It waits for as long as running away from the data would cost."""
+        step = Step(width=1, needs=needs(8), data_rack='r1', estimate_s=10)
+        full = make_room('a1', 'r1', make_run('a1', 8))
+        early = make_spec('j1', step)
+        self.assertEqual(placed(plan([full, make_room('b1', 'r2')], early)), {})
+        late = make_spec('j1', step, accepted_at_s=NOW_S - 21)
+        full = make_room('a1', 'r1', make_run('a1', 8))
+        decided = plan([full, make_room('b1', 'r2')], late)
+        self.assertEqual(placed(decided), {'j1': ['b1']})
+
+
+class EvictionTest(unittest.TestCase):
+    """Urgent work makes room at the least loss."""
+
+    def test_a_whole_gang_counts_as_lost(self) -> None:
+        """A lone older run is stopped rather than one of four fellows."""
+        gang = [make_run('a1', 8, job_id='g', rank=0, age_s=4)]
+        gang += [
+            make_run(f'c{rank}', 8, job_id='g', rank=rank, age_s=4)
+            for rank in range(1, 4)
+        ]
+        lone = make_run('a2', 8, age_s=9)
+        rooms = [make_room('a1', 'r1', gang[0]), make_room('a2', 'r1', lone)]
+        rooms += [make_room(run.worker_id, 'r1', run) for run in gang[1:]]
+        step = Step(width=1, needs=needs(8))
+        decided = plan(
+            rooms,
+            make_spec('j1', step, priority=0),
+            fellows=gang,
+        )
+        self.assertEqual(decided.victims, (lone,))
+
+    def test_room_that_is_becoming_free_is_waited_for(self) -> None:
+        """A run that is being stopped needs no second victim."""
+        stopping = make_run('a1', 8)
+        stopping.state = 'stopping'
+        rooms = [
+            make_room('a1', 'r1', stopping),
+            make_room('a2', 'r1', make_run('a2', 8)),
+        ]
+        step = Step(width=1, needs=needs(8))
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        self.assertEqual(decided.victims, ())
+
+    def test_urgent_runs_are_never_stopped(self) -> None:
+        """Nothing can be done but wait."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, priority=0))]
+        step = Step(width=1, needs=needs(8))
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        self.assertEqual(decided.victims, ())
+
+    def test_nothing_is_stopped_for_a_gang_that_cannot_fit(self) -> None:
+        """One room can be emptied, the other holds urgent work."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8)),
+            make_room('a2', 'r1', make_run('a2', 8, priority=0)),
+        ]
+        step = Step(width=2, needs=needs(8), gang=True)
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        self.assertEqual(decided.victims, ())
+
+
+class OrderTest(unittest.TestCase):
+    """Who goes first."""
+
+    def test_covered_urgent_jobs_go_before_others(self) -> None:
+        """A workspace beyond its guarantee waits for one within it."""
+        step = Step(width=1, needs=needs(8))
+        beyond = make_spec('j1', step, priority=0, workspace='beta')
+        within = make_spec('j2', step, priority=0, accepted_at_s=NOW_S - 1)
+        decided = plan(
+            [make_room('a1', 'r1')],
+            beyond,
+            within,
+            guaranteed={'alpha': 8},
+        )
+        self.assertEqual(placed(decided), {'j2': ['a1']})
+
+    def test_a_gang_that_waits_keeps_room(self) -> None:
+        """A later small job does not take what the gang waits for."""
+        rooms = [
+            make_room('a1', 'r1'),
+            make_room('a2', 'r1', make_run('a2', 8, priority=1)),
+        ]
+        gang = Step(width=2, needs=needs(8), gang=True, estimate_s=1)
+        small = Step(width=1, needs=needs(1), estimate_s=100)
+        decided = plan(
+            rooms,
+            make_spec('j1', gang, priority=1),
+            make_spec('j2', small, priority=2),
+        )
+        self.assertEqual(placed(decided), {})
+
+    def test_a_doubted_worker_comes_last(self) -> None:
+        """Its runs have failed of late."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 4), doubt=2),
+            make_room('a2', 'r1'),
+        ]
+        step = Step(width=1, needs=needs(4))
+        decided = plan(rooms, make_spec('j1', step))
+        self.assertEqual(placed(decided), {'j1': ['a2']})
+
+
+class LimitTest(unittest.TestCase):
+    """What a step allows."""
+
+    def test_labels_and_most_per_worker_hold(self) -> None:
+        """Only labelled workers, two tasks each."""
+        rooms = [make_room(f'a{one}', 'r1') for one in range(2)]
+        rooms.append(make_room('b1', 'r2'))
+        step = Step(
+            width=9,
+            needs=needs(1),
+            required_label='r1',
+            max_per_worker=2,
+        )
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        workers = placed(decided)['j1']
+        self.assertEqual(sorted(workers), ['a0', 'a0', 'a1', 'a1'])
+
+    @given(
+        widths=st.lists(st.integers(1, 12), min_size=1, max_size=6),
+        gpus=st.lists(st.integers(1, 8), min_size=6, max_size=6),
+        gangs=st.lists(st.booleans(), min_size=6, max_size=6),
+        used=st.lists(st.integers(0, 8), min_size=4, max_size=4),
+    )
+    def test_no_room_is_given_twice_and_gangs_stay_whole(
+        self,
+        widths: list[int],
+        gpus: list[int],
+        gangs: list[bool],
+        used: list[int],
+    ) -> None:
+        """Whatever the jobs and what runs."""
+        rooms = [
+            make_room(f'w{one}', f'r{one % 2}', make_run(f'w{one}', taken))
+            for one, taken in enumerate(used)
+        ]
+        specs = [
+            make_spec(
+                f'j{one}',
+                Step(width=width, needs=needs(gpus[one]), gang=gangs[one]),
+                priority=one % 3,
+            )
+            for one, width in enumerate(widths)
+        ]
+        decided = plan(rooms, *specs)
+        taken = {f'w{one}': gpus for one, gpus in enumerate(used)}
+        for one in decided.placements:
+            step = one.ready.step
+            if step.gang:
+                self.assertEqual(len(one.workers), step.width)
+            for _, worker in one.workers:
+                taken[worker] += step.needs.gpus
+        self.assertLessEqual(max(taken.values()), 8)
