--- a/src/curranthill/dispatch/__init__.py
+++ b/src/curranthill/dispatch/__init__.py
@@ -1,8 +1,10 @@
 """The leader of a scheduling domain: election, placement, leases, recovery."""
 
 from curranthill.dispatch.election import Election
-from curranthill.dispatch.leader import Leader, RevisionSource, WorkerFeed
+from curranthill.dispatch.feeds import WorkerFeed
+from curranthill.dispatch.leader import Leader
 from curranthill.dispatch.leadership import Leadership, LeadershipLostError
+from curranthill.dispatch.rounds import RevisionSource
 from curranthill.dispatch.workers import (
     EndReport,
     LeaseOrder,
--- a/src/curranthill/dispatch/journal.py
+++ b/src/curranthill/dispatch/journal.py
@@ -67,7 +67,8 @@
                 clock=self._clock,
             )
             self._wake.clear()
-            waiting, self._next = self._next, None
+            waiting = self._next
+            self._next = None
             try:
                 await self._write_all()
             except BaseException as error:
--- /dev/null
+++ b/src/curranthill/dispatch/lease.py
@@ -0,0 +1,63 @@
+"""A worker's lease as the leader reckons it, from the worker's clock."""
+
+from typing import Final
+
+from curranthill.clock import Clock
+
+#: A worker's clock may be 2% slow; its lease then lasts so much longer.
+CLOCK_DRIFT: Final = 1.02
+
+#: Added to every lease before it counts as lapsed, in seconds: covers the
+#: error of the estimated worker clock and the time a kill takes.
+LAPSE_MARGIN_S: Final = 0.4
+
+
+class Lease:
+    """When the lease of one life of one worker ends at the latest.
+
+    :param length_s: the longest lease that the worker grants.
+    :param clock_s: the worker's steady clock when it was listed.
+    :param former_s: how long another leader may have gone on renewing.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        length_s: float,
+        clock_s: float,
+        former_s: float,
+    ) -> None:
+        """Reckon with all that a former leader may have granted."""
+        self._clock = clock
+        self._length_s = length_s
+        self._worker_clock_s = clock_s
+        self._read_s = clock.monotonic_s()
+        self._end_s = self._end_if_granted_now_s() + former_s
+
+    @property
+    def lapsed(self) -> bool:
+        """Return whether nothing can run there any more."""
+        return self._clock.monotonic_s() >= self._end_s
+
+    def grant(self) -> float:
+        """Return the end of a new lease on the worker's clock."""
+        self._end_s = max(self._end_s, self._end_if_granted_now_s())
+        since_s = self._clock.monotonic_s() - self._read_s
+        return self._worker_clock_s + since_s + self._length_s
+
+    def read_clock(self, clock_s: float) -> None:
+        """Take note of the worker's clock."""
+        self._worker_clock_s = clock_s
+        self._read_s = self._clock.monotonic_s()
+
+    def bound(self) -> None:
+        """Reckon with this leader's grants only: older orders are shut out."""
+        self._end_s = self._end_if_granted_now_s()
+
+    def _end_if_granted_now_s(self) -> float:
+        lease_s = self._length_s * CLOCK_DRIFT + LAPSE_MARGIN_S
+        return self._clock.monotonic_s() + lease_s
+
+
+__all__ = ('Lease',)
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -146,7 +146,7 @@
         """
         racks = list(_near_racks(ready.step, rooms))
         near = [rack for rack in racks if could_ever_hold(ready, rack)]
-        if near == racks == []:
+        if not racks:
             return [rooms]
         waited_s = self._now_s - job.spec.accepted_at_s
         patience_s = PATIENCE_FOR_RACK * ready.step.estimate_s
@@ -268,7 +268,7 @@
 
 def _copies(room: Room, step: Step, needs: Resources) -> int:
     """Return how many tasks of a step an idle room holds."""
-    label = step.required_label
+    label = step.label
     if label and label not in room.entry.labels:
         return 0
     copies = (
@@ -285,8 +285,8 @@
 
 def _near_racks(step: Step, rooms: list[Room]) -> Iterable[list[Room]]:
     """Yield the racks in which a step runs fast; none if it does anywhere."""
-    if step.data_rack:
-        yield [room for room in rooms if room.near(step.data_rack)]
+    if step.near_rack:
+        yield [room for room in rooms if room.near(step.near_rack)]
     elif step.same_rack:
         for rack in racks_of(rooms):
             yield [room for room in rooms if room.near(rack)]
--- a/src/curranthill/dispatch/rooms.py
+++ b/src/curranthill/dispatch/rooms.py
@@ -46,7 +46,7 @@
 
     def allows(self, key: TaskKey, step: Step) -> bool:
         """Return whether a step's own limits let a task run here."""
-        label = step.required_label
+        label = step.label
         if label and label not in self.entry.labels:
             return False
         if not step.max_per_worker:
--- /dev/null
+++ b/src/curranthill/dispatch/rounds.py
@@ -0,0 +1,205 @@
+"""Rounds of placement: a snapshot, decisions, stored starts, orders."""
+
+import asyncio
+from typing import Final, Protocol
+
+import msgspec
+
+from curranthill.clock import Clock, wait_at_most
+from curranthill.dispatch.jobs import ActiveJob, checkpoint_of
+from curranthill.dispatch.journal import Journal
+from curranthill.dispatch.leadership import LeadershipLostError
+from curranthill.dispatch.planner import Placement, Planner
+from curranthill.dispatch.rooms import Room
+from curranthill.dispatch.runs import Run
+from curranthill.dispatch.session import WorkerSession
+from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.work import Work
+from curranthill.tasks import QUEUED, RUNNING, Revision, TaskKey
+from curranthill.telemetry.events import events
+
+#: The pause between two rounds of placement, in seconds: lets news that
+#: comes together be decided together.
+ROUND_PAUSE_S: Final = 0.004
+
+#: A round is made at least so often, in seconds, for what becomes due.
+ROUND_INTERVAL_S: Final = 0.25
+
+#: A worker whose tasks failed so often within the memory is avoided.
+DISTRUST_FAILURES: Final = 2
+
+#: How long a failed run counts against its worker, in seconds.
+FAILURE_MEMORY_S: Final = 10.0
+
+
+class RevisionSource(Protocol):
+    """Holds the configuration in force."""
+
+    @property
+    def current(self) -> Revision | None:
+        """Return the configuration, or nothing before the first."""
+
+
+class Rounds:
+    """Makes rounds whenever something has changed."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        work: Work,
+        journal: Journal,
+        spawner: Spawner,
+        revision: RevisionSource,
+    ) -> None:
+        """Start without a round."""
+        self._clock = clock
+        self._work = work
+        self._journal = journal
+        self._spawner = spawner
+        self._revision = revision
+
+    async def run(self) -> None:
+        """Make a round whenever something has changed."""
+        while True:
+            await wait_at_most(
+                self._work.changed.wait(),
+                timeout_s=ROUND_INTERVAL_S,
+                clock=self._clock,
+            )
+            await self._clock.sleep(ROUND_PAUSE_S)
+            self._work.changed.clear()
+            self._plan_round()
+            self._note_pending()
+
+    def _plan_round(self) -> None:
+        if not self._work.may_order():
+            return
+        planner = Planner(
+            rooms=self._rooms(),
+            guaranteed=self._guaranteed(),
+            now_s=self._clock.wall_s(),
+            fellows=self._fellows(),
+        )
+        plan = planner.plan(self._work.jobs.values())
+        for run in plan.victims:
+            events.log(
+                'preempted',
+                task=str(run.key),
+                attempt=run.attempt,
+                worker=run.worker_id,
+                done_percent=run.done_percent,
+            )
+            self._work.stop_run(run)
+        for placement in plan.placements:
+            self._mark(placement)
+
+    def _rooms(self) -> dict[str, list[Room]]:
+        rooms: dict[str, list[Room]] = {}
+        for session in self._work.sessions.values():
+            if not session.accepts_work:
+                continue
+            room = Room(
+                entry=session.entry,
+                runs=session.runs.values(),
+                doubt=self._doubt(session),
+            )
+            rooms.setdefault(session.entry.service, []).append(room)
+        return rooms
+
+    def _doubt(self, session: WorkerSession) -> float:
+        """Return how many runs failed at a worker of late."""
+        oldest_s = self._clock.monotonic_s() - FAILURE_MEMORY_S
+        recent = [one for one in session.failed_ends_s if one > oldest_s]
+        session.failed_ends_s = recent
+        return len(recent) if len(recent) >= DISTRUST_FAILURES else 0
+
+    def _guaranteed(self) -> dict[str, int]:
+        revision = self._revision.current
+        if revision is None:
+            return {}
+        return {one.name: one.guaranteed_gpus for one in revision.workspaces}
+
+    def _fellows(self) -> dict[tuple[TaskKey, int], list[Run]]:
+        """Return, for runs of gangs, the runs that end with them."""
+        fellows: dict[tuple[TaskKey, int], list[Run]] = {}
+        for job in self._work.jobs.values():
+            if not any(step.gang for step in job.spec.steps):
+                continue
+            for run in job.runs.values():
+                members = job.members_of(run.key)
+                fellows[run.name] = [
+                    job.runs[key] for key in members if key in job.runs
+                ]
+        return fellows
+
+    def _mark(self, placement: Placement) -> None:
+        """Store the starts, then order them."""
+        job = placement.job
+        tasks = tuple(key for key, _ in placement.workers)
+        gang = placement.ready.step.gang
+        shared = job.next_attempt(tasks)
+        checkpoint = ''
+        if gang:
+            checkpoint = checkpoint_of(
+                [job.progress.task(key) for key in tasks],
+            )
+        runs = []
+        for key, worker_id in placement.workers:
+            attempt = shared if gang else job.next_attempt((key,))
+            task = job.progress.task(key)
+            task.attempt = attempt
+            task.worker = worker_id
+            run = self._work.new_run(
+                job,
+                key,
+                attempt,
+                self._work.sessions[worker_id],
+            )
+            run.checkpoint = checkpoint if gang else task.checkpoint
+            runs.append(run)
+        if job.progress.state == QUEUED:
+            job.progress.state = RUNNING
+        events.log(
+            'placed',
+            job=job.spec.job_id,
+            step=placement.ready.number,
+            occurrence=placement.ready.occurrence,
+            tasks=[f'{run.key.rank}@{run.worker_id}' for run in runs],
+            attempt=shared,
+        )
+        self._journal.note(job)
+        self._spawner.spawn(self._start(job, runs))
+
+    async def _start(self, job: ActiveJob, runs: list[Run]) -> None:
+        """Order the starts once they are stored, one worker after another."""
+        try:
+            await self._journal.saved()
+        except LeadershipLostError:
+            return
+        by_worker: dict[str, list[Run]] = {}
+        for run in runs:
+            by_worker.setdefault(run.worker_id, []).append(run)
+        await asyncio.gather(
+            *(self._start_at(job, group) for group in by_worker.values()),
+        )
+
+    async def _start_at(self, job: ActiveJob, runs: list[Run]) -> None:
+        session = self._work.sessions[runs[0].worker_id]
+        for run in runs:
+            if job.ended:
+                await session.stop(run)
+            else:
+                await session.start(run, job.spec.payload)
+
+    def _note_pending(self) -> None:
+        """Count each queue's jobs of which nothing has started."""
+        counts: dict[str, int] = {}
+        for job in self._work.jobs.values():
+            if not job.ended and not job.begun:
+                name = job.spec.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        self._journal.note_pending(msgspec.json.encode(counts))
+
+
+__all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -10,6 +10,7 @@
 from typing import Final, Protocol
 
 from curranthill.clock import Clock
+from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.runs import (
     MARKED,
     ORDERED,
@@ -45,13 +46,6 @@
 #: The pause after a renewal without an answer, in seconds.
 MISSED_DELAY_S: Final = 0.25
 
-#: A worker's clock may be 2% slow; its lease then lasts so much longer.
-CLOCK_DRIFT: Final = 1.02
-
-#: Added to every lease before it counts as lapsed, in seconds: covers the
-#: error of the estimated worker clock and the time a kill takes.
-LAPSE_MARGIN_S: Final = 0.4
-
 #: How long a leader that cannot write goes on renewing leases, in seconds:
 #: longer than the outages of the store that work should survive. A successor
 #: waits as long before it takes an unreachable worker's lease as lapsed.
@@ -122,14 +116,15 @@
         self._worker = worker
         self._owner = owner
         self._clock = clock
-        self._timing = timing
         self._token = epoch * RAISES_PER_EPOCH
         self._acknowledged = 0
         self._noted = 0
-        self._worker_clock_s = entry.clock_s
-        self._clock_read_s = clock.monotonic_s()
-        # A former leader may have gone on renewing for so long.
-        self._lapse_s = self._lease_end_s() + RENEW_WITHOUT_STORE_S
+        self._lease = Lease(
+            clock=clock,
+            length_s=timing.lease_s,
+            clock_s=entry.clock_s,
+            former_s=RENEW_WITHOUT_STORE_S,
+        )
         self._urgent = asyncio.Event()
         self._order_turn = asyncio.Lock()
 
@@ -141,13 +136,9 @@
     @property
     def accepts_work(self) -> bool:
         """Return whether new tasks may be placed here."""
-        return (
-            self.listed
-            and self.reachable
-            and self.synced
-            and not self.gone
-            and not self.entry.leaving
-        )
+        if self.gone or self.entry.leaving:
+            return False
+        return self.listed and self.reachable and self.synced
 
     @property
     def token(self) -> int:
@@ -190,7 +181,7 @@
                 task=run.key,
                 attempt=run.attempt,
                 payload=payload,
-                deadline_s=self._next_deadline_s(),
+                deadline_s=self._lease.grant(),
                 token=self._token,
                 checkpoint=run.checkpoint,
                 ticket=ticket,
@@ -229,7 +220,7 @@
         except RejectedError as rejected:
             self._start_rejected(run, rejected)
         except WorkerGoneError:
-            self._end_life()
+            self.end_life()
         except WorkerError as error:
             events.log(
                 'start_unanswered',
@@ -242,7 +233,7 @@
                 run.state = UNKNOWN
             self._raise_token()
         else:
-            self._read_clock(clock_s)
+            self._lease.read_clock(clock_s)
             run.settled_s = self._clock.monotonic_s()
             run.percent_changed_s = run.settled_s
             if run.state == ORDERED:
@@ -282,7 +273,7 @@
             acknowledged=self._acknowledged,
             # A worker that does not answer is only looked at: were its lease
             # extended by calls that may yet arrive, it would never lapse.
-            deadline_s=self._next_deadline_s() if self.reachable else 0.0,
+            deadline_s=self._lease.grant() if self.reachable else 0.0,
             wait_s=self._renewal_wait_s(),
         )
         sent_s = self._clock.monotonic_s()
@@ -292,7 +283,7 @@
             self._renewal_rejected(order, rejected)
             await self._clock.sleep(MISSED_DELAY_S)
         except WorkerGoneError:
-            self._end_life()
+            self.end_life()
         except WorkerError as error:
             await self._missed(error)
         else:
@@ -322,22 +313,6 @@
             return 0.0
         return RENEWAL_WAIT_S if self.runs else 0.0
 
-    def _next_deadline_s(self) -> float:
-        """Return the end of a new lease on the worker's clock."""
-        now_s = self._clock.monotonic_s()
-        worker_now_s = self._worker_clock_s + now_s - self._clock_read_s
-        self._lapse_s = max(self._lapse_s, self._lease_end_s())
-        return worker_now_s + self._timing.lease_s
-
-    def _lease_end_s(self) -> float:
-        """Return when a lease given now has surely lapsed, on our clock."""
-        lease_s = self._timing.lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
-        return self._clock.monotonic_s() + lease_s
-
-    def _read_clock(self, clock_s: float) -> None:
-        self._worker_clock_s = clock_s
-        self._clock_read_s = self._clock.monotonic_s()
-
     def _renewal_rejected(
         self,
         order: LeaseOrder,
@@ -369,12 +344,12 @@
 
     def _check_lapse(self) -> None:
         """Give up all runs once no lease can reach this far."""
-        if self._clock.monotonic_s() < self._lapse_s:
+        if not self._lease.lapsed:
             return
         for run in list(self.runs.values()):
             self._vanish(run, 'lease lapsed')
         if not self.listed:
-            self._end_life()
+            self.end_life()
 
     def _raise_token(self) -> None:
         self._token += 1
@@ -384,7 +359,8 @@
                 run.state = UNKNOWN
         self._urgent.set()
 
-    def _end_life(self) -> None:
+    def end_life(self) -> None:
+        """Take this life of the worker as over."""
         if self.gone:
             return
         self.gone = True
@@ -394,24 +370,20 @@
         self._urgent.set()
         self._owner.session_changed(self)
 
-    def end_life(self) -> None:
-        """Take this life of the worker as over."""
-        self._end_life()
-
     async def _take(
         self,
         report: LeaseReport,
         order: LeaseOrder,
         sent_s: float,
     ) -> None:
-        self._read_clock(report.clock_s)
+        self._lease.read_clock(report.clock_s)
         if not self.reachable:
             self.reachable = True
             events.log('worker_reachable', worker=self.worker_id)
         if order.token == self._token:
             self.synced = True
             # Orders of lower tokens are shut out, so no lease is longer.
-            self._lapse_s = self._lease_end_s()
+            self._lease.bound()
         seen = {(one.task, one.attempt) for one in report.runs}
         new_ends = [end for end in report.ends if end.number > self._noted]
         seen.update((end.task, end.attempt) for end in new_ends)
--- /dev/null
+++ b/src/curranthill/dispatch/spawner.py
@@ -0,0 +1,47 @@
+"""Tasks of one term, ended together."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from curranthill.dispatch.leadership import LeadershipLostError
+from curranthill.telemetry.events import events
+
+
+class Spawner:
+    """Runs tasks; one that fails ends the term.
+
+    :param over: set once the term is over.
+    """
+
+    def __init__(self) -> None:
+        """Start without tasks."""
+        self.over = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a task until it ends or the term does."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    async def end(self) -> None:
+        """Cancel what is left."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is None:
+            return
+        if not isinstance(error, LeadershipLostError):
+            events.log('task_failed', error=repr(error))
+        self.over.set()
+
+
+__all__ = ('Spawner',)
--- /dev/null
+++ b/src/curranthill/dispatch/work.py
@@ -0,0 +1,273 @@
+"""The work of one term: jobs, their runs, and what is learnt of both.
+
+Whatever is kept here is in the store or at the workers too, so that any host
+can take over.
+"""
+
+import asyncio
+from typing import Final
+
+from curranthill.clock import Clock
+from curranthill.dispatch.jobs import ActiveJob
+from curranthill.dispatch.journal import Journal
+from curranthill.dispatch.leadership import Leadership
+from curranthill.dispatch.rooms import room_needed
+from curranthill.dispatch.runs import MARKED, STOPPING, UNKNOWN, Run
+from curranthill.dispatch.session import RENEW_WITHOUT_STORE_S, WorkerSession
+from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.workers import DONE, RUN_FAILED, EndReport
+from curranthill.tasks import (
+    CANCELLED,
+    FAILED,
+    JobProgress,
+    JobSpec,
+    JobState,
+    Resources,
+    TaskKey,
+)
+from curranthill.telemetry.events import events
+
+#: Orders are given only so long after a confirmed write, in seconds: below
+#: the silence after which another host takes over.
+ORDER_FRESHNESS_S: Final = 1.2
+
+
+class Work:
+    """Jobs and runs; told by sessions, asked by rounds, stored by a journal.
+
+    :param changed: set whenever a round of placement may find something new.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        leadership: Leadership,
+        journal: Journal,
+        spawner: Spawner,
+    ) -> None:
+        """Start without jobs and workers."""
+        self.jobs: dict[str, ActiveJob] = {}
+        self.sessions: dict[str, WorkerSession] = {}
+        self.changed = asyncio.Event()
+        self._clock = clock
+        self._leadership = leadership
+        self._journal = journal
+        self._spawner = spawner
+        self._cancelled: set[str] = set()
+
+    # What sessions ask and tell.
+
+    def may_renew(self) -> bool:
+        """Return whether leases may still be extended."""
+        return self._leadership.age_s < RENEW_WITHOUT_STORE_S
+
+    def may_order(self) -> bool:
+        """Return whether starts and stops may still be ordered."""
+        lost = self._leadership.lost
+        return not lost and self._leadership.age_s < ORDER_FRESHNESS_S
+
+    def session_changed(self, session: WorkerSession) -> None:
+        """Make a round soon."""
+        self.changed.set()
+
+    def run_reported(self, session: WorkerSession, run: Run) -> None:
+        """Keep the newest checkpoint; stop runs of jobs that are over."""
+        job = self.jobs.get(run.key.job_id)
+        if job is None or job.ended or job.runs.get(run.key) is not run:
+            self._spawner.spawn(session.stop(run))
+            return
+        if run.checkpoint:
+            job.progress.task(run.key).checkpoint = run.checkpoint
+
+    def run_ended(self, session: WorkerSession, end: EndReport) -> None:
+        """Note an end in its job's progress, if it is the newest run's."""
+        events.log(
+            'run_ended',
+            task=str(end.task),
+            attempt=end.attempt,
+            how=end.kind,
+            worker=session.worker_id,
+            number=end.number,
+        )
+        if end.kind == RUN_FAILED:
+            session.failed_ends_s.append(self._clock.monotonic_s())
+        elif end.kind == DONE:
+            session.failed_ends_s.clear()
+        job = self.jobs.get(end.task.job_id)
+        if job is None:
+            return
+        run = job.runs.get(end.task)
+        if run is not None and run.attempt == end.attempt:
+            job.runs.pop(end.task)
+        if self._counts(job, end, session.worker_id):
+            self._note_end(job, end)
+            self._journal.note(job)
+            self.changed.set()
+
+    def run_vanished(
+        self,
+        session: WorkerSession,
+        run: Run,
+        reason: str,
+    ) -> None:
+        """Let the task start anew: this run will never exist again."""
+        events.log(
+            'run_vanished',
+            task=str(run.key),
+            attempt=run.attempt,
+            worker=session.worker_id,
+            reason=reason,
+        )
+        self.changed.set()
+        job = self.jobs.get(run.key.job_id)
+        if job is None:
+            return
+        if job.runs.get(run.key) is run:
+            job.runs.pop(run.key)
+        task = job.progress.peek(run.key)
+        if task is None or task.attempt != run.attempt or task.done:
+            return
+        task.worker = ''
+        self._stop_fellows(job, run.key, run.attempt)
+        self._journal.note(job)
+
+    def needs_of(self, key: TaskKey) -> Resources:
+        """Return the room a task takes."""
+        job = self.jobs.get(key.job_id)
+        if job is None or key.step >= len(job.spec.steps):
+            return Resources()
+        return room_needed(job.step_of(key))
+
+    async def ends_saved(self) -> None:
+        """Return once all ends noted so far are stored."""
+        await self._journal.saved()
+
+    # Jobs.
+
+    def take_job(self, spec: JobSpec, progress: JobProgress) -> ActiveJob:
+        """Take in an accepted job."""
+        job = ActiveJob(spec=spec, progress=progress)
+        self.jobs[spec.job_id] = job
+        if spec.job_id in self._cancelled:
+            self.cancel(spec.job_id)
+        return job
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job, known already or not."""
+        self._cancelled.add(job_id)
+        job = self.jobs.get(job_id)
+        if job is not None and not job.ended:
+            self._end_job(job, CANCELLED)
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job that ended long ago."""
+        self.jobs.pop(job_id)
+        self._cancelled.discard(job_id)
+
+    def new_run(
+        self,
+        job: ActiveJob,
+        key: TaskKey,
+        attempt: int,
+        session: WorkerSession,
+    ) -> Run:
+        """Add a run that takes room at its worker from now on."""
+        run = Run(
+            key=key,
+            attempt=attempt,
+            worker_id=session.worker_id,
+            needs=room_needed(job.step_of(key)),
+            priority=job.spec.queue.priority,
+            checkpointable=job.step_of(key).checkpointable,
+            state=MARKED,
+            now_s=self._clock.monotonic_s(),
+        )
+        session.runs[run.name] = run
+        job.runs[key] = run
+        return run
+
+    def recover_run(
+        self,
+        job: ActiveJob,
+        key: TaskKey,
+        session: WorkerSession,
+    ) -> None:
+        """Take a stored mark as a run that may exist."""
+        task = job.progress.task(key)
+        run = self.new_run(job, key, task.attempt, session)
+        run.state = UNKNOWN
+        run.checkpoint = task.checkpoint
+        session.wake()
+
+    # Ends.
+
+    def _counts(self, job: ActiveJob, end: EndReport, worker_id: str) -> bool:
+        """Return whether an end is that of the task's newest run."""
+        task = job.progress.peek(end.task)
+        if task is None or task.attempt != end.attempt or job.ended:
+            return False
+        return task.done or task.worker == worker_id
+
+    def _note_end(self, job: ActiveJob, end: EndReport) -> None:
+        task = job.progress.task(end.task)
+        task.worker = ''
+        if end.checkpoint and job.step_of(end.task).checkpointable:
+            task.checkpoint = end.checkpoint
+        if end.kind == DONE:
+            self._note_done(job, end)
+        elif end.kind == RUN_FAILED:
+            self._note_failure(job, end)
+        elif not task.done:
+            self._stop_fellows(job, end.task, end.attempt)
+
+    def _note_done(self, job: ActiveJob, end: EndReport) -> None:
+        for key in job.members_of(end.task):
+            task = job.progress.task(key)
+            task.done = True
+            task.worker = ''
+        now_s = self._clock.wall_s()
+        if job.check_completed(now_s):
+            events.log(
+                'job_completed',
+                job=job.spec.job_id,
+                took_s=round(now_s - job.spec.accepted_at_s, 2),
+                late_s=round(now_s - job.spec.objective_s, 2),
+            )
+
+    def _note_failure(self, job: ActiveJob, end: EndReport) -> None:
+        failures = 0
+        for key in job.members_of(end.task):
+            task = job.progress.task(key)
+            task.failures += 1
+            failures = max(failures, task.failures)
+        self._stop_fellows(job, end.task, end.attempt)
+        if job.step_of(end.task).perpetual:
+            return
+        if failures >= job.spec.queue.attempts:
+            self._end_job(job, FAILED)
+
+    def _stop_fellows(self, job: ActiveJob, key: TaskKey, attempt: int) -> None:
+        """Stop the rest of a gang that lost one of its members."""
+        for member in job.members_of(key):
+            run = job.runs.get(member)
+            if run is not None and run.attempt == attempt and member != key:
+                self.stop_run(run)
+
+    def _end_job(self, job: ActiveJob, state: JobState) -> None:
+        """Make a job's state final and stop what it still runs."""
+        job.progress.state = state
+        job.progress.ended_at_s = self._clock.wall_s()
+        events.log('job_ended', job=job.spec.job_id, state=state)
+        for run in list(job.runs.values()):
+            self.stop_run(run)
+        self._journal.note(job)
+
+    def stop_run(self, run: Run) -> None:
+        """Order a run to stop, unless it is stopping already."""
+        session = self.sessions.get(run.worker_id)
+        if session is not None and run.state != STOPPING:
+            self._spawner.spawn(session.stop(run))
+
+
+__all__ = ('Work',)
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -75,27 +75,17 @@
         if not self._health.reachable:
             # Known to be away: refuse at once instead of after a timeout.
             raise self._refusal(spec.job_id, None, uncertain=False)
-        until_s = self._clock.monotonic_s() + min(
-            patience_s,
-            UNCERTAIN_PATIENCE_S,
-        )
-        refused_until_s = self._clock.monotonic_s() + REFUSED_PATIENCE_S
+        began_s = self._clock.monotonic_s()
         uncertain = False
         while True:
-            try:
-                await self._insert(spec)
-            except ReplyLostError as error:
-                uncertain = True
-                reason: StorageError = error
-            except StorageError as error:
-                reason = error
-            else:
+            failure = await self._try_insert(spec)
+            if failure is None:
                 return
-            now_s = self._clock.monotonic_s()
-            if now_s > (
-                until_s if uncertain else min(refused_until_s, until_s)
-            ):
-                raise self._refusal(spec.job_id, reason, uncertain=uncertain)
+            uncertain = uncertain or isinstance(failure, ReplyLostError)
+            most_s = UNCERTAIN_PATIENCE_S if uncertain else REFUSED_PATIENCE_S
+            tried_s = self._clock.monotonic_s() - began_s
+            if tried_s > min(most_s, patience_s):
+                raise self._refusal(spec.job_id, failure, uncertain=uncertain)
             await self._clock.sleep(RETRY_DELAY_S)
 
     async def state(self, job_id: str) -> str | None:
@@ -155,7 +145,8 @@
             if job.queue == queue and job.state == QUEUED and not job.tasks
         )
 
-    async def _insert(self, spec: JobSpec) -> None:
+    async def _try_insert(self, spec: JobSpec) -> StorageError | None:
+        """Store a job; return what went wrong, if anything."""
         progress = JobProgress(queue=spec.queue.name)
         try:
             await self._store.commit(
@@ -167,6 +158,9 @@
             )
         except RowConflictError:
             events.log('accepted_before', job=spec.job_id)
+        except StorageError as error:
+            return error
+        return None
 
     async def _progress(self, job_id: str) -> JobProgress | None:
         until_s = self._clock.monotonic_s() + REFUSED_PATIENCE_S
--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -18,6 +18,9 @@
 #: The pause after a failed reading, in seconds.
 RETRY_S: Final = 0.2
 
+#: What a malformed row may raise when it is decoded.
+MALFORMED: Final = (KeyError, ValueError, TypeError, msgspec.MsgspecError)
+
 RevisionDecoder = Callable[[StoredRow], Revision | None]
 
 
@@ -73,12 +76,7 @@
         for row in rows:
             try:
                 revision = self._decode(row)
-            except (
-                KeyError,
-                ValueError,
-                TypeError,
-                msgspec.MsgspecError,
-            ) as error:
+            except MALFORMED as error:
                 events.log('revision_bad', key=row.key, error=repr(error))
                 continue
             if revision is not None:
--- a/src/curranthill/platform/configuration.py
+++ b/src/curranthill/platform/configuration.py
@@ -51,7 +51,7 @@
 def _workspace(tenant: dict[str, Any]) -> WorkspacePromise:
     return WorkspacePromise(
         name=tenant['name'],
-        api_keys=tuple(tenant.get('api_keys', ())),
+        keys=tuple(tenant.get('api_keys', ())),
         guaranteed_gpus=tenant.get('guaranteed', {}).get('gpu', 0),
     )
 
@@ -78,8 +78,8 @@
         after=tuple(fields.get('after', ())),
         gang=bool(fields.get('gang')),
         same_rack=bool(fields.get('same_rack')),
-        data_rack=fields.get('data_rack', ''),
-        required_label=fields.get('required_label', ''),
+        near_rack=fields.get('data_rack', ''),
+        label=fields.get('required_label', ''),
         # Per worker and occurrence, though named after a server.
         max_per_worker=fields.get('max_per_server', 0),
         checkpointable=bool(fields.get('checkpointable')),
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -51,7 +51,7 @@
     try:
         fields = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
         return _settings(fields)
-    except (OSError, KeyError, ValueError, msgspec.MsgspecError) as error:
+    except (OSError, KeyError, ValueError) as error:
         raise SettingsError(
             f'The settings file {path} cannot be used: {error!r}.',
             step='settings',
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -207,7 +207,8 @@
 
 
 def _end(row: list[Any]) -> EndReport:
-    number, task, attempt, kind, checkpoint = row[:5]
+    number, task, *rest = row
+    attempt, kind, checkpoint = rest[:3]
     return EndReport(number, TaskKey.parse(task), attempt, kind, checkpoint)
 
 
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -91,8 +91,9 @@
         """Stop a run."""
         await self._pass('stop')
         self._check_token(token, 'stop')
-        if (task, attempt) in self.runs:
-            self._end(self.runs[(task, attempt)], 'stopped')
+        run = self.runs.get((task, attempt))
+        if run is not None:
+            self._end(run, 'stopped')
         self._ended.add((task, attempt))
         return self.clock.monotonic_s()
 
--- a/src/curranthill/tasks/records.py
+++ b/src/curranthill/tasks/records.py
@@ -54,7 +54,7 @@
     :param after: numbers of earlier steps that must be done first.
     :param gang: the tasks run together or not at all.
     :param same_rack: the tasks run slower over more than one rack.
-    :param data_rack: the rack near which the tasks run fast, if any.
+    :param near_rack: the rack near which the tasks run fast, if any.
     :param max_per_worker: most tasks of an occurrence on one worker; 0: any.
     :param perpetual: the tasks run until the job is cancelled.
     :param may_miss: tasks that may be away at once by the system's doing.
@@ -68,8 +68,8 @@
     after: tuple[int, ...] = ()
     gang: bool = False
     same_rack: bool = False
-    data_rack: str = ''
-    required_label: str = ''
+    near_rack: str = ''
+    label: str = ''
     max_per_worker: int = 0
     checkpointable: bool = False
     speculative: bool = False
@@ -180,7 +180,7 @@
     """A workspace, its callers' keys and its guaranteed accelerators."""
 
     name: str
-    api_keys: tuple[str, ...] = ()
+    keys: tuple[str, ...] = ()
     guaranteed_gpus: int = 0
 
 
@@ -217,7 +217,7 @@
     def workspace_of(self, api_key: str) -> WorkspacePromise | None:
         """Return the workspace that holds a key, if any."""
         for workspace in self.workspaces:
-            if api_key in workspace.api_keys:
+            if api_key in workspace.keys:
                 return workspace
         return None
 
