One follower of tables; a run is chosen as a victim once

The loop that follows a table stood twice. Change: a run counts as stopping from the decision on; storage.follower serves the configuration and the leader and logs only the first failure of a series.

--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -10,8 +10,8 @@
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
 from curranthill.dispatch.workers import WorkerConnector, WorkerEntry
-from curranthill.errors import StorageError
-from curranthill.storage.rows import HistoryLostError, RowStore, StoredRow
+from curranthill.storage.follower import RowsTaker, TableFollower
+from curranthill.storage.rows import RowStore, StoredRow
 from curranthill.tasks import (
     JobProgress,
     JobSpec,
@@ -23,14 +23,6 @@
 )
 from curranthill.telemetry.events import events
 
-#: The pause after a failed read of the store, in seconds.
-READ_RETRY_S: Final = 0.2
-
-#: How long one reading of a feed waits at the store, in seconds: a reading
-#: that was lost in an outage is found out and repeated so soon.
-FEED_WAIT_S: Final = 1.0
-
-
 #: What a malformed row may raise when it is decoded.
 _MALFORMED: Final = (KeyError, ValueError, TypeError, msgspec.MsgspecError)
 
@@ -73,86 +65,81 @@
         self._worker_feed = worker_feed
         self._timing = timing
         self._epoch = epoch
+        self._progress: dict[str, bytes] = {}
 
     async def start(self) -> None:
         """Read everything once, then follow what changes."""
         # Jobs first: an end that a worker reports must find its job.
-        intake = await self._load_jobs()
-        workers = await self._load_workers()
-        self._spawner.spawn(self._follow(self._worker_feed.table, workers))
-        self._spawner.spawn(self._follow(tables.INTAKE, intake))
-
-    async def _load_workers(self) -> int:
-        """Open a session with each listed worker; return the version."""
-        while True:
-            try:
-                listed = await self._store.scan(self._worker_feed.table)
-            except StorageError as error:
-                await self._read_failed(self._worker_feed.table, error)
-                continue
-            self._take_workers_anew(listed.rows)
-            return listed.version
+        intake = self._follower(tables.INTAKE, self._take_jobs, self._take_jobs)
+        await self._read_progress()
+        await intake.read()
+        self._progress.clear()
+        workers = self._follower(
+            self._worker_feed.table,
+            self._take_workers_anew,
+            self._take_workers,
+        )
+        await workers.read()
+        self._spawner.spawn(intake.follow())
+        self._spawner.spawn(workers.follow())
+
+    def _follower(
+        self,
+        table: str,
+        take_all: RowsTaker,
+        take_changes: RowsTaker,
+    ) -> TableFollower:
+        return TableFollower(
+            store=self._store,
+            clock=self._clock,
+            table=table,
+            take_all=take_all,
+            take_changes=take_changes,
+        )
+
+    async def _read_progress(self) -> None:
+        """Read how far all jobs have come.
+
+        Only the leader writes progress, so what is read here is still true
+        when the jobs are read, and a job accepted in between has none.
+        """
+        progress = self._follower(
+            tables.PROGRESS,
+            self._take_progress,
+            self._take_progress,
+        )
+        await progress.read()
+
+    def _take_progress(self, rows: tuple[StoredRow, ...]) -> None:
+        self._progress.update({row.key: row.content for row in rows})
+
+    def _take_jobs(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            self._take_intake(row)
+        self._work.changed.set()
 
     def _take_workers_anew(self, rows: tuple[StoredRow, ...]) -> None:
         present = {row.key for row in rows}
-        for worker_id, session in self._work.sessions.items():
+        for worker_id in list(self._work.sessions):
             if worker_id not in present:
-                session.listed = False
-                session.wake()
+                self._delist(worker_id)
+        self._take_workers(rows)
+
+    def _take_workers(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            self._take_worker(row)
-
-    async def _load_jobs(self) -> int:
-        """Read all jobs with their progress; return the intake's version."""
-        while True:
-            try:
-                intake = await self._store.scan(tables.INTAKE)
-                progress = await self._store.scan(tables.PROGRESS)
-            except StorageError as error:
-                await self._read_failed(tables.INTAKE, error)
-                continue
-            known = {row.key: row.content for row in progress.rows}
-            for row in intake.rows:
-                self._take_intake(row, known.get(row.key))
-            return intake.version
-
-    async def _follow(self, table: str, version: int) -> None:
-        """Take in changes of one table as they come."""
-        while True:
-            try:
-                changes = await self._store.changes(table, version, FEED_WAIT_S)
-            except HistoryLostError:
-                events.log('feed_history_lost', table=table)
-                version = await self._read_again(table)
-                continue
-            except StorageError as error:
-                await self._read_failed(table, error)
-                continue
-            version = max(version, changes.version)
-            for row in changes.rows:
-                self._take_row(table, row)
-
-    async def _read_again(self, table: str) -> int:
-        if table == tables.INTAKE:
-            return await self._load_jobs()
-        return await self._load_workers()
-
-    async def _read_failed(self, table: str, error: StorageError) -> None:
-        events.log('store_read_failed', table=table, error=str(error))
-        await self._clock.sleep(READ_RETRY_S)
-
-    def _take_row(self, table: str, row: StoredRow) -> None:
-        if table == tables.INTAKE:
-            self._take_intake(row, None)
-        elif row.removed:
-            session = self._work.sessions.get(row.key)
-            if session is not None:
-                session.listed = False
-                session.wake()
-        else:
-            self._take_worker(row)
+            if row.removed:
+                self._delist(row.key)
+            else:
+                self._take_worker(row)
         self._work.changed.set()
 
+    def _delist(self, worker_id: str) -> None:
+        session = self._work.sessions.get(worker_id)
+        if session is not None and session.listed:
+            events.log('worker_delisted', worker=worker_id)
+            session.listed = False
+            session.wake()
+
     def _take_worker(self, row: StoredRow) -> None:
         try:
             entry = self._worker_feed.decode(row)
@@ -182,7 +169,7 @@
         self._spawner.spawn(session.run())
         return session
 
-    def _take_intake(self, row: StoredRow, progress: bytes | None) -> None:
+    def _take_intake(self, row: StoredRow) -> None:
         if row.removed:
             return
         if row.key.endswith(tables.CANCEL_SUFFIX):
@@ -192,6 +179,7 @@
             return
         spec = decode(row.content, JobSpec)
         state = JobProgress(queue=spec.queue.name)
+        progress = self._progress.get(spec.job_id)
         if progress is not None:
             state = decode(progress, JobProgress)
         job = self._work.take_job(spec, state)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -266,8 +266,13 @@
     def stop_run(self, run: Run) -> None:
         """Order a run to stop, unless it is stopping already."""
         session = self.sessions.get(run.worker_id)
-        if session is not None and run.state != STOPPING:
-            self._spawner.spawn(session.stop(run))
+        if session is None or run.state == STOPPING:
+            return
+        if run.state != MARKED:
+            # From now on its room counts as becoming free.
+            run.state = STOPPING
+            run.stop_sent_s = self._clock.monotonic_s()
+        self._spawner.spawn(session.stop(run))
 
 
 __all__ = ('Work',)
--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -6,18 +6,11 @@
 import msgspec
 
 from curranthill.clock import Clock
-from curranthill.errors import StorageError
-from curranthill.storage.rows import HistoryLostError, RowStore, StoredRow
+from curranthill.storage.follower import TableFollower
+from curranthill.storage.rows import RowStore, StoredRow
 from curranthill.tasks import Revision
 from curranthill.telemetry.events import events
 
-#: How long one reading of the feed waits at the store, in seconds: a reading
-#: lost in an outage is repeated in time for a change to be in force in 2 s.
-FEED_WAIT_S: Final = 1.0
-
-#: The pause after a failed reading, in seconds.
-RETRY_S: Final = 0.2
-
 #: What a malformed row may raise when it is decoded.
 MALFORMED: Final = (KeyError, ValueError, TypeError, msgspec.MsgspecError)
 
@@ -40,37 +33,19 @@
     ) -> None:
         """Start without a configuration."""
         self.current: Revision | None = None
-        self._store = store
-        self._clock = clock
-        self._table = table
         self._decode = decode
+        self._follower = TableFollower(
+            store=store,
+            clock=clock,
+            table=table,
+            take_all=self._take,
+            take_changes=self._take,
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        version: int | None = None
-        while True:
-            try:
-                if version is None:
-                    changes = await self._store.scan(self._table)
-                else:
-                    changes = await self._store.changes(
-                        self._table,
-                        version,
-                        FEED_WAIT_S,
-                    )
-            except HistoryLostError:
-                events.log('feed_history_lost', table=self._table)
-                version = None
-            except StorageError as error:
-                events.log(
-                    'store_read_failed',
-                    table=self._table,
-                    error=str(error),
-                )
-                await self._clock.sleep(RETRY_S)
-            else:
-                version = max(version or 0, changes.version)
-                self._take(changes.rows)
+        await self._follower.read()
+        await self._follower.follow()
 
     def _take(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
--- /dev/null
+++ b/src/curranthill/storage/follower.py
@@ -0,0 +1,111 @@
+"""Follows one table of the store: all rows first, then what changes."""
+
+from collections.abc import Callable
+from typing import Final
+
+from curranthill.clock import Clock
+from curranthill.errors import StorageError
+from curranthill.storage.rows import (
+    HistoryLostError,
+    RowChanges,
+    RowStore,
+    StoredRow,
+)
+from curranthill.telemetry.events import events
+
+#: How long one reading of a feed waits at the store, in seconds: a reading
+#: that was lost in an outage is found out and repeated so soon, which leaves
+#: time for a change of the configuration to be in force everywhere in 2 s.
+FEED_WAIT_S: Final = 1.0
+
+#: The pause after a failed reading, in seconds.
+RETRY_S: Final = 0.2
+
+RowsTaker = Callable[[tuple[StoredRow, ...]], None]
+
+
+class TableFollower:
+    """Reads a table anew whenever the feed's history is lost.
+
+    :param take_all: is given all rows of the table.
+    :param take_changes: is given changed and removed rows, in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        clock: Clock,
+        table: str,
+        take_all: RowsTaker,
+        take_changes: RowsTaker,
+    ) -> None:
+        """Start with nothing read."""
+        self._store = store
+        self._clock = clock
+        self._table = table
+        self._take_all = take_all
+        self._take_changes = take_changes
+        self._version = 0
+        self._failures = 0
+
+    async def read(self) -> None:
+        """Read the whole table; return once it is read."""
+        while True:
+            try:
+                listed = await self._store.scan(self._table)
+            except StorageError as error:
+                await self._wait_after(error)
+                continue
+            self._answered()
+            self._version = listed.version
+            self._take_all(listed.rows)
+            return
+
+    async def follow(self) -> None:
+        """Take changes as they come, until cancelled."""
+        while True:
+            try:
+                changes = await self._changes()
+            except HistoryLostError:
+                events.log('feed_history_lost', table=self._table)
+                await self.read()
+                continue
+            except StorageError as error:
+                await self._wait_after(error)
+                continue
+            self._answered()
+            self._version = max(self._version, changes.version)
+            if changes.rows:
+                self._take_changes(changes.rows)
+
+    async def _changes(self) -> RowChanges:
+        return await self._store.changes(
+            self._table,
+            self._version,
+            FEED_WAIT_S,
+        )
+
+    async def _wait_after(self, error: StorageError) -> None:
+        """Log only the first failure of a series: an outage has hundreds."""
+        if not self._failures:
+            events.log(
+                'table_unreadable',
+                table=self._table,
+                version=self._version,
+                error=str(error),
+            )
+        self._failures += 1
+        await self._clock.sleep(RETRY_S)
+
+    def _answered(self) -> None:
+        if self._failures:
+            events.log(
+                'table_readable',
+                table=self._table,
+                failures=self._failures,
+            )
+        self._failures = 0
+
+
+__all__ = ('RowsTaker', 'TableFollower')
