A model of the leader's protocol: marks, raised tokens, late orders, lapse

Cause: the model covered the gang protocol of the stand-ins only. Ruled out: a model of many tasks (one task, two leaders, two workers, one cut meet all steps).

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Check the model exhaustively, and that both broken variants are found wrong.
+# Check the model exhaustively, and that all broken variants are found wrong.
 set -eu
 cd "$(dirname "$0")"
 if ! command -v spin >/dev/null 2>&1; then
@@ -7,12 +7,13 @@
 fi
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-cp gang.pml "$work"
+cp gang.pml dispatch.pml "$work"
 cd "$work"
 
 # verify NAME SPIN-FLAGS COMPILE-FLAGS RUN-FLAGS: print what was found.
+model=gang.pml
 verify() {
-    spin -a $2 gang.pml >spin.log 2>&1 || { cat spin.log; exit 1; }
+    spin -a $2 "$model" >spin.log 2>&1 || { cat spin.log; exit 1; }
     cc -O2 -w $3 -o pan pan.c
     ./pan -m1000000 $4 >"$1.log" 2>&1 || true
     states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$1.log")
@@ -44,4 +45,17 @@
 expect no-fencing-partial wrong
 verify no-read-back "-DNO_READ_BACK" "-DNFAIR=12" "-a -f -N job_ends"
 expect no-read-back wrong
-echo "The protocol holds; both broken variants are found wrong."
+
+model=dispatch.pml
+flags="-DSAFETY -DNOCLAIM -DCOLLAPSE"
+verify dispatch "" "$flags" "-E"
+expect dispatch right
+verify dispatch-no-raise "-DNO_RAISE" "$flags" "-E"
+expect dispatch-no-raise wrong
+verify dispatch-ack-first "-DACK_FIRST" "$flags" "-E"
+expect dispatch-ack-first wrong
+verify dispatch-blind-mark "-DBLIND_MARK" "$flags" "-E"
+expect dispatch-blind-mark wrong
+verify dispatch-no-lapse "-DNO_LAPSE" "$flags" "-E"
+expect dispatch-no-lapse wrong
+echo "Both protocols hold; all broken variants are found wrong."
