Random faults against the real leader: no second run, no lost job

Cause: recovery was tested by single scenarios only. Change: drawn series of kills, hand-overs, store outages, lost and late writes, cut and lost workers and late starts, checked at each quarter second.

--- /dev/null
+++ b/tests/test_dispatch_faults.py
@@ -0,0 +1,269 @@
+"""Any faults in any order: no second run, no lost job, no start after an end."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from curranthill.errors import RefusedError
+from curranthill.tasks import Step, TaskKey
+from tests.domain import ONE_GPU, Domain, in_domain, make_spec
+
+RUN_S: Final = 2.5
+JOBS: Final = 4
+WORKERS: Final = 3
+
+#: Twice the store's longest outage that work survives, and a lease.
+HEALING_S: Final = 60.0
+
+Action = Callable[[Domain, int], Awaitable[None]]
+
+
+class Faults:
+    """What a step of a test may do, by name."""
+
+    def __init__(self) -> None:
+        """Start with no job handed in."""
+        self.submitted: list[str] = []
+        self.refused: set[str] = set()
+        self.cancelled: set[str] = set()
+        self._hosts = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def accept(self, domain: Domain, pick: int) -> None:
+        """Hand in one more job at some host."""
+        if len(self.submitted) >= JOBS or not domain.hosts:
+            return
+        job_id = f'job{len(self.submitted)}'
+        self.submitted.append(job_id)
+        hosts = list(domain.hosts.values())
+        host = hosts[pick % len(hosts)]
+        gang = pick % 2 == 0
+        first = Step(width=2, needs=ONE_GPU, estimate_s=RUN_S, gang=gang)
+        second = Step(width=1, needs=ONE_GPU, estimate_s=RUN_S, after=(0,))
+        spec = make_spec(job_id, first, second, priority=pick % 3)
+
+        async def hand_in() -> None:
+            try:
+                await host.desk.accept(spec, 3.0)
+            except RefusedError as refused:
+                if refused.status == 503:
+                    self.refused.add(job_id)
+
+        self._spawn(hand_in())
+
+    async def cancel(self, domain: Domain, pick: int) -> None:
+        """Cancel some job at some host."""
+        if not self.submitted or not domain.hosts:
+            return
+        job_id = self.submitted[pick % len(self.submitted)]
+        host = next(iter(domain.hosts.values()))
+        self.cancelled.add(job_id)
+
+        async def cancel() -> None:
+            try:
+                await host.desk.cancel(job_id)
+            except RefusedError:
+                return
+
+        self._spawn(cancel())
+
+    async def kill_leader(self, domain: Domain, pick: int) -> None:
+        """Kill whoever leads, and start another host."""
+        for host in domain.leading()[:1]:
+            await host.kill()
+        self.start_host(domain)
+
+    async def stop_leader(self, domain: Domain, pick: int) -> None:
+        """Let whoever leads hand over."""
+        for host in domain.leading()[:1]:
+            assert host.leader is not None
+            self._spawn(host.leader.step_down())
+        self.start_host(domain)
+
+    async def cut_store(self, domain: Domain, pick: int) -> None:
+        """Take the store away from some host, or from all."""
+        names = [*domain.hosts, '*']
+        domain.rows.down.add(names[pick % len(names)])
+
+    async def refuse_store(self, domain: Domain, pick: int) -> None:
+        """Have the store refuse some host, or all."""
+        names = [*domain.hosts, '*']
+        domain.rows.refusing.add(names[pick % len(names)])
+
+    async def heal_store(self, domain: Domain, pick: int) -> None:
+        """Give the store back to all."""
+        domain.rows.down.clear()
+        domain.rows.refusing.clear()
+
+    async def lose_writes(self, domain: Domain, pick: int) -> None:
+        """Lose answers, or apply writes late."""
+        domain.rows.lose_next += pick % 3
+        domain.rows.late_next += pick % 2
+
+    async def drop_history(self, domain: Domain, pick: int) -> None:
+        """Make every feed read anew."""
+        domain.rows.forget_history()
+
+    async def cut_worker(self, domain: Domain, pick: int) -> None:
+        """Cut some worker off, or give it back."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        worker.cut = not worker.cut
+
+    async def lose_worker(self, domain: Domain, pick: int) -> None:
+        """Replace some worker by another life of its machine."""
+        name = f'w{pick % WORKERS}'
+        worker = domain.workers[name]
+        if worker.gone:
+            return
+        worker.gone = True
+        worker.runs.clear()
+        domain.delist_worker(name)
+        domain.add_worker(f'x{len(domain.workers)}', run_s=RUN_S)
+
+    async def late_starts(self, domain: Domain, pick: int) -> None:
+        """Carry out the next starts at a worker late and unanswered."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        worker.late_next += 1 + pick % 2
+        worker.late_s = 0.5 + pick % 7
+
+    def start_host(self, domain: Domain) -> None:
+        """Start one more host."""
+        self._hosts += 1
+        domain.start_host(f'h{self._hosts}')
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+ACTIONS: Final = (
+    'accept',
+    'accept',
+    'cancel',
+    'kill_leader',
+    'stop_leader',
+    'cut_store',
+    'refuse_store',
+    'heal_store',
+    'lose_writes',
+    'drop_history',
+    'cut_worker',
+    'lose_worker',
+    'late_starts',
+)
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(ACTIONS),
+        st.integers(0, 11),
+        st.sampled_from((0.0, 0.004, 0.02, 0.3, 1.1, 2.6)),
+    ),
+    min_size=1,
+    max_size=24,
+)
+
+
+class Watch:
+    """Looks at all workers and remembers what must never happen."""
+
+    def __init__(self, domain: Domain) -> None:
+        """Watch every start."""
+        self.faults: list[str] = []
+        self._domain = domain
+        self._counted: dict[str, int] = {}
+
+    def look(self) -> None:
+        """Check the runs of this moment and the starts since the last."""
+        live: dict[TaskKey, int] = {}
+        for worker in self._domain.workers.values():
+            worker.tick()
+            for run in worker.runs.values():
+                live[run.task] = live.get(run.task, 0) + 1
+            gpus = len(worker.runs)
+            if gpus > worker.entry.room.gpus:
+                self.faults.append(f'{worker.entry.worker_id} is too full')
+        for task, count in live.items():
+            if count > 1:
+                self.faults.append(f'{task} runs {count} times')
+            if task in self._noted():
+                self.faults.append(f'{task} runs after its end')
+
+    def _noted(self) -> set[TaskKey]:
+        return {
+            end.task
+            for worker in self._domain.workers.values()
+            for end in worker.acknowledged
+            if end.kind == 'done'
+        }
+
+
+class AnyFaultTest(unittest.TestCase):
+    """Random faults against the real leader, sessions, desk and election."""
+
+    @settings(max_examples=40)
+    @example(
+        [
+            ('accept', 1, 0.02),
+            ('late_starts', 0, 0.0),
+            ('cut_worker', 0, 0.3),
+            ('kill_leader', 0, 2.6),
+            ('cut_worker', 0, 2.6),
+        ],
+    )
+    @given(STEPS)
+    def test_promises_hold(self, steps: list[tuple[str, int, float]]) -> None:
+        """Then everything heals, and each accepted job comes to its end."""
+        faults = Faults()
+
+        async def case(domain: Domain) -> None:
+            watch = Watch(domain)
+            faults.start_host(domain)
+            faults.start_host(domain)
+            await domain.leader()
+            for name, pick, wait_s in steps:
+                await getattr(faults, name)(domain, pick)
+                await pass_time(domain, watch, wait_s)
+            await heal(domain, faults)
+            await pass_time(domain, watch, HEALING_S)
+            self.assertEqual(watch.faults, [])
+            self.check_ends(domain, faults)
+
+        in_domain(case, workers=WORKERS, run_s=RUN_S)
+
+    def check_ends(self, domain: Domain, faults: Faults) -> None:
+        """Each stored job has ended; a refused one is not stored."""
+        for job_id in faults.submitted:
+            stored = ('progress', job_id) in domain.rows.rows
+            if job_id in faults.refused:
+                self.assertFalse(stored, f'{job_id} was refused and stored')
+            elif stored:
+                wanted = {'completed'}
+                if job_id in faults.cancelled:
+                    wanted.add('cancelled')
+                self.assertIn(domain.state(job_id), wanted, job_id)
+
+
+async def pass_time(domain: Domain, watch: Watch, seconds_s: float) -> None:
+    """Move time on in small steps, looking at each."""
+    left_s = seconds_s
+    while left_s > 0:
+        await domain.clock.advance(min(left_s, 0.25))
+        watch.look()
+        left_s -= 0.25
+    watch.look()
+
+
+async def heal(domain: Domain, faults: Faults) -> None:
+    """Take all faults back, and have a host."""
+    await faults.heal_store(domain, 0)
+    domain.rows.lose_next = 0
+    domain.rows.late_next = 0
+    for worker in domain.workers.values():
+        worker.cut = False
+        worker.late_next = 0
+    faults.start_host(domain)
