Tell idle workers that their last end is noted; timeouts follow the store

Cause: a session counted as idle once an end was stored, before the worker had heard of it, so an idle worker kept its last ends. Found by breaking the code on purpose: acknowledging before storing failed no test. Tests fail first: ends kept by idle workers, ends acknowledged unstored, a former leader that goes on renewing, a start never carried out, a lost takeover reply.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -97,7 +97,10 @@
         if self._resigned:
             return
         holder = decode(row.content, LeaderRow).holder if row else ''
-        if holder and self.leader_silent_s < self._silence_s:
+        # A row of this host's own name is that of an earlier process, or was
+        # won without a reply: nobody else waits for it.
+        held = holder not in {'', self._holder}
+        if held and self.leader_silent_s < self._silence_s:
             return
         if not holder:
             # A vacancy is seen by all at once.
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from curranthill.clock import Clock
-from curranthill.errors import CurranthillError, StorageError
+from curranthill.errors import CurranthillError, ReplyLostError, StorageError
 from curranthill.storage.rows import (
     RowCheck,
     RowConflictError,
@@ -177,9 +177,22 @@
         version = await store.commit(checks=(check,), puts=(own,))
     except RowConflictError:
         return None
+    except ReplyLostError:
+        # The row may be ours all the same; nobody would lead for a while.
+        version = await _version_if_won(store, row)
+    if not version:
+        return None
     return Leadership(store=store, clock=clock, row=row, version=version)
 
 
+async def _version_if_won(store: RowStore, row: LeaderRow) -> int:
+    """Return the version of the leader's row if it is this one, else 0."""
+    stored = await store.read(tables.LEADER, tables.LEADER_KEY)
+    if stored is None or decode(stored.content, LeaderRow) != row:
+        return 0
+    return stored.version
+
+
 __all__ = (
     'LeaderRow',
     'Leadership',
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -119,6 +119,7 @@
         self._token = epoch * RAISES_PER_EPOCH
         self._acknowledged = 0
         self._noted = 0
+        self._told = 0
         self._lease = Lease(
             clock=clock,
             length_s=timing.lease_s,
@@ -258,7 +259,7 @@
         return (
             self.synced
             and not self.runs
-            and self._acknowledged == self._noted
+            and self._told == self._noted
             and not self._urgent.is_set()
         )
 
@@ -291,25 +292,31 @@
                 await self._take(report, order, sent_s)
 
     async def _call(self, order: LeaseOrder) -> LeaseReport | None:
-        """Return the report, or nothing if something more urgent came up."""
+        """Return the report, or nothing if the token was raised meanwhile."""
         assert self._worker is not None  # noqa: S101
         renewal = asyncio.ensure_future(self._worker.renew(order))
+        try:
+            while not renewal.done() and order.token == self._token:
+                await self._wait_for_news(renewal)
+            return renewal.result() if renewal.done() else None
+        finally:
+            renewal.cancel()
+
+    async def _wait_for_news(
+        self, renewal: asyncio.Future[LeaseReport]
+    ) -> None:
+        self._urgent.clear()
         urgent = asyncio.ensure_future(self._urgent.wait())
         try:
             await asyncio.wait(
                 (renewal, urgent),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not renewal.done() and order.token == self._token:
-                # News of the same token can wait until the answer.
-                await asyncio.wait((renewal,))
-            return renewal.result() if renewal.done() else None
         finally:
             urgent.cancel()
-            renewal.cancel()
 
     def _renewal_wait_s(self) -> float:
-        if not self.synced or self._acknowledged < self._noted:
+        if not self.synced or self._told < self._noted:
             return 0.0
         return RENEWAL_WAIT_S if self.runs else 0.0
 
@@ -380,6 +387,7 @@
         if not self.reachable:
             self.reachable = True
             events.log('worker_reachable', worker=self.worker_id)
+        self._told = max(self._told, order.acknowledged)
         if order.token == self._token:
             self.synced = True
             # Orders of lower tokens are shut out, so no lease is longer.
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -37,7 +37,8 @@
 #: another host in time.
 REFUSED_PATIENCE_S: Final = 0.25
 
-#: How long a request waits to learn what became of a write, in seconds.
+#: How long a request waits to learn what became of a write, in seconds: two
+#: or three tries of a store that replies late; the caller asks again then.
 UNCERTAIN_PATIENCE_S: Final = 1.5
 
 #: The pause between two tries, in seconds.
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -67,6 +67,7 @@
         self._store = PlatformStore(
             caller=self._caller,
             address=settings.store_address,
+            clock=clock,
         )
         self._connector = PlatformConnector(caller=self._caller)
         self._revisions = RevisionFollower(
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import Any, Final
 
+from curranthill.clock import Clock
 from curranthill.errors import NotSentError, ReplyLostError, StorageError
 from curranthill.platform.calls import (
     Answer,
@@ -20,6 +21,7 @@
     RowRemoval,
     StoredRow,
 )
+from curranthill.storage.timeouts import ReplyTimeout
 
 #: Our rows share one part, since a commit stays within a part.
 OWN_PART: Final = 'main'
@@ -27,12 +29,6 @@
 #: Tables that the platform, its operator and its workers write have no part.
 PLATFORM_TABLES: Final = frozenset(('op', 'servers', 'status'))
 
-#: A commit takes 5 ms, and up to 70 times as long when the store is slow.
-COMMIT_TIMEOUT_S: Final = 0.7
-
-#: A reading takes 4 ms, and up to 70 times as long when the store is slow.
-READ_TIMEOUT_S: Final = 0.6
-
 #: What a feed may take beyond the wait that was asked for, in seconds.
 FEED_SLACK_S: Final = 0.5
 
@@ -55,10 +51,14 @@
     :param address: the store's IP number and port.
     """
 
-    def __init__(self, *, caller: Caller, address: str) -> None:
+    def __init__(self, *, caller: Caller, address: str, clock: Clock) -> None:
         """Keep the address."""
         self._caller = caller
         self._address = address
+        self._clock = clock
+        self._commit_timeout = ReplyTimeout()
+        self._read_timeout = ReplyTimeout()
+        self._page_timeout = ReplyTimeout(shortest_s=PAGE_TIMEOUT_S)
 
     async def commit(
         self,
@@ -82,10 +82,10 @@
             ],
             'remove': [_name(one.table, one.key) for one in removals],
         }
-        answer = await self._call(
+        answer = await self._timed(
+            self._commit_timeout,
             'POST',
             'rows-tx',
-            timeout_s=COMMIT_TIMEOUT_S,
             fields=fields,
         )
         if answer.status == _CONFLICT:
@@ -113,7 +113,7 @@
         version: int | None = None
         params = {'limit': str(PAGE_ROWS)}
         while True:
-            fields = await self._get(table, params, PAGE_TIMEOUT_S)
+            fields = await self._get(table, params, self._page_timeout)
             page = _rows(fields)
             rows.extend(page)
             if version is None:
@@ -154,18 +154,40 @@
         self,
         table: str,
         params: dict[str, str],
-        timeout_s: float = READ_TIMEOUT_S,
+        timeout: ReplyTimeout | None = None,
     ) -> dict[str, Any]:
         part = '' if table in PLATFORM_TABLES else OWN_PART
-        answer = await self._call(
+        answer = await self._timed(
+            timeout or self._read_timeout,
             'GET',
             'rows-get',
-            timeout_s=timeout_s,
             params={'table': table, 'part': part, **params},
         )
         self._expect_ok(answer, 'read')
         return self._fields(answer, 'read')
 
+    async def _timed(
+        self,
+        timeout: ReplyTimeout,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> Answer:
+        """Make a call whose timeout follows the replies before it."""
+        sent_s = self._clock.monotonic_s()
+        try:
+            answer = await self._call(
+                method,
+                path,
+                timeout_s=timeout.seconds_s,
+                **options,
+            )
+        except ReplyLostError:
+            timeout.lost()
+            raise
+        timeout.replied(self._clock.monotonic_s() - sent_s)
+        return answer
+
     async def _call(self, method: str, path: str, **options: Any) -> Answer:
         url = f'http://{self._address}/curranthill/{path}'
         try:
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -9,10 +9,14 @@
     Election,
     Leader,
     Leadership,
+    LeaseOrder,
+    LeaseReport,
+    StartOrder,
     TaskWorker,
     WorkerEntry,
 )
 from curranthill.entry import Desk
+from curranthill.errors import WorkerReplyLostError
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.health import StoreHealth
@@ -127,10 +131,6 @@
         """Remove a worker's entry."""
         self.rows.apply((), (), (RowRemoval(WORKER_TABLE, name),))
 
-    def connect(self, entry: WorkerEntry) -> TaskWorker:
-        """Return a client of a worker."""
-        return self.workers[entry.worker_id]
-
     def start_host(self, name: str) -> 'TestHost':
         """Start one host."""
         host = TestHost(domain=self, name=name)
@@ -180,6 +180,54 @@
             await host.kill()
 
 
+class HostConnector:
+    """Connects one host to the workers that it can reach."""
+
+    def __init__(self, *, domain: Domain, host: 'TestHost') -> None:
+        """Keep whose calls these are."""
+        self._domain = domain
+        self._host = host
+
+    def connect(self, entry: WorkerEntry) -> TaskWorker:
+        """Return a client of a worker."""
+        return HostWorker(
+            model=self._domain.workers[entry.worker_id],
+            cut_off=self._host.cut_off,
+        )
+
+
+class HostWorker:
+    """A worker as one host reaches it.
+
+    :param cut_off: the workers that the host cannot reach.
+    """
+
+    def __init__(self, *, model: TaskWorkerModel, cut_off: set[str]) -> None:
+        """Keep the worker."""
+        self._model = model
+        self._cut_off = cut_off
+
+    async def start(self, order: StartOrder) -> float:
+        """Start a task."""
+        await self._pass('start')
+        return await self._model.start(order)
+
+    async def stop(self, task: TaskKey, attempt: int, token: int) -> float:
+        """Stop a run."""
+        await self._pass('stop')
+        return await self._model.stop(task, attempt, token)
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Renew the lease."""
+        await self._pass('renew')
+        return await self._model.renew(order)
+
+    async def _pass(self, step: str) -> None:
+        if self._model.entry.worker_id in self._cut_off:
+            await self._model.clock.sleep(0.6)
+            raise WorkerReplyLostError('Cut off.', step=step)
+
+
 class TestHost:
     """One host: a desk, and an election that may make it the leader."""
 
@@ -189,6 +237,7 @@
         """Start the host's tasks."""
         self.name = name
         self.leader: Leader | None = None
+        self.cut_off: set[str] = set()
         self._domain = domain
         self._store = domain.rows.client(name)
         self.health = StoreHealth(clock=domain.clock)
@@ -227,7 +276,7 @@
             store=self._store,
             clock=self._domain.clock,
             leadership=leadership,
-            connector=self._domain,
+            connector=HostConnector(domain=self._domain, host=self),
             worker_feed=ListedWorkers(),
             timing=Timing(),
             revision=FixedRevision(),
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -50,6 +50,20 @@
 
         in_domain(case)
 
+    def test_an_idle_worker_hears_that_its_last_end_is_noted(self) -> None:
+        """Also when nothing else runs there."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.ended('a1')
+            await domain.clock.advance(0.2)
+            kept = [end for one in domain.workers.values() for end in one.ends]
+            self.assertEqual(kept, [])
+
+        in_domain(case)
+
     def test_steps_wait_for_those_they_come_after(self) -> None:
         """The second step starts after the first is done."""
 
@@ -182,6 +196,47 @@
 
         in_domain(case)
 
+    def test_an_end_is_acknowledged_only_once_it_is_stored(self) -> None:
+        """The leader dies with the end unstored; the next one hears of it."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            domain.rows.refusing.add('*')
+            await domain.clock.advance(2)
+            await host.kill()
+            domain.rows.refusing.clear()
+            domain.start_host('h2')
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+    def test_a_former_leader_may_renew_what_its_successor_cannot_reach(
+        self,
+    ) -> None:
+        """The second run waits until the first cannot go on."""
+
+        async def case(domain: Domain) -> None:
+            former = domain.start_host('h1')
+            await domain.leader()
+            await former.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            holding = next(one for one in domain.workers.values() if one.runs)
+            successor = domain.start_host('h2')
+            successor.cut_off.add(holding.entry.worker_id)
+            domain.rows.down.add('h1')
+            while len(domain.starts(FIRST)) == 1:
+                await domain.clock.advance(0.2)
+                holding.tick()
+                self.assertLessEqual(running(domain), 1)
+            self.assertEqual(running(domain), 1)
+            self.assertFalse(holding.runs)
+
+        in_domain(case, run_s=120)
+
     def test_work_survives_an_outage_of_the_store(self) -> None:
         """Leases are renewed for nine seconds without a write."""
 
@@ -217,6 +272,34 @@
 
         in_domain(case)
 
+    def test_a_takeover_without_a_reply_is_found_out(self) -> None:
+        """The row was won, and the reply lost: a leader within a second."""
+
+        async def case(domain: Domain) -> None:
+            domain.rows.lose_next = 1
+            domain.start_host('h1')
+            await domain.clock.until(
+                lambda: bool(domain.leading()),
+                within_s=1,
+            )
+
+        in_domain(case)
+
+    def test_a_leader_that_restarts_leads_again_at_once(self) -> None:
+        """Its own earlier row is not waited for."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.kill()
+            domain.start_host('h1')
+            await domain.clock.until(
+                lambda: bool(domain.leading()),
+                within_s=0.2,
+            )
+
+        in_domain(case)
+
 
 class UnknownOrderTest(unittest.TestCase):
     """An order without an answer is settled before the task starts anew."""
@@ -235,6 +318,22 @@
 
         in_domain(case, workers=1)
 
+    def test_a_start_that_was_never_carried_out_is_made_anew(self) -> None:
+        """The answer under the raised token shows that nothing runs."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].late_next = 1
+            domain.workers['w0'].late_s = 1e6
+            await host.accept(make_spec())
+            await domain.clock.until(
+                lambda: domain.starts(FIRST) == [2],
+                within_s=1,
+            )
+
+        in_domain(case, workers=1)
+
     def test_a_cut_worker_keeps_its_task_until_its_lease_lapsed(self) -> None:
         """The second run starts only when the first cannot go on."""
 
