The adapter under test against the platform's protocols, a whole host too

Change: stand-ins that speak the store's and the worker's calls over real ports; tests of commits, pages, feeds, refusals, orders, lives, decoding, settings and of one whole host between callers, store and worker.

--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -59,6 +59,23 @@
         self.app.on_start(self._start)
         self.app.on_stop(self._stop)
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here.
+
+        A host that cannot reach the store accepts nothing, so callers are
+        better served elsewhere; if no host can, the balancer uses all.
+        """
+        if self._stopping or self._revisions.current is None:
+            return False
+        return self._health.reachable
+
+    @property
+    def callers_address(self) -> str:
+        """Return where callers' requests arrive, for a port chosen freely."""
+        ip, port = self._callers.addresses[0][:2]
+        return f'{ip}:{port}'
+
     async def _start(self) -> None:
         settings = self._settings
         clock = self.app.clock
@@ -164,12 +181,7 @@
         return self._election.leader_silent_s > COUNT_AFRESH_S
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        ready = (
-            not self._stopping
-            and self._revisions.current is not None
-            and self._health.reachable
-        )
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self.is_ready else 503)
 
 
 async def _show_metrics(request: web.BaseRequest) -> web.StreamResponse:
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,222 @@
+"""The platform's HTTP calls in front of the stand-ins' models."""
+
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from curranthill.dispatch import (
+    LeaseOrder,
+    RejectedError,
+    StartOrder,
+    WorkerEntry,
+)
+from curranthill.standin.rows import RowModel
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.storage.rows import (
+    HistoryLostError,
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    RowRemoval,
+    StoredRow,
+)
+from curranthill.tasks import TaskKey
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class StoreServer:
+    """The metadata store as its page says, over a model of rows.
+
+    :param refuse_with: a status that every call is answered with, or 0.
+    :param requests: every path that was called.
+    """
+
+    def __init__(self, *, model: RowModel) -> None:
+        """Serve one model."""
+        self._model = model
+        self.refuse_with = 0
+        self.requests: list[str] = []
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        self.requests.append(request.path)
+        if self.refuse_with:
+            return web.Response(status=self.refuse_with)
+        name = request.path.removeprefix('/curranthill/')
+        if name == 'rows-tx':
+            return self._commit(json.loads(await request.read()))
+        if name == 'rows-get':
+            return self._read(dict(request.query))
+        if name == 'rows-feed':
+            return await self._feed(dict(request.query))
+        return web.Response(status=404)
+
+    def _commit(self, body: dict[str, Any]) -> web.StreamResponse:
+        try:
+            version = self._model.apply(
+                [
+                    RowCheck(one['table'], one['key'], one['schema_ver'])
+                    for one in body['expected_rev']
+                ],
+                [
+                    RowPut(
+                        one['table'],
+                        one['key'],
+                        base64.b64decode(one['value']),
+                    )
+                    for one in body['put']
+                ],
+                [
+                    RowRemoval(one['table'], one['key'])
+                    for one in body['remove']
+                ],
+            )
+        except RowConflictError as conflict:
+            return _answer(412, rows=[_row(row) for row in conflict.rows])
+        return _answer(200, schema_ver=version, now_ms=1)
+
+    def _read(self, query: dict[str, str]) -> web.StreamResponse:
+        listed = self._model.scan(query['table'])
+        start = query.get('from', '')
+        rows = [row for row in listed.rows if row.key >= start]
+        limit = int(query.get('limit', '500'))
+        return _answer(
+            200,
+            rows=[_row(row) for row in rows[:limit]],
+            has_more=len(rows) > limit,
+            schema_ver=listed.version,
+            now_ms=1,
+        )
+
+    async def _feed(self, query: dict[str, str]) -> web.StreamResponse:
+        client = self._model.client('feed')
+        try:
+            changes = await client.changes(
+                query['table'],
+                int(query['after']),
+                int(query['wait_ms']) / 1000,
+            )
+        except HistoryLostError:
+            return web.Response(status=410)
+        return _answer(
+            200,
+            rows=[_row(row) for row in changes.rows],
+            schema_ver=changes.version,
+            now_ms=1,
+        )
+
+
+class WorkerServer:
+    """A worker as its page says, over a model of a worker."""
+
+    def __init__(self, *, model: TaskWorkerModel) -> None:
+        """Serve one model."""
+        self.model = model
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        if request.headers['Target-Instance'] != self.model.entry.worker_id:
+            return web.Response(status=421)
+        body = json.loads(await request.read())
+        try:
+            return await self._act(request.path, body)
+        except RejectedError as rejected:
+            return _answer(409, clock_ms=0, reason=rejected.reason)
+
+    async def _act(
+        self,
+        path: str,
+        body: dict[str, Any],
+    ) -> web.StreamResponse:
+        if path.endswith('run-start'):
+            order = StartOrder(
+                task=TaskKey.parse(body['task']),
+                attempt=body['attempt'],
+                payload=body['spec'],
+                deadline_s=body['deadline_ms'] / 1000,
+                token=body['fencing_token'],
+                checkpoint=body.get('checkpoint_at', ''),
+            )
+            clock_s = await self.model.start(order)
+            return _answer(200, clock_ms=int(clock_s * 1000))
+        if path.endswith('run-stop'):
+            clock_s = await self.model.stop(
+                TaskKey.parse(body['task']),
+                body['attempt'],
+                body['fencing_token'],
+            )
+            return _answer(200, clock_ms=int(clock_s * 1000))
+        return await self._hold(body)
+
+    async def _hold(self, body: dict[str, Any]) -> web.StreamResponse:
+        report = await self.model.renew(
+            LeaseOrder(
+                token=body['fencing_token'],
+                acknowledged=body['acked_through'],
+                deadline_s=body.get('deadline_ms', 0) / 1000,
+                wait_s=body.get('wait_ms', 0) / 1000,
+            ),
+        )
+        return _answer(
+            200,
+            clock_ms=int(report.clock_s * 1000),
+            running=[
+                [str(one.task), one.attempt, one.checkpoint, one.done_percent]
+                for one in report.runs
+            ],
+            ended=[
+                [one.number, str(one.task), one.attempt, one.kind, '']
+                for one in report.ends
+            ],
+        )
+
+
+def worker_row(entry: WorkerEntry) -> RowPut:
+    """Return the row that a worker writes about itself."""
+    return RowPut(
+        'servers',
+        entry.worker_id,
+        json.dumps(
+            {
+                'service': entry.service,
+                'address': entry.address,
+                'zone': entry.data_centre,
+                'state': 'draining' if entry.leaving else 'ready',
+                'headroom': {
+                    'cpu': entry.room.cpu_millis,
+                    'mem_mb': entry.room.memory_mb,
+                    'gpu': entry.room.gpus,
+                },
+                'labels': list(entry.labels),
+                'clock_ms': int(entry.clock_s * 1000),
+            },
+        ).encode(),
+    )
+
+
+async def serve(handler: Handler) -> tuple[web.ServerRunner, str]:
+    """Serve on a free port of this machine; return its address."""
+    runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    ip, port = runner.addresses[0][:2]
+    return runner, f'{ip}:{port}'
+
+
+def _row(row: StoredRow) -> dict[str, Any]:
+    return {
+        'table': row.table,
+        'part': '',
+        'key': row.key,
+        'value': base64.b64encode(row.content).decode(),
+        'schema_ver': row.version,
+        'removed': row.removed,
+    }
+
+
+def _answer(status: int, **fields: Any) -> web.Response:
+    return web.json_response(fields, status=status)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,425 @@
+"""The platform's protocols, spoken over real connections to stand-ins."""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from curranthill.clock import SystemClock
+from curranthill.dispatch import LeaseOrder, RejectedError, StartOrder
+from curranthill.dispatch.workers import WorkerEntry, WorkerGoneError
+from curranthill.errors import (
+    NotSentError,
+    SettingsError,
+    WorkerReplyLostError,
+    WorkerUnreachableError,
+)
+from curranthill.platform import HostDaemon, read_platform_settings
+from curranthill.platform.calls import Caller
+from curranthill.platform.configuration import decode_revision, step_from
+from curranthill.platform.store import PlatformStore
+from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
+from curranthill.standin.rows import RowModel
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.storage.rows import (
+    HistoryLostError,
+    RowCheck,
+    RowConflictError,
+    RowPut,
+    StoredRow,
+)
+from curranthill.tasks import Resources, TaskKey
+from tests.domain import ROOM
+from tests.platform_standin import StoreServer, WorkerServer, serve, worker_row
+from tests.support import run
+
+TASK = TaskKey('5c0e7a21d94b36f8', 0, 1, 17)
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'jobs.example',
+            'path_prefix': '/quick/',
+            'type': 'non_idempotent',
+            'timeout_ms': 3000,
+            'target_completion_ms': 250,
+            'priority': 0,
+            'service': 'calc',
+            'attempts': 2,
+            'slack_factor': 1.5,
+            'public': False,
+        },
+    ],
+    'services': [{'name': 'calc', 'enforce_limits': False}],
+    'limits': {'max_body_bytes': 2000},
+    'tenants': [
+        {
+            'name': 'alpha',
+            'api_keys': ['key-of-alpha'],
+            'guaranteed': {'gpu': 32},
+        },
+    ],
+}
+
+JOB = {
+    'spec': 'text',
+    'steps': [
+        {'count': 2, 'cpu': 500, 'mem_mb': 256, 'gpu': 1, 'estimate_ms': 300},
+        {'count': 1, 'cpu': 500, 'mem_mb': 256, 'gpu': 1, 'after': [0]},
+    ],
+}
+
+
+class Bench:
+    """A store and one worker behind real ports, and clients of both."""
+
+    def __init__(self) -> None:
+        """Start nothing yet."""
+        self.clock = SystemClock()
+        self.rows = RowModel(clock=self.clock)
+        self.store_server = StoreServer(model=self.rows)
+        self._closers: list[Callable[[], Awaitable[Any]]] = []
+
+    async def open(self) -> None:
+        """Start the servers."""
+        runner, address = await serve(self.store_server.handle)
+        self.store_address = address
+        self._closers.append(runner.cleanup)
+        entry = WorkerEntry('i-1', 'calc', '', 'dc', ROOM, ('a', 'r1'))
+        self.worker = TaskWorkerModel(entry=entry, clock=self.clock, run_s=0.2)
+        runner, address = await serve(WorkerServer(model=self.worker).handle)
+        self._closers.append(runner.cleanup)
+        self.entry = entry._replace(address=address)
+        self.caller = Caller()
+        self._closers.append(self.caller.close)
+        self.store = PlatformStore(
+            caller=self.caller,
+            address=self.store_address,
+            clock=self.clock,
+        )
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for close in reversed(self._closers):
+            await close()
+
+
+def on_bench(case: Callable[[Bench], Awaitable[None]]) -> None:
+    """Run a test with servers of its own."""
+
+    async def main() -> None:
+        bench = Bench()
+        await bench.open()
+        try:
+            await case(bench)
+        finally:
+            await bench.close()
+
+    run(main())
+
+
+class StoreTest(unittest.TestCase):
+    """Rows over HTTP."""
+
+    def test_commits_are_conditional_and_name_the_winner(self) -> None:
+        """A second insertion meets the first row."""
+
+        async def case(bench: Bench) -> None:
+            put = RowPut('t', 'k', b'one')
+            check = RowCheck('t', 'k', 0)
+            version = await bench.store.commit(checks=(check,), puts=(put,))
+            with self.assertRaises(RowConflictError) as caught:
+                await bench.store.commit(checks=(check,), puts=(put,))
+            row = caught.exception.rows[0]
+            self.assertEqual((row.content, row.version), (b'one', version))
+            self.assertEqual(await bench.store.read('t', 'k'), row)
+            self.assertIsNone(await bench.store.read('t', 'j'))
+
+        on_bench(case)
+
+    def test_a_table_is_read_page_by_page(self) -> None:
+        """More rows than one page holds."""
+
+        async def case(bench: Bench) -> None:
+            for number in range(250):
+                bench.rows.apply((), (RowPut('t', f'{number:03}', b''),), ())
+            listed = await bench.store.scan('t')
+            self.assertEqual(len(listed.rows), 250)
+
+        on_bench(case)
+
+    def test_feeds_bring_changes_and_tell_of_lost_history(self) -> None:
+        """A change comes at once; an old version is refused."""
+
+        async def case(bench: Bench) -> None:
+            follow = asyncio.ensure_future(bench.store.changes('t', 0, 2.0))
+            await asyncio.sleep(0.05)
+            bench.rows.apply((), (RowPut('t', 'k', b'v'),), ())
+            changes = await follow
+            self.assertEqual([row.key for row in changes.rows], ['k'])
+            bench.rows.forget_history()
+            with self.assertRaises(HistoryLostError):
+                await bench.store.changes('t', 0, 0.1)
+
+        on_bench(case)
+
+    def test_refusals_and_closed_ports_did_nothing(self) -> None:
+        """503, 429 and no listener."""
+
+        async def case(bench: Bench) -> None:
+            for status in (429, 503):
+                bench.store_server.refuse_with = status
+                with self.assertRaises(NotSentError):
+                    await bench.store.commit(puts=(RowPut('t', 'k', b''),))
+            nobody = PlatformStore(
+                caller=bench.caller,
+                address='127.0.0.1:1',
+                clock=bench.clock,
+            )
+            with self.assertRaises(NotSentError):
+                await nobody.commit(puts=(RowPut('t', 'k', b''),))
+
+        on_bench(case)
+
+
+class WorkerTest(unittest.TestCase):
+    """Orders over HTTP."""
+
+    def test_a_task_is_started_held_and_its_end_acknowledged(self) -> None:
+        """The names of the wire are decoded both ways."""
+
+        async def case(bench: Bench) -> None:
+            worker = PlatformConnector(caller=bench.caller).connect(bench.entry)
+            until_s = round(bench.clock.monotonic_s() + 6, 3)
+            order = StartOrder(TASK, 2, 'text', until_s, token=7)
+            await worker.start(order)
+            self.assertEqual(bench.worker.starts, [order])
+            held = await worker.renew(LeaseOrder(7, 0, until_s, 0.0))
+            self.assertEqual([one.task for one in held.runs], [TASK])
+            held = await worker.renew(LeaseOrder(7, 0, until_s, 1.0))
+            self.assertEqual([one.kind for one in held.ends], ['done'])
+            held = await worker.renew(LeaseOrder(7, 1, 0.0, 0.0))
+            self.assertEqual(held.ends, ())
+
+        on_bench(case)
+
+    def test_rejections_carry_the_workers_reason(self) -> None:
+        """A lower token."""
+
+        async def case(bench: Bench) -> None:
+            worker = PlatformConnector(caller=bench.caller).connect(bench.entry)
+            until_s = bench.clock.monotonic_s() + 6
+            await worker.renew(LeaseOrder(9, 0, until_s, 0.0))
+            with self.assertRaises(RejectedError) as caught:
+                await worker.stop(TASK, 1, 8)
+            self.assertEqual(caught.exception.reason, 'fence')
+
+        on_bench(case)
+
+    def test_another_life_a_closed_port_and_silence_are_told_apart(
+        self,
+    ) -> None:
+        """Three ways not to be answered."""
+
+        async def case(bench: Bench) -> None:
+            connector = PlatformConnector(caller=bench.caller)
+            other = connector.connect(bench.entry._replace(worker_id='i-0'))
+            with self.assertRaises(WorkerGoneError):
+                await other.stop(TASK, 1, 8)
+            closed = connector.connect(
+                bench.entry._replace(address='127.0.0.1:1'),
+            )
+            with self.assertRaises(WorkerUnreachableError):
+                await closed.stop(TASK, 1, 8)
+            bench.worker.cut = True
+            silent = connector.connect(bench.entry)
+            with self.assertRaises(WorkerReplyLostError):
+                await silent.stop(TASK, 1, 8)
+
+        on_bench(case)
+
+
+class DecodingTest(unittest.TestCase):
+    """Names of the wire become names of ours."""
+
+    def test_a_worker_entry(self) -> None:
+        """As a worker writes it."""
+        entry = WorkerEntry(
+            worker_id='i-1',
+            service='calc',
+            address='10.0.0.1:80',
+            data_centre='dc',
+            room=Resources(16000, 32768, 8),
+            labels=('a', 'r1-3'),
+            leaving=True,
+            clock_s=482.113,
+        )
+        put = worker_row(entry)
+        row = StoredRow(put.table, put.key, put.content, 1)
+        self.assertEqual(RegisteredWorkers().decode(row), entry)
+        self.assertEqual(entry.rack, 'r1-3')
+
+    def test_a_configuration(self) -> None:
+        """As the operator writes it; other rows are passed over."""
+        content = json.dumps(CONFIGURATION).encode()
+        revision = decode_revision(StoredRow('op', 'config', content, 1))
+        assert revision is not None
+        queue = revision.queue_for('jobs.example', '/quick/5c0e')
+        assert queue is not None
+        self.assertEqual((queue.target_s, queue.attempts), (0.25, 2))
+        self.assertIsNone(revision.queue_for('jobs.example', '/other/'))
+        self.assertIsNone(revision.workspace_of('unknown'))
+        self.assertEqual(revision.guaranteed_gpus('alpha'), 32)
+        other = StoredRow('op', 'wave/1', b'{}', 1)
+        self.assertIsNone(decode_revision(other))
+
+    def test_a_step(self) -> None:
+        """Each field that may stand in a job."""
+        step = step_from(
+            {
+                'count': 3,
+                'cpu': 500,
+                'mem_mb': 64,
+                'gpu': 2,
+                'estimate_ms': 900,
+                'after': [0],
+                'gang': True,
+                'same_rack': True,
+                'data_rack': 'r1',
+                'required_label': 'b',
+                'max_per_server': 2,
+                'checkpointable': True,
+                'perpetual': True,
+                'fill_count': True,
+            },
+        )
+        self.assertEqual(step.needs, Resources(500, 64, 2))
+        self.assertEqual((step.width, step.estimate_s), (3, 0.9))
+        self.assertEqual((step.near_rack, step.label), ('r1', 'b'))
+        self.assertEqual((step.max_per_worker, step.after), (2, (0,)))
+        self.assertTrue(step.gang and step.same_rack and step.fills)
+
+    def test_settings_that_cannot_be_used_are_named(self) -> None:
+        """A missing file, and a file that lacks what is needed."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'local.json'
+            with self.assertRaisesRegex(SettingsError, 'local.json'):
+                read_platform_settings(path)
+            path.write_text('{"node_name": "h"}', 'utf-8')
+            with self.assertRaisesRegex(SettingsError, 'bind_addrs'):
+                read_platform_settings(path)
+
+
+class HostTest(unittest.TestCase):
+    """One whole host between callers, store and worker."""
+
+    def test_callers_are_served_from_one_end_to_the_other(self) -> None:
+        """Accept, state, queue length, keys, routes, limits, cancel."""
+
+        async def case(bench: Bench) -> None:
+            content = json.dumps(CONFIGURATION).encode()
+            bench.rows.apply((), (RowPut('op', 'config', content),), ())
+            bench.rows.apply((), (worker_row(bench.entry),), ())
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / 'local.json'
+                path.write_text(json.dumps(settings_of(bench)), 'utf-8')
+                host = HostDaemon(
+                    read_settings=lambda: read_platform_settings(path),
+                )
+                await host.app.start()
+                try:
+                    await self.ask(host, bench)
+                finally:
+                    await host.app.stop()
+
+        on_bench(case)
+
+    async def ask(self, host: HostDaemon, bench: Bench) -> None:
+        """Ask for everything a caller may ask for."""
+        await until(lambda: bool(host.is_ready))
+        async with aiohttp.ClientSession(
+            f'http://{host.callers_address}',
+            headers={
+                'Host': 'jobs.example',
+                'Authorization': 'Bearer key-of-alpha',
+            },
+        ) as caller:
+            await self.ask_for_jobs(caller, bench)
+            await self.ask_wrongly(caller)
+
+    async def ask_for_jobs(
+        self,
+        caller: aiohttp.ClientSession,
+        bench: Bench,
+    ) -> None:
+        """A job runs once, however often it is handed in."""
+        job = f'/quick/{TASK.job_id}'
+        self.assertEqual(await status(caller.post(job, json=JOB)), 200)
+        self.assertEqual(await status(caller.post(job, json=JOB)), 200)
+        state = ''
+        for _ in range(200):
+            async with caller.get(job) as response:
+                state = (await response.json())['state']
+            if state == 'completed':
+                break
+            await asyncio.sleep(0.02)
+        self.assertEqual(state, 'completed')
+        self.assertEqual(len(bench.worker.starts), 3)
+        async with caller.get('/quick/') as response:
+            self.assertEqual(await response.json(), {'pending': 0})
+        self.assertEqual(await status(caller.delete(job)), 200)
+        nobody = '/quick/0000000000000000'
+        self.assertEqual(await status(caller.get(nobody)), 410)
+        self.assertEqual(await status(caller.delete(nobody)), 410)
+
+    async def ask_wrongly(self, caller: aiohttp.ClientSession) -> None:
+        """Each fault has its status, and nothing is stored."""
+        job = '/quick/1111111111111111'
+        loop = {'spec': '', 'steps': [{'count': 1, 'after': [0]}]}
+        wrong = {
+            400: caller.post(job, json=loop),
+            401: caller.post(job, json=JOB, headers={'Authorization': 'x'}),
+            404: caller.post('/other/1', json=JOB),
+            405: caller.put(job, json=JOB),
+            413: caller.post(job, data=b' ' * 3000),
+        }
+        for wanted, call in wrong.items():
+            self.assertEqual(await status(call), wanted)
+        self.assertEqual(await status(caller.post(job, data=b'{')), 400)
+        self.assertEqual(await status(caller.get(job)), 410)
+
+
+async def status(call: Any) -> int:
+    """Return the status of a call's answer."""
+    async with call as response:
+        found: int = response.status
+        return found
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until something holds, five seconds at most."""
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('not within 5 s')
+
+
+def settings_of(bench: Bench) -> dict[str, Any]:
+    """Return a host's settings as the platform writes them."""
+    return {
+        'node_name': 'front-1',
+        'ip': '127.0.0.1',
+        'zone': 'dc',
+        'bind_addrs': {'front': '127.0.0.1:0', 'ready': '127.0.0.1:0'},
+        'port_range': [0, 0],
+        'platform': {'address': bench.store_address},
+        'bounds': {'max_hold_ms': 6000, 'grace_s': 0.2},
+    }
