--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -17,6 +17,7 @@
 from curranthill.dispatch.workers import WorkerConnector
 from curranthill.storage.rows import RowStore
 from curranthill.tasks import Timing
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: Rows of ended jobs are kept so much longer than promised, in seconds.
@@ -72,6 +73,7 @@
 
     async def run(self) -> None:
         """Lead until the term is over or the task is cancelled."""
+        metrics.takeovers.add(1)
         events.log('leading', epoch=self._leadership.epoch)
         try:
             await self._run_parts()
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -23,6 +23,7 @@
 )
 from curranthill.tasks import tables
 from curranthill.tasks.progress import decode, encode
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: The wait between two tries of one write, in seconds: a store that is down
@@ -110,6 +111,7 @@
                 self._version = version
                 self._row = row
                 self.confirmed_s = sent_s
+                metrics.commit_s.record(self._clock.monotonic_s() - sent_s)
                 return
             await self._clock.sleep(RETRY_DELAY_S)
         raise LeadershipLostError('This process leads no more.', step='write')
@@ -136,6 +138,7 @@
         except RowConflictError as conflict:
             return self._settle(conflict.rows, operation)
         except StorageError as error:
+            metrics.commits_retried.add(1)
             events.log('leader_write_retried', error=str(error))
             return 0
 
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -15,7 +15,8 @@
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
-from curranthill.tasks import QUEUED, RUNNING, Revision, TaskKey
+from curranthill.tasks import QUEUED, RUNNING, JobSpec, Revision, TaskKey
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: The pause between two rounds of placement, in seconds: lets news that
@@ -32,6 +33,13 @@
 FAILURE_MEMORY_S: Final = 10.0
 
 
+#: How often the gauges are set, in seconds.
+GAUGES_INTERVAL_S: Final = 1.0
+
+#: Priorities that the gauges tell apart.
+PRIORITIES: Final = (0, 1, 2)
+
+
 class RevisionSource(Protocol):
     """Holds the configuration in force."""
 
@@ -58,6 +66,7 @@
         self._journal = journal
         self._spawner = spawner
         self._revision = revision
+        self._shown_s = 0.0
 
     async def run(self) -> None:
         """Make a round whenever something has changed."""
@@ -75,6 +84,7 @@
     def _plan_round(self) -> None:
         if not self._work.may_order():
             return
+        began_s = self._clock.monotonic_s()
         planner = Planner(
             rooms=self._rooms(),
             guaranteed=self._guaranteed(),
@@ -82,7 +92,9 @@
             fellows=self._fellows(),
         )
         plan = planner.plan(self._work.jobs.values())
+        metrics.decision_s.record(self._clock.monotonic_s() - began_s)
         for run in plan.victims:
+            metrics.preemptions.add(1)
             events.log(
                 'preempted',
                 task=str(run.key),
@@ -144,6 +156,34 @@
             checkpoint = checkpoint_of(
                 [job.progress.task(key) for key in tasks],
             )
+        runs = self._mark_runs(placement, shared, checkpoint)
+        if job.progress.state == QUEUED:
+            job.progress.state = RUNNING
+            waited_s = self._clock.wall_s() - job.spec.accepted_at_s
+            metrics.first_start_s.record(
+                max(waited_s, 0.0),
+                {'priority': job.spec.queue.priority},
+            )
+        events.log(
+            'placed',
+            job=job.spec.job_id,
+            step=placement.ready.number,
+            occurrence=placement.ready.occurrence,
+            tasks=[f'{run.key.rank}@{run.worker_id}' for run in runs],
+            attempt=shared,
+        )
+        self._journal.note(job)
+        self._spawner.spawn(self._start(job, runs))
+
+    def _mark_runs(
+        self,
+        placement: Placement,
+        shared: int,
+        checkpoint: str,
+    ) -> list[Run]:
+        """Note the starts; a gang shares its attempt and its checkpoint."""
+        job = placement.job
+        gang = placement.ready.step.gang
         runs = []
         for key, worker_id in placement.workers:
             attempt = shared if gang else job.next_attempt((key,))
@@ -158,18 +198,7 @@
             )
             run.checkpoint = checkpoint if gang else task.checkpoint
             runs.append(run)
-        if job.progress.state == QUEUED:
-            job.progress.state = RUNNING
-        events.log(
-            'placed',
-            job=job.spec.job_id,
-            step=placement.ready.number,
-            occurrence=placement.ready.occurrence,
-            tasks=[f'{run.key.rank}@{run.worker_id}' for run in runs],
-            attempt=shared,
-        )
-        self._journal.note(job)
-        self._spawner.spawn(self._start(job, runs))
+        return runs
 
     async def _start(self, job: ActiveJob, runs: list[Run]) -> None:
         """Order the starts once they are stored, one worker after another."""
@@ -192,13 +221,40 @@
             else:
                 await session.start(run, job.spec.payload)
 
+    def _show_waiting(self, waiting: list[JobSpec]) -> None:
+        """Show how many jobs wait, and for how long, by priority."""
+        now_s = self._clock.wall_s()
+        if now_s - self._shown_s < GAUGES_INTERVAL_S:
+            return
+        self._shown_s = now_s
+        for priority in PRIORITIES:
+            ages_s = [
+                now_s - spec.accepted_at_s
+                for spec in waiting
+                if spec.queue.priority == priority
+            ]
+            labels = {'priority': priority}
+            metrics.waiting_jobs.set(len(ages_s), labels)
+            metrics.oldest_waiting_s.set(max(ages_s, default=0.0), labels)
+        metrics.workers_unreachable.set(
+            sum(
+                1
+                for session in self._work.sessions.values()
+                if session.listed and not session.reachable
+            ),
+        )
+
     def _note_pending(self) -> None:
         """Count each queue's jobs of which nothing has started."""
+        waiting = [
+            job.spec
+            for job in self._work.jobs.values()
+            if not job.ended and not job.begun
+        ]
         counts: dict[str, int] = {}
-        for job in self._work.jobs.values():
-            if not job.ended and not job.begun:
-                name = job.spec.queue.name
-                counts[name] = counts.get(name, 0) + 1
+        for spec in waiting:
+            counts[spec.queue.name] = counts.get(spec.queue.name, 0) + 1
+        self._show_waiting(waiting)
         self._journal.note_pending(msgspec.json.encode(counts))
 
 
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -33,6 +33,7 @@
 )
 from curranthill.errors import WorkerError
 from curranthill.tasks import Resources, TaskKey, Timing
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: Raises of the token that one epoch has room for; far above what one term
@@ -67,6 +68,9 @@
     def run_reported(self, session: 'WorkerSession', run: Run) -> None:
         """Take note of a run's progress."""
 
+    def stop_again(self, session: 'WorkerSession', run: Run) -> None:
+        """Order a stop once more that has had no effect yet."""
+
     def run_ended(self, session: 'WorkerSession', end: EndReport) -> None:
         """Take note of an end; the run takes no more room."""
 
@@ -211,11 +215,13 @@
                     worker=self.worker_id,
                     error=str(error),
                 )
+                metrics.orders_unanswered.add(1, {'order': 'stop'})
                 self._raise_token()
             self._urgent.set()
 
     async def _order_start(self, run: Run, order: StartOrder) -> None:
         assert self._worker is not None  # noqa: S101
+        sent_s = self._clock.monotonic_s()
         try:
             clock_s = await self._worker.start(order)
         except RejectedError as rejected:
@@ -230,12 +236,14 @@
                 worker=self.worker_id,
                 error=str(error),
             )
+            metrics.orders_unanswered.add(1, {'order': 'start'})
             if run.state == ORDERED:
                 run.state = UNKNOWN
             self._raise_token()
         else:
             self._lease.read_clock(clock_s)
             run.settled_s = self._clock.monotonic_s()
+            metrics.start_order_s.record(run.settled_s - sent_s)
             run.percent_changed_s = run.settled_s
             if run.state == ORDERED:
                 run.state = RUNNING
@@ -422,7 +430,7 @@
         if run.state == STOPPING:
             if now_s - run.stop_sent_s > STOP_REPEAT_S:
                 run.stop_sent_s = now_s
-                asyncio.ensure_future(self.stop(run))
+                self._owner.stop_again(self, run)
             return
         self._owner.run_reported(self, run)
 
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -27,6 +27,7 @@
     TaskKey,
     tables,
 )
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: Orders are given only so long after a confirmed write, in seconds: below
@@ -85,6 +86,10 @@
         if run.checkpoint:
             job.progress.task(run.key).checkpoint = run.checkpoint
 
+    def stop_again(self, session: WorkerSession, run: Run) -> None:
+        """Order a stop once more that has had no effect yet."""
+        self._spawner.spawn(session.stop(run))
+
     def run_ended(self, session: WorkerSession, end: EndReport) -> None:
         """Note an end in its job's progress, if it is the newest run's."""
         events.log(
@@ -95,6 +100,7 @@
             worker=session.worker_id,
             number=end.number,
         )
+        metrics.runs_ended.add(1, {'how': end.kind})
         if end.kind == RUN_FAILED:
             session.failed_ends_s.append(self._clock.monotonic_s())
         elif end.kind == DONE:
@@ -252,6 +258,7 @@
         job_id = job.spec.job_id
         if job_id not in self.jobs or not job.ended or job.runs:
             return
+        metrics.jobs_ended.add(1, {'state': job.progress.state})
         self.jobs.pop(job_id)
         self.ended_at_s[job_id] = job.progress.ended_at_s
         job.progress.tasks.clear()
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -11,6 +11,7 @@
 from curranthill.errors import NOT_RUN, RefusedError
 from curranthill.platform.configuration import SubmittedJob, step_from
 from curranthill.tasks import JobSpec, Queue, Revision, Step, faults_of
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: How long a caller waits that does not say so, in seconds.
@@ -61,6 +62,10 @@
             response = await self._answer(request)
         except RefusedError as refused:
             response = _refusal(refused)
+            metrics.refusals.add(
+                1,
+                {'status': refused.status, 'step': refused.step},
+            )
             events.log(
                 'refused',
                 path=request.path,
@@ -118,6 +123,9 @@
         spec = self._spec(body, target)
         began_s = self._clock.monotonic_s()
         await self._desk.accept(spec, _patience_s(request))
+        took_s = self._clock.monotonic_s() - began_s
+        metrics.accepted.add(1, {'queue': target.queue.name})
+        metrics.accept_s.record(took_s)
         events.log(
             'accepted',
             job=spec.job_id,
@@ -126,7 +134,7 @@
             revision=revision.number,
             steps=[_summary(step) for step in spec.steps],
             objective_s=round(spec.objective_s - spec.accepted_at_s, 2),
-            took_s=round(self._clock.monotonic_s() - began_s, 4),
+            took_s=round(took_s, 4),
         )
         return _json({})
 
--- a/src/curranthill/telemetry/events.py
+++ b/src/curranthill/telemetry/events.py
@@ -12,20 +12,24 @@
 
 from loguru import logger
 
+from curranthill.telemetry.metrics import metrics
+
 #: Most lines of one kind in one second; the rest are counted and left out.
 #: 200 lines of some 200 bytes keep a kind under 40 KB a second.
 LINES_PER_KIND_PER_S: Final = 200
 
 
 class EventLog:
-    """Writes events; each has a kind and named fields with their units."""
+    """Writes events; each has a kind and named fields with their units.
+
+    :param left_out: lines that were not written since the last that was.
+    """
 
     def __init__(self) -> None:
         """Start with all budgets full."""
         self._second = 0
         self._counts: dict[str, int] = {}
-        self._left_out = 0
-        self._dropped_bytes = 0
+        self.left_out = 0
         self._enabled = False
         self._fields: dict[str, Any] = {}
 
@@ -47,12 +51,16 @@
         line = {'t_s': round(time.time(), 3), 'event': kind}
         line.update(self._fields)
         line.update(fields)
-        if self._left_out:
-            line['lines_left_out'] = self._left_out
-        if self._write(json.dumps(line, default=str)):
-            self._left_out = 0
+        if self.left_out:
+            line['lines_left_out'] = self.left_out
+        if self.write(json.dumps(line, default=str)):
+            self.left_out = 0
         else:
-            self._left_out += 1
+            self._leave_out()
+
+    def _leave_out(self) -> None:
+        self.left_out += 1
+        metrics.lines_left_out.add(1)
 
     def _is_over_budget(self, kind: str) -> bool:
         second = int(time.monotonic())
@@ -62,11 +70,11 @@
         count = self._counts.get(kind, 0) + 1
         self._counts[kind] = count
         if count > LINES_PER_KIND_PER_S:
-            self._left_out += 1
+            self._leave_out()
             return True
         return False
 
-    def _write(self, line: str) -> bool:
+    def write(self, line: str) -> bool:
         """Write a line whole or not at all, as far as a pipe allows."""
         try:
             os.write(sys.stdout.fileno(), f'{line}\n'.encode())
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -4,6 +4,14 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader
 
+#: Bounds of replies, in seconds: a store or worker replies in 5 ms, is given
+#: up on after 0.3 to 1.5 s, and a caller after 3 s.
+REPLY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 0.6, 1.5, 3.0)
+
+#: Bounds of first starts, in seconds: 0.2 s is the aim on an idle cluster, and
+#: some 2.7 s the bound of covered urgent jobs.
+START_BOUNDS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 2.7, 5.0, 15.0, 60.0)
+
 
 class Metrics:
     """Each counter and histogram under one name, made once a process.
@@ -29,6 +37,31 @@
         self.revision_refused = meter.create_counter('revisions_refused')
         self.quick_latency_s = meter.create_histogram('quick_latency_s')
         self.decision_s = meter.create_histogram('placement_decision_s')
+        self.accepted = meter.create_counter('jobs_accepted')
+        self.accept_s = meter.create_histogram(
+            'accept_s',
+            explicit_bucket_boundaries_advisory=REPLY_BOUNDS_S,
+        )
+        self.commit_s = meter.create_histogram(
+            'leader_commit_s',
+            explicit_bucket_boundaries_advisory=REPLY_BOUNDS_S,
+        )
+        self.commits_retried = meter.create_counter('leader_commits_retried')
+        self.first_start_s = meter.create_histogram(
+            'first_start_s',
+            explicit_bucket_boundaries_advisory=START_BOUNDS_S,
+        )
+        self.start_order_s = meter.create_histogram(
+            'start_order_s',
+            explicit_bucket_boundaries_advisory=REPLY_BOUNDS_S,
+        )
+        self.orders_unanswered = meter.create_counter('orders_unanswered')
+        self.runs_ended = meter.create_counter('runs_ended')
+        self.jobs_ended = meter.create_counter('jobs_ended')
+        self.waiting_jobs = meter.create_gauge('waiting_jobs')
+        self.oldest_waiting_s = meter.create_gauge('oldest_waiting_s')
+        self.workers_unreachable = meter.create_gauge('workers_unreachable')
+        self.lines_left_out = meter.create_counter('log_lines_left_out')
 
 
 #: The instruments of this process.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -13,6 +13,7 @@
     StartOrder,
     WorkerEntry,
 )
+from curranthill.errors import WorkerReplyLostError
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.rows import (
@@ -126,6 +127,9 @@
             return await self._act(request.path, body)
         except RejectedError as rejected:
             return _answer(409, clock_ms=0, reason=rejected.reason)
+        except WorkerReplyLostError:
+            # The caller has given up by now.
+            return web.Response(status=500)
 
     async def _act(
         self,
