--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,8 +5,9 @@
 import os
 import subprocess
 import sys
-import unittest.mock
+import unittest
 from contextlib import redirect_stdout
+from unittest.mock import patch
 
 from curranthill.telemetry.events import LINES_PER_KIND_PER_S, EventLog
 
@@ -34,8 +35,8 @@
         lines: list[str] = []
         log = EventLog()
         with (
-            unittest.mock.patch.object(os, 'set_blocking'),
-            unittest.mock.patch.object(sys, 'stdout'),
+            patch.object(os, 'set_blocking'),
+            patch.object(sys, 'stdout'),
         ):
             log.open(host='h1')
 
@@ -65,7 +66,7 @@
     def test_a_kind_over_its_budget_is_counted_not_written(self) -> None:
         """Other kinds are written all the same, and tell the count."""
         log, lines = self.open_log()
-        with unittest.mock.patch('time.monotonic', return_value=100.0):
+        with patch('time.monotonic', return_value=100.0):
             for _ in range(LINES_PER_KIND_PER_S + 50):
                 log.log('flood')
             log.log('other')
