Whether a run is to stop says nothing of whether it exists

The test cancels a job during its start; it failed with three runs for two. Change: stop_wanted is a flag beside the state; the state alone tells existence.

--- a/src/curranthill/dispatch/evictions.py
+++ b/src/curranthill/dispatch/evictions.py
@@ -60,6 +60,7 @@
             for run in room.runs
             if run.priority > URGENT
             and run.state == RUNNING
+            and not run.stop_wanted
             and run.name not in self._victims
         ]
         chosen: list[Run] = []
--- a/src/curranthill/dispatch/rooms.py
+++ b/src/curranthill/dispatch/rooms.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from curranthill.dispatch.runs import STOPPING, Run
+from curranthill.dispatch.runs import Run
 from curranthill.dispatch.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -34,7 +34,7 @@
         soon = entry.room
         for run in self.runs:
             free = free.minus(run.needs)
-            if run.state != STOPPING:
+            if not run.stop_wanted:
                 soon = soon.minus(run.needs)
             self._count(run.key)
         self.free = free
--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -6,13 +6,12 @@
 
 #: A run's life at the leader. ``marked``: stored, not yet ordered.
 #: ``ordered``: the start is under way. ``unknown``: it may or may not exist.
-RunState = Literal['marked', 'ordered', 'unknown', 'running', 'stopping']
+RunState = Literal['marked', 'ordered', 'unknown', 'running']
 
 MARKED: Final = 'marked'
 ORDERED: Final = 'ordered'
 UNKNOWN: Final = 'unknown'
 RUNNING: Final = 'running'
-STOPPING: Final = 'stopping'
 
 #: What a stop loses of a task with checkpoints, in seconds: the stop makes a
 #: checkpoint, so only the work while it is made.
@@ -28,6 +27,8 @@
     :param needs: the room it takes.
     :param priority: that of its queue; 0 goes first.
     :param checkpointable: whether a stop loses only the newest work.
+    :param stop_wanted: it is to end, and its room counts as becoming free;
+        whether it exists is told by its state alone.
     :param age_s: how long it has run, as of the newest report.
     """
 
@@ -47,6 +48,7 @@
         'started_s',
         'state',
         'stop_sent_s',
+        'stop_wanted',
         'worker_id',
     )
 
@@ -77,6 +79,7 @@
         self.started_s = now_s
         self.percent_changed_s = now_s
         self.settled_s = now_s
+        self.stop_wanted = False
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
@@ -98,7 +101,6 @@
     'MARKED',
     'ORDERED',
     'RUNNING',
-    'STOPPING',
     'UNKNOWN',
     'Run',
     'RunState',
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -15,7 +15,6 @@
     MARKED,
     ORDERED,
     RUNNING,
-    STOPPING,
     UNKNOWN,
     Run,
 )
@@ -201,7 +200,6 @@
             if run.state == MARKED:
                 self._vanish(run, 'stopped before its start')
                 return
-            run.state = STOPPING
             run.stop_sent_s = self._clock.monotonic_s()
             if not self._owner.may_order():
                 return
@@ -427,7 +425,7 @@
         run.age_s = now_s - run.started_s
         if report.checkpoint:
             run.checkpoint = report.checkpoint
-        if run.state == STOPPING:
+        if run.stop_wanted:
             if now_s - run.stop_sent_s > STOP_REPEAT_S:
                 run.stop_sent_s = now_s
                 self._owner.stop_again(self, run)
@@ -449,9 +447,10 @@
             needs=self._owner.needs_of(report.task),
             priority=0,
             checkpointable=False,
-            state=STOPPING,
+            state=RUNNING,
             now_s=now_s,
         )
+        run.stop_wanted = True
         self.runs[run.name] = run
         return run
 
@@ -460,7 +459,7 @@
         if run.state == UNKNOWN:
             if run.ordered_token < order.token:
                 self._vanish(run, 'never started')
-        elif run.state in {RUNNING, STOPPING} and run.settled_s < sent_s:
+        elif run.state == RUNNING and run.settled_s < sent_s:
             self._vanish(run, 'not listed')
 
     async def _take_ends(self, ends: list[EndReport]) -> None:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -12,7 +12,7 @@
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import Leadership
 from curranthill.dispatch.rooms import room_needed
-from curranthill.dispatch.runs import MARKED, STOPPING, UNKNOWN, Run
+from curranthill.dispatch.runs import MARKED, UNKNOWN, Run
 from curranthill.dispatch.session import RENEW_WITHOUT_STORE_S, WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.workers import DONE, RUN_FAILED, EndReport
@@ -81,6 +81,7 @@
         """Keep the newest checkpoint; stop runs of jobs that are over."""
         job = self.jobs.get(run.key.job_id)
         if job is None or job.ended or job.runs.get(run.key) is not run:
+            run.stop_wanted = True
             self._spawner.spawn(session.stop(run))
             return
         if run.checkpoint:
@@ -314,12 +315,9 @@
     def stop_run(self, run: Run) -> None:
         """Order a run to stop, unless it is stopping already."""
         session = self.sessions.get(run.worker_id)
-        if session is None or run.state == STOPPING:
+        if session is None or run.stop_wanted:
             return
-        if run.state != MARKED:
-            # From now on its room counts as becoming free.
-            run.state = STOPPING
-            run.stop_sent_s = self._clock.monotonic_s()
+        run.stop_wanted = True
         self._spawner.spawn(session.stop(run))
 
 
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -48,6 +48,7 @@
         be given up, since nobody had heard of it in time.
     :param starts: every start that took effect, in order.
     :param cut: no call gets through.
+    :param start_delay_s: how long a start is on its way.
     :param late_next: how many of the next starts get no answer and take
         effect ``late_s`` later.
     :param failing: every task fails at once.
@@ -72,6 +73,7 @@
         self.cut = False
         self.gone = False
         self.late_next = 0
+        self.start_delay_s = 0.0
         self.late_s = 2.0
         self.failing = False
         self.most_runs = 0
@@ -83,6 +85,7 @@
     async def start(self, order: StartOrder) -> float:
         """Start a task and return the clock."""
         await self._pass('start')
+        await self.clock.sleep(self.start_delay_s)
         if self.late_next:
             self.late_next -= 1
             self._start_late(order)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -334,6 +334,28 @@
 
         in_domain(case, workers=1)
 
+    def test_a_job_cancelled_during_its_start_keeps_its_room(self) -> None:
+        """A renewal answered before the start tells nothing of the run."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('b1'))
+            await domain.clock.until(lambda: running(domain) == 1)
+            domain.workers['w0'].start_delay_s = 4
+            seven = Step(width=1, needs=Resources(1000, 1024, 7))
+            await host.accept(make_spec('a1', seven))
+            await domain.clock.advance(0.1)
+            await host.during(host.desk.cancel('a1'))
+            await domain.clock.advance(3.5)
+            domain.workers['w0'].start_delay_s = 0
+            await host.accept(make_spec('c1', seven))
+            await domain.clock.advance(3)
+            self.assertEqual(len(domain.starts(TaskKey('c1', 0, 0, 0))), 1)
+            self.assertLessEqual(domain.workers['w0'].most_runs, 2)
+
+        in_domain(case, workers=1, run_s=60)
+
     def test_a_cut_worker_keeps_its_task_until_its_lease_lapsed(self) -> None:
         """The second run starts only when the first cannot go on."""
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -171,7 +171,7 @@
     def test_room_that_is_becoming_free_is_waited_for(self) -> None:
         """A run that is being stopped needs no second victim."""
         stopping = make_run('a1', 8)
-        stopping.state = 'stopping'
+        stopping.stop_wanted = True
         rooms = [
             make_room('a1', 'r1', stopping),
             make_room('a2', 'r1', make_run('a2', 8)),
