A fenced leader ends its term; checkpointed tasks leave leaving workers

On the Tenggara incident three tasks stayed on two leaving workers and were lost for 5.5 s until the leases lapsed. Ruled out: a restart by the row alone (the former leader could not read it). Change: a renewal rejected under this leader's newest token ends the term; tasks with checkpoints are stopped on a leaving worker and go on elsewhere.

--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -84,6 +84,7 @@
     def _plan_round(self) -> None:
         if not self._work.may_order():
             return
+        self._work.empty_leaving_workers()
         began_s = self._clock.monotonic_s()
         planner = Planner(
             rooms=self._rooms(),
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -67,6 +67,9 @@
     def run_reported(self, session: 'WorkerSession', run: Run) -> None:
         """Take note of a run's progress."""
 
+    def fenced(self, session: 'WorkerSession') -> None:
+        """Take note that another leader orders the worker."""
+
     def stop_again(self, session: 'WorkerSession', run: Run) -> None:
         """Order a stop once more that has had no effect yet."""
 
@@ -256,8 +259,9 @@
             reason=rejected.reason,
         )
         if rejected.reason == FENCE:
+            # Settled by the next renewal, which also tells who leads.
             run.state = UNKNOWN
-            self._raise_token()
+            self._urgent.set()
             return
         self._vanish(run, f'rejected: {rejected.reason}')
 
@@ -337,8 +341,9 @@
             reason=rejected.reason,
             token=order.token,
         )
-        if order.token == self._token:
-            self._raise_token()
+        if order.token == self._token and rejected.reason == FENCE:
+            # No order of ours had a higher token, so another leader's had.
+            self._owner.fenced(self)
 
     async def _missed(self, error: WorkerError) -> None:
         """A renewal without an answer: its effect is unknown."""
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -87,6 +87,12 @@
         if run.checkpoint:
             job.progress.task(run.key).checkpoint = run.checkpoint
 
+    def fenced(self, session: WorkerSession) -> None:
+        """End the term: a worker has seen another leader's token."""
+        events.log('fenced', worker=session.worker_id, token=session.token)
+        self._leadership.abandon()
+        self._spawner.over.set()
+
     def stop_again(self, session: WorkerSession, run: Run) -> None:
         """Order a stop once more that has had no effect yet."""
         self._spawner.spawn(session.stop(run))
@@ -178,6 +184,20 @@
         if job is not None and not job.ended:
             self._end_job(job, CANCELLED)
 
+    def empty_leaving_workers(self) -> None:
+        """Stop what can go on elsewhere from its checkpoint."""
+        for session in self.sessions.values():
+            if not session.entry.leaving:
+                continue
+            for run in list(session.runs.values()):
+                if run.checkpointable and not run.stop_wanted:
+                    events.log(
+                        'moved_away',
+                        task=str(run.key),
+                        worker=session.worker_id,
+                    )
+                    self.stop_run(run)
+
     def forget(self, job_id: str) -> None:
         """Drop the state of a job that ended long ago."""
         self.ended_at_s.pop(job_id)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -237,6 +237,22 @@
 
         in_domain(case, run_s=120)
 
+    def test_a_fenced_leader_ends_its_term_at_once(self) -> None:
+        """It need not reach the store to learn that another one leads."""
+
+        async def case(domain: Domain) -> None:
+            former = domain.start_host('h1')
+            await domain.leader()
+            await former.accept(make_spec())
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            successor = domain.start_host('h2')
+            domain.rows.down.add('h1')
+            await domain.clock.until(lambda: successor.leader is not None)
+            await domain.clock.advance(2)
+            self.assertEqual(domain.leading(), [successor])
+
+        in_domain(case, run_s=60)
+
     def test_work_survives_an_outage_of_the_store(self) -> None:
         """Leases are renewed for nine seconds without a write."""
 
@@ -513,6 +529,32 @@
         in_domain(case)
 
 
+class LeavingTest(unittest.TestCase):
+    """Workers that are emptied and taken away."""
+
+    def test_tasks_with_checkpoints_move_from_a_leaving_worker(self) -> None:
+        """Others stay, since they may yet end there; none is placed there."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            movable = Step(width=1, needs=ONE_GPU, checkpointable=True)
+            fixed = Step(width=1, needs=ONE_GPU)
+            await host.accept(make_spec('a1', movable, fixed))
+            await domain.clock.until(lambda: running(domain) == 2)
+            leaving = next(one for one in domain.workers.values() if one.runs)
+            self.assertEqual(len(leaving.runs), 2)
+            domain.list_worker(leaving.entry._replace(leaving=True))
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=1,
+            )
+            self.assertEqual(len(leaving.runs), 1)
+            self.assertEqual(len(domain.starts(TaskKey('a1', 0, 1, 0))), 1)
+
+        in_domain(case, run_s=60)
+
+
 class HousekeepingTest(unittest.TestCase):
     """What is kept of ended jobs."""
 
