Advice before starts on queues that need it; lasting tasks start again when done

Cause: a queue with an advisor would have been started on without a ticket, and each rejected start tried again in the next round, some hundred times a second. A lasting task that ended done was taken as done for good. Change: tickets are asked for one question at a time, kept while good, and carried by the start; a worker that rejected a start is left alone for half a second; lasting tasks start again however they end.

--- a/src/curranthill/dispatch/__init__.py
+++ b/src/curranthill/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """The leader of a scheduling domain: election, placement, leases, recovery."""
 
+from curranthill.dispatch.advice import Advice, Advisor, AdvisorError
 from curranthill.dispatch.election import Election
 from curranthill.dispatch.feeds import WorkerFeed
 from curranthill.dispatch.leader import Leader
@@ -19,6 +20,9 @@
 )
 
 __all__ = (
+    'Advice',
+    'Advisor',
+    'AdvisorError',
     'Election',
     'EndReport',
     'Leader',
--- a/src/curranthill/dispatch/jobs.py
+++ b/src/curranthill/dispatch/jobs.py
@@ -16,12 +16,22 @@
 
 
 class ReadyStep(NamedTuple):
-    """Tasks of one step whose turn has come and of which no run can exist."""
+    """Tasks of one step whose turn has come and of which no run can exist.
+
+    :param tickets: by worker, for queues whose policy allows only some.
+    """
 
     occurrence: int
     number: int
     step: Step
     tasks: tuple[TaskKey, ...]
+    tickets: dict[str, str] | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the name that an advisor knows the step by."""
+        key = self.tasks[0]
+        return f'{key.job_id}.{key.occurrence}.{key.step}'
 
 
 class ActiveJob:
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from curranthill.clock import Clock
+from curranthill.dispatch.advice import Advisor, TicketOffice
 from curranthill.dispatch.feeds import Feeds, WorkerFeed
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import Leadership, LeadershipLostError
@@ -40,6 +41,7 @@
         worker_feed: WorkerFeed,
         timing: Timing,
         revision: RevisionSource,
+        advisor: Advisor,
     ) -> None:
         """Start with nothing known."""
         self._clock = clock
@@ -69,6 +71,7 @@
             journal=self._journal,
             spawner=self._spawner,
             revision=revision,
+            office=TicketOffice(advisor=advisor, clock=clock),
         )
 
     async def run(self) -> None:
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -1,6 +1,6 @@
 """Decides which tasks start where, and which runs make room for them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from curranthill.dispatch.evictions import Eviction, cheapest_eviction
@@ -47,6 +47,8 @@
     :param guaranteed: guaranteed accelerators by workspace.
     :param now_s: wall-clock seconds.
     :param fellows: the runs that end together with a run.
+    :param tickets: returns a step's good tickets by worker; asked only for
+        queues with an advisor.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         guaranteed: dict[str, int],
         now_s: float,
         fellows: dict[tuple[TaskKey, int], list[Run]],
+        tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
     ) -> None:
         """Keep the snapshot."""
+        self._tickets = tickets
         self._rooms = rooms
         self._guaranteed = guaranteed
         self._now_s = now_s
@@ -87,7 +91,7 @@
             if looked_at > JOBS_PER_ROUND:
                 break
             for ready in ready_steps:
-                self._place_step(job, ready)
+                self._place_step(job, self._with_tickets(job, ready))
         return Plan(tuple(self._placements), tuple(self._victims))
 
     def _covered_jobs(self, jobs: list[ActiveJob]) -> set[str]:
@@ -108,12 +112,22 @@
                 covered.add(job.spec.job_id)
         return covered
 
+    def _with_tickets(self, job: ActiveJob, ready: ReadyStep) -> ReadyStep:
+        if not job.spec.queue.advisor:
+            return ready
+        return ready._replace(tickets=self._tickets(job, ready))
+
     def _place_step(self, job: ActiveJob, ready: ReadyStep) -> None:
         urgent = job.spec.queue.priority == URGENT
         shape = (job.spec.queue.service, ready.step)
-        if shape in self._too_large and not urgent:
+        advised = ready.tickets is not None
+        if shape in self._too_large and not (urgent or advised):
             return
         rooms = self._rooms.get(job.spec.queue.service, [])
+        if ready.tickets is not None:
+            rooms = [
+                room for room in rooms if room.entry.worker_id in ready.tickets
+            ]
         groups = self._groups(job, ready, rooms)
         chosen: list[tuple[TaskKey, Room]] = []
         for group in groups:
@@ -129,7 +143,8 @@
         if urgent:
             self._make_room(ready, missing, groups)
             return
-        self._too_large.add(shape)
+        if not advised:
+            self._too_large.add(shape)
         if ready.step.gang:
             self._reserve(ready, groups)
 
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from curranthill.clock import Clock, wait_at_most
-from curranthill.dispatch.jobs import ActiveJob, checkpoint_of
+from curranthill.dispatch.advice import TicketOffice
+from curranthill.dispatch.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import LeadershipLostError
 from curranthill.dispatch.planner import Placement, Planner
@@ -59,8 +60,11 @@
         journal: Journal,
         spawner: Spawner,
         revision: RevisionSource,
+        office: TicketOffice,
     ) -> None:
         """Start without a round."""
+        self._office = office
+        self._asking = False
         self._clock = clock
         self._work = work
         self._journal = journal
@@ -91,6 +95,7 @@
             guaranteed=self._guaranteed(),
             now_s=self._clock.wall_s(),
             fellows=self._fellows(),
+            tickets=self._tickets,
         )
         plan = planner.plan(self._work.jobs.values())
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
@@ -107,6 +112,31 @@
         for placement in plan.placements:
             self._mark(placement)
 
+    def _tickets(self, job: ActiveJob, ready: ReadyStep) -> dict[str, str]:
+        """Return a step's good tickets; ask for more if they do not do."""
+        good = self._office.good(ready)
+        if not self._asking and len(good) < len(ready.tasks):
+            workers = [
+                session.worker_id
+                for session in self._work.sessions.values()
+                if session.accepts_work
+                and session.entry.service == job.spec.queue.service
+                and session.worker_id not in good
+            ]
+            unasked = self._office.unasked(ready, workers)
+            if unasked:
+                self._asking = True
+                self._spawner.spawn(self._ask(ready, unasked))
+        return good
+
+    async def _ask(self, ready: ReadyStep, workers: tuple[str, ...]) -> None:
+        try:
+            await self._office.ask(ready, workers)
+        finally:
+            self._asking = False
+        self._office.forget_except(set(self._work.jobs))
+        self._work.changed.set()
+
     def _rooms(self) -> dict[str, list[Room]]:
         rooms: dict[str, list[Room]] = {}
         for session in self._work.sessions.values():
@@ -198,6 +228,7 @@
                 self._work.sessions[worker_id],
             )
             run.checkpoint = checkpoint if gang else task.checkpoint
+            run.ticket = (placement.ready.tickets or {}).get(worker_id, '')
             runs.append(run)
         return runs
 
--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -47,6 +47,7 @@
         'start_percent',
         'started_s',
         'state',
+        'ticket',
         'stop_sent_s',
         'stop_wanted',
         'worker_id',
@@ -74,6 +75,7 @@
         self.age_s = 0.0
         self.state: RunState = state
         self.checkpoint = ''
+        self.ticket = ''
         self.done_percent = 0.0
         self.start_percent = -1.0
         self.started_s = now_s
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -51,6 +51,10 @@
 #: waits as long before it takes an unreachable worker's lease as lapsed.
 RENEW_WITHOUT_STORE_S: Final = 12.0
 
+#: A worker that rejected a start is given no other for so long, in seconds:
+#: the same start would be rejected again some hundred times a second.
+REJECTION_PAUSE_S: Final = 0.5
+
 #: How soon an unanswered stop is sent again, in seconds.
 STOP_REPEAT_S: Final = 0.5
 
@@ -119,6 +123,7 @@
         self.reachable = False
         self.synced = False
         self.failed_ends_s: list[float] = []
+        self.rejected_s = -REJECTION_PAUSE_S
         self._worker = worker
         self._owner = owner
         self._clock = clock
@@ -145,6 +150,8 @@
         """Return whether new tasks may be placed here."""
         if self.gone or self.entry.leaving:
             return False
+        if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
+            return False
         return self.listed and self.reachable and self.synced
 
     @property
@@ -174,7 +181,7 @@
             self._urgent.clear()
             await self._renew()
 
-    async def start(self, run: Run, payload: str, ticket: str = '') -> None:
+    async def start(self, run: Run, payload: str) -> None:
         """Order one start; the run's state tells what became of it."""
         async with self._order_turn:
             if run.state != MARKED or self.runs.get(run.name) is not run:
@@ -191,7 +198,7 @@
                 deadline_s=self._lease.grant(),
                 token=self._token,
                 checkpoint=run.checkpoint,
-                ticket=ticket,
+                ticket=run.ticket,
             )
             await self._order_start(run, order)
 
@@ -263,6 +270,7 @@
             run.state = UNKNOWN
             self._urgent.set()
             return
+        self.rejected_s = self._clock.monotonic_s()
         self._vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -263,7 +263,7 @@
             task.worker = ''
         if end.checkpoint and job.step_of(end.task).checkpointable:
             task.checkpoint = end.checkpoint
-        if end.kind == DONE:
+        if end.kind == DONE and not job.step_of(end.task).perpetual:
             self._note_done(job, end)
         elif end.kind == RUN_FAILED:
             self._note_failure(job, end)
--- /dev/null
+++ b/src/curranthill/platform/advisor.py
@@ -0,0 +1,54 @@
+"""The platform's service that says which workers may run a step."""
+
+from typing import Final
+
+from curranthill.dispatch import Advice, AdvisorError
+from curranthill.platform.calls import (
+    Caller,
+    CallNotSentError,
+    CallUnansweredError,
+)
+
+#: The longest wait for an answer, in seconds: a few questions of other hosts
+#: may stand before ours.
+ADVICE_TIMEOUT_S: Final = 3.0
+
+_OK: Final = 200
+
+
+class PlatformAdvisor:
+    """Asks over HTTP."""
+
+    def __init__(self, *, caller: Caller, address: str) -> None:
+        """Keep the address."""
+        self._caller = caller
+        self._address = address
+
+    async def ask(self, step_name: str, workers: tuple[str, ...]) -> Advice:
+        """Return tickets for those of the workers that may run a step."""
+        try:
+            answer = await self._caller.call(
+                'POST',
+                f'http://{self._address}/curranthill/advise',
+                timeout_s=ADVICE_TIMEOUT_S,
+                fields={'step': step_name, 'workers': list(workers)},
+            )
+        except (CallNotSentError, CallUnansweredError) as error:
+            raise self._error(str(error)) from error
+        if answer.status != _OK:
+            raise self._error(f'status {answer.status}')
+        fields = answer.fields()
+        return Advice(
+            tickets={row[0]: row[1] for row in fields['good']},
+            validity_s=fields['validity_ms'] / 1000,
+        )
+
+    def _error(self, reason: str) -> AdvisorError:
+        return AdvisorError(
+            f'The advisor did not answer: {reason}.',
+            step='advise',
+            peer=self._address,
+        )
+
+
+__all__ = ('PlatformAdvisor',)
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -13,6 +13,7 @@
 from curranthill.dispatch import Election, Leader, Leadership
 from curranthill.entry import Desk, RevisionFollower
 from curranthill.errors import SettingsError
+from curranthill.platform.advisor import PlatformAdvisor
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import TABLE, decode_revision
 from curranthill.platform.front import Front
@@ -160,6 +161,10 @@
             worker_feed=RegisteredWorkers(),
             timing=self._settings.timing,
             revision=self._revisions,
+            advisor=PlatformAdvisor(
+                caller=self._caller,
+                address=self._settings.advisor_address,
+            ),
         )
         try:
             await self._leader.run()
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -32,6 +32,7 @@
     :param readiness: where the balancer asks whether this host is ready.
     :param metrics: where this process shows its metrics.
     :param store_address: the platform's metadata store.
+    :param advisor_address: who knows which workers may run a step; or empty.
     """
 
     host: str
@@ -40,6 +41,7 @@
     readiness: Address
     metrics: Address
     store_address: str
+    advisor_address: str
     timing: Timing
 
 
@@ -67,6 +69,7 @@
         readiness=Address.parse(listen['ready']),
         metrics=Address(fields['ip'], fields['port_range'][0]),
         store_address=fields['platform']['address'],
+        advisor_address=fields.get('placement_advisor') or '',
         timing=_timing(fields.get('bounds', {})),
     )
 
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -52,6 +52,8 @@
     :param late_next: how many of the next starts get no answer and take
         effect ``late_s`` later.
     :param failing: every task fails at once.
+    :param rejecting: a reason for which every start is rejected.
+    :param rejections: how many starts were rejected for it.
     """
 
     def __init__(
@@ -76,6 +78,8 @@
         self.start_delay_s = 0.0
         self.late_s = 2.0
         self.failing = False
+        self.rejecting = ''
+        self.rejections = 0
         self.most_runs = 0
         self._token = 0
         self._deadline_s = 0.0
@@ -142,6 +146,9 @@
         self._check_token(order.token, 'start')
         if self.clock.monotonic_s() > order.deadline_s:
             raise self._rejection('start', 'late')
+        if self.rejecting:
+            self.rejections += 1
+            raise self._rejection('start', self.rejecting)
         name = (order.task, order.attempt)
         if name in self._ended:
             raise self._rejection('start', 'old')
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from curranthill.dispatch import (
+    Advice,
+    AdvisorError,
     Election,
     Leader,
     Leadership,
@@ -42,7 +44,12 @@
 ONE_GPU = Resources(cpu_millis=4000, memory_mb=1024, gpus=1)
 
 
-def make_queue(priority: int = 1, attempts: int = 2) -> Queue:
+def make_queue(
+    priority: int = 1,
+    attempts: int = 2,
+    *,
+    advisor: bool = False,
+) -> Queue:
     """Return a queue."""
     return Queue(
         name=f'queue-{priority}',
@@ -53,6 +60,7 @@
         attempts=attempts,
         slack_factor=2.0,
         target_s=1.0,
+        advisor=advisor,
     )
 
 
@@ -63,11 +71,12 @@
     attempts: int = 2,
     workspace: str = 'alpha',
     accepted_at_s: float = 1_700_001_000.0,
+    advisor: bool = False,
 ) -> JobSpec:
     """Return a job of one one-accelerator task, or of the given steps."""
     return JobSpec(
         job_id=job_id,
-        queue=make_queue(priority, attempts),
+        queue=make_queue(priority, attempts, advisor=advisor),
         workspace=workspace,
         payload='text',
         steps=steps or (Step(width=1, needs=ONE_GPU, estimate_s=1.0),),
@@ -104,6 +113,7 @@
         self.rows = RowModel(clock=self.clock)
         self.workers: dict[str, TaskWorkerModel] = {}
         self.hosts: dict[str, TestHost] = {}
+        self.advisor = KnownAdvisor(clock=self.clock)
         for number in range(workers):
             self.add_worker(f'w{number}', run_s=run_s)
 
@@ -180,6 +190,34 @@
             await host.kill()
 
 
+class KnownAdvisor:
+    """Lets some workers run any step.
+
+    :param good: the ids of those workers.
+    :param questions: how many were asked.
+    """
+
+    def __init__(self, *, clock: ManualClock) -> None:
+        """Let nobody run anything."""
+        self.good: set[str] = set()
+        self.questions = 0
+        self.failing = False
+        self._clock = clock
+
+    async def ask(self, step_name: str, workers: tuple[str, ...]) -> Advice:
+        """Answer after a while."""
+        self.questions += 1
+        await self._clock.sleep(0.05)
+        if self.failing:
+            raise AdvisorError('Busy.', step='advise')
+        tickets = {
+            worker: f'{step_name}-{worker}'
+            for worker in workers
+            if worker in self.good
+        }
+        return Advice(tickets, validity_s=3.0)
+
+
 class HostConnector:
     """Connects one host to the workers that it can reach."""
 
@@ -280,6 +318,7 @@
             worker_feed=ListedWorkers(),
             timing=Timing(),
             revision=FixedRevision(),
+            advisor=self._domain.advisor,
         )
         try:
             await self.leader.run()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -20,6 +20,11 @@
     return sum(len(worker.runs) for worker in domain.workers.values())
 
 
+async def started(domain: Domain, key: TaskKey) -> None:
+    """Move time on until a task has started."""
+    await domain.clock.until(lambda: bool(domain.starts(key)))
+
+
 class StartTest(unittest.TestCase):
     """Accepted jobs run once."""
 
@@ -529,6 +534,120 @@
         in_domain(case)
 
 
+class AdviceTest(unittest.TestCase):
+    """Queues whose policy allows only some workers."""
+
+    def test_tasks_start_only_where_a_ticket_allows(self) -> None:
+        """And carry the ticket."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.advisor.good = {'w1'}
+            await host.accept(make_spec(advisor=True))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            orders = domain.workers['w1'].starts
+            self.assertEqual([one.ticket for one in orders], ['a1.0.0-w1'])
+            self.assertEqual(domain.workers['w0'].starts, [])
+
+        in_domain(case)
+
+    def test_nothing_starts_without_an_answer(self) -> None:
+        """The advisor is asked again, and not without end."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.advisor.failing = True
+            await host.accept(make_spec(advisor=True))
+            await domain.clock.advance(3)
+            self.assertEqual(domain.starts(FIRST), [])
+            self.assertLess(domain.advisor.questions, 12)
+            domain.advisor.failing = False
+            domain.advisor.good = {'w0', 'w1'}
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case)
+
+    def test_tickets_are_asked_for_anew_once_they_are_old(self) -> None:
+        """A second task of the step starts after the first tickets' time."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.advisor.good = {'w0'}
+            wide = Step(width=2, needs=EIGHT_GPUS, estimate_s=1.0)
+            await host.accept(make_spec('a1', wide, advisor=True))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertLess(domain.advisor.questions, 12)
+
+        in_domain(case, run_s=4)
+
+
+class RejectionTest(unittest.TestCase):
+    """Workers that reject starts."""
+
+    def test_a_worker_that_rejects_is_not_asked_without_end(self) -> None:
+        """A few times in three seconds; other work goes on."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].rejecting = 'room'
+            await host.accept(make_spec())
+            await domain.clock.advance(3)
+            self.assertLess(domain.workers['w0'].rejections, 8)
+            domain.workers['w0'].rejecting = ''
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=1)
+
+
+class RepeatedWorkTest(unittest.TestCase):
+    """Jobs that run several times, and jobs that last."""
+
+    def test_occurrences_start_when_they_are_due(self) -> None:
+        """Three times, two seconds apart, none early."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            due_s = domain.clock.wall_s() + 2
+            spec = make_spec()._replace(
+                times=3,
+                start_at_s=due_s,
+                interval_s=2.0,
+            )
+            await host.accept(spec)
+            for occurrence in range(3):
+                key = FIRST._replace(occurrence=occurrence)
+                await started(domain, key)
+                late_s = domain.clock.wall_s() - due_s - 2 * occurrence
+                self.assertGreaterEqual(late_s, 0)
+                self.assertLess(late_s, 0.5)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case)
+
+    def test_a_lasting_task_starts_again_however_it_ends(self) -> None:
+        """Done or failed, beyond its attempts, until it is cancelled."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            lasting = Step(width=1, needs=ONE_GPU, perpetual=True)
+            await host.accept(make_spec('a1', lasting))
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) >= 3)
+            for worker in domain.workers.values():
+                worker.failing = True
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) >= 8)
+            self.assertEqual(domain.state('a1'), 'running')
+            await host.during(host.desk.cancel('a1'))
+            self.assertEqual(await domain.ended('a1'), 'cancelled')
+
+        in_domain(case)
+
+
 class LeavingTest(unittest.TestCase):
     """Workers that are emptied and taken away."""
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -76,6 +76,7 @@
         guaranteed=guaranteed or {},
         now_s=NOW_S,
         fellows={run.name: list(fellows) for run in fellows},
+        tickets=lambda job, ready: {},
     )
     return planner.plan(
         [
