--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -130,6 +130,9 @@
         finally:
             term.cancel()
             await asyncio.gather(term, return_exceptions=True)
+            error = None if term.cancelled() else term.exception()
+            if error is not None:
+                events.log('term_failed', error=repr(error))
 
 
 __all__ = ('Election',)
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -276,6 +276,7 @@
         self.name = name
         self.leader: Leader | None = None
         self.cut_off: set[str] = set()
+        self.failures = 0
         self._domain = domain
         self._store = domain.rows.client(name)
         self.health = StoreHealth(clock=domain.clock)
@@ -310,6 +311,9 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def _lead(self, leadership: Leadership) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise ValueError('a fault of the program')
         self.leader = Leader(
             store=self._store,
             clock=self._domain.clock,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,9 +1,11 @@
 """Tasks run as often as they may, whatever the leader, store or worker does."""
 
 import unittest
+from unittest.mock import patch
 
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.tasks import Resources, Step, TaskKey
+from curranthill.telemetry.events import events
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 
 FIRST = TaskKey('a1', 0, 0, 0)
@@ -306,6 +308,19 @@
 
         in_domain(case)
 
+    def test_a_term_that_fails_is_told_and_tried_again(self) -> None:
+        """The first try of the term ends by an error of the program."""
+
+        async def case(domain: Domain) -> None:
+            with patch.object(events, 'log') as log:
+                host = domain.start_host('h1')
+                host.failures = 1
+                await domain.clock.until(lambda: host.leader is not None)
+            told = [call.args[0] for call in log.call_args_list]
+            self.assertIn('term_failed', told)
+
+        in_domain(case)
+
     def test_a_leader_that_restarts_leads_again_at_once(self) -> None:
         """Its own earlier row is not waited for."""
 
