--- a/src/curranthill/commands/operator.py
+++ b/src/curranthill/commands/operator.py
@@ -10,6 +10,7 @@
 from curranthill.commands.daemons import EPILOG, FAILED, Version
 from curranthill.commands.demo import DemoReport, run_demo
 from curranthill.commands.tables import show_table
+from curranthill.commands.trace import trace
 from curranthill.load.measures import GANG_SIZES
 from curranthill.telemetry import configure_logs
 
@@ -21,6 +22,7 @@
 )
 app.add_typer(configuration.app, name='config')
 inspect.register(app)
+app.command(epilog=EPILOG)(trace)
 
 AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
 
--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -129,10 +129,17 @@
                 await wait_at_most(term, timeout_s=POLL_S, clock=self._clock)
         finally:
             term.cancel()
-            await asyncio.gather(term, return_exceptions=True)
-            error = None if term.cancelled() else term.exception()
-            if error is not None:
-                events.log('term_failed', error=repr(error))
+            await _end(term)
+
+
+async def _end(term: asyncio.Future[None]) -> None:
+    """Wait for a term's end; tell of an error in it."""
+    await asyncio.gather(term, return_exceptions=True)
+    if term.cancelled():
+        return
+    error = term.exception()
+    if error is not None:
+        events.log('term_failed', error=repr(error))
 
 
 __all__ = ('Election',)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -12,6 +12,7 @@
     RejectedError,
     StartOrder,
     WorkerEntry,
+    WorkerGoneError,
 )
 from curranthill.errors import WorkerReplyLostError
 from curranthill.standin.rows import RowModel
@@ -127,6 +128,8 @@
             return await self._act(request.path, body)
         except RejectedError as rejected:
             return _answer(409, clock_ms=0, reason=rejected.reason)
+        except WorkerGoneError:
+            return web.Response(status=421)
         except WorkerReplyLostError:
             # The caller has given up by now.
             return web.Response(status=500)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import aiohttp
 
@@ -34,6 +35,7 @@
     StoredRow,
 )
 from curranthill.tasks import Resources, TaskKey
+from curranthill.telemetry.events import events
 from tests.domain import ROOM
 from tests.platform_standin import StoreServer, WorkerServer, serve, worker_row
 from tests.support import run
@@ -334,10 +336,14 @@
                     read_settings=lambda: read_platform_settings(path),
                 )
                 await host.app.start()
-                try:
-                    await self.ask(host, bench)
-                finally:
-                    await host.app.stop()
+                with patch.object(events, 'log') as log:
+                    try:
+                        await self.ask(host, bench)
+                    finally:
+                        await host.app.stop()
+            told = str(log.call_args_list)
+            self.assertIn("'accepted'", told)
+            self.assertNotIn('key-of-alpha', told)
 
         on_bench(case)
 
