--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -335,18 +335,22 @@
                 host = HostDaemon(
                     read_settings=lambda: read_platform_settings(path),
                 )
-                await host.app.start()
                 with patch.object(events, 'log') as log:
-                    try:
-                        await self.ask(host, bench)
-                    finally:
-                        await host.app.stop()
+                    await self.run_host(host, bench)
             told = str(log.call_args_list)
             self.assertIn("'accepted'", told)
             self.assertNotIn('key-of-alpha', told)
 
         on_bench(case)
 
+    async def run_host(self, host: HostDaemon, bench: Bench) -> None:
+        """Run a host for as long as it is asked."""
+        await host.app.start()
+        try:
+            await self.ask(host, bench)
+        finally:
+            await host.app.stop()
+
     async def ask(self, host: HostDaemon, bench: Bench) -> None:
         """Ask for everything a caller may ask for."""
         await until(lambda: bool(host.is_ready))
