A leader that steps down leaves no renewals to wait for

Ruled out: want of room, and a leader that does not place (it placed until 57 s). Change: a leader that resigns renews and orders nothing from then on, and its row says whether anyone before it may; a successor of a settled hand-over waits for one lease only. Test: two hand-overs with a cut worker, failed first.

--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -6,6 +6,7 @@
 
 from curranthill.clock import Clock
 from curranthill.dispatch.jobs import ActiveJob
+from curranthill.dispatch.leadership import Leadership
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
@@ -41,7 +42,7 @@
 class Feeds:
     """Reads the tables at the start of a term and follows them.
 
-    :param epoch: the number of the term, for the tokens of its sessions.
+    :param leadership: the term, which bounds the tokens of its sessions.
     """
 
     def __init__(
@@ -54,7 +55,7 @@
         connector: WorkerConnector,
         worker_feed: WorkerFeed,
         timing: Timing,
-        epoch: int,
+        leadership: Leadership,
     ) -> None:
         """Start with nothing read."""
         self._store = store
@@ -64,7 +65,7 @@
         self._connector = connector
         self._worker_feed = worker_feed
         self._timing = timing
-        self._epoch = epoch
+        self._leadership = leadership
         self._progress: dict[str, bytes] = {}
 
     async def start(self) -> None:
@@ -171,7 +172,8 @@
             owner=self._work,
             clock=self._clock,
             timing=self._timing,
-            epoch=self._epoch,
+            epoch=self._leadership.epoch,
+            former_s=self._leadership.former_s,
         )
         self._work.sessions[entry.worker_id] = session
         self._spawner.spawn(session.run())
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -63,7 +63,7 @@
             connector=connector,
             worker_feed=worker_feed,
             timing=timing,
-            epoch=leadership.epoch,
+            leadership=leadership,
         )
         self._rounds = Rounds(
             clock=clock,
@@ -96,7 +96,7 @@
         """Store what is known and give leadership to whoever comes first."""
         try:
             await self._journal.saved()
-            await self._leadership.write(holder='')
+            await self._leadership.resign()
         except LeadershipLostError as lost:
             events.log('step_down_needless', reason=str(lost))
         self._spawner.over.set()
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -26,6 +26,12 @@
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
+#: How long a leader that cannot write goes on renewing leases, in seconds:
+#: longer than the outages of the store that work should survive. A successor
+#: waits as long before it gives up what it cannot reach, unless the former
+#: leader stepped down.
+RENEW_WITHOUT_STORE_S: Final = 12.0
+
 #: The wait between two tries of one write, in seconds: a store that is down
 #: for seconds is then tried some ten times a second by the one leader.
 RETRY_DELAY_S: Final = 0.1
@@ -37,11 +43,13 @@
     :param holder: the leading process, or empty after it stepped down.
     :param epoch: grows by one with each change of the holder.
     :param operation: unique to each write, so that a lost reply is found.
+    :param settled: nobody who led before may still renew leases.
     """
 
     holder: str = ''
     epoch: int = 0
     operation: str = ''
+    settled: bool = False
 
 
 class LeadershipLostError(CurranthillError):
@@ -53,6 +61,8 @@
 
     :param row: the leader's row as this process wrote it.
     :param version: the version of that row.
+    :param former_s: for how long from the start of the term a former leader
+        may go on renewing leases.
     """
 
     def __init__(
@@ -62,8 +72,12 @@
         clock: Clock,
         row: LeaderRow,
         version: int,
+        former_s: float,
     ) -> None:
         """Keep the row that this process wrote."""
+        self.former_s = former_s
+        self._began_s = clock.monotonic_s()
+        self._resigning = False
         self._store = store
         self._clock = clock
         self._row = row
@@ -86,6 +100,19 @@
         """Return the seconds since the last write known to have applied."""
         return self._clock.monotonic_s() - self.confirmed_s
 
+    @property
+    def resigning(self) -> bool:
+        """Return whether this process orders and renews no more."""
+        return self._resigning
+
+    async def resign(self) -> None:
+        """Give leadership to whoever comes first.
+
+        :raises LeadershipLostError: if another process leads.
+        """
+        self._resigning = True
+        await self.write(holder='')
+
     async def write(
         self,
         puts: Sequence[RowPut] = (),
@@ -102,6 +129,7 @@
             holder=self._row.holder if holder is None else holder,
             epoch=self._row.epoch,
             operation=uuid.uuid4().hex,
+            settled=self._clock.monotonic_s() - self._began_s >= self.former_s,
         )
         own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
         while not self._lost:
@@ -185,7 +213,14 @@
         version = await _version_if_won(store, row)
     if not version:
         return None
-    return Leadership(store=store, clock=clock, row=row, version=version)
+    handed_over = former.settled and not former.holder
+    return Leadership(
+        store=store,
+        clock=clock,
+        row=row,
+        version=version,
+        former_s=0.0 if handed_over or not seen else RENEW_WITHOUT_STORE_S,
+    )
 
 
 async def _version_if_won(store: RowStore, row: LeaderRow) -> int:
@@ -197,6 +232,7 @@
 
 
 __all__ = (
+    'RENEW_WITHOUT_STORE_S',
     'LeaderRow',
     'Leadership',
     'LeadershipLostError',
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -46,11 +46,6 @@
 #: The pause after a renewal without an answer, in seconds.
 MISSED_DELAY_S: Final = 0.25
 
-#: How long a leader that cannot write goes on renewing leases, in seconds:
-#: longer than the outages of the store that work should survive. A successor
-#: waits as long before it takes an unreachable worker's lease as lapsed.
-RENEW_WITHOUT_STORE_S: Final = 12.0
-
 #: A worker that rejected a start is given no other for so long, in seconds:
 #: the same start would be rejected again some hundred times a second.
 REJECTION_PAUSE_S: Final = 0.5
@@ -114,6 +109,7 @@
         clock: Clock,
         timing: Timing,
         epoch: int,
+        former_s: float,
     ) -> None:
         """Start with nothing known of the worker."""
         self.entry = entry
@@ -135,7 +131,7 @@
             clock=clock,
             length_s=timing.lease_s,
             clock_s=entry.clock_s,
-            former_s=RENEW_WITHOUT_STORE_S,
+            former_s=former_s,
         )
         self._urgent = asyncio.Event()
         self._order_turn = asyncio.Lock()
@@ -495,8 +491,4 @@
         self._owner.run_vanished(self, run, reason)
 
 
-__all__ = (
-    'RENEW_WITHOUT_STORE_S',
-    'SessionOwner',
-    'WorkerSession',
-)
+__all__ = ('SessionOwner', 'WorkerSession')
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -10,10 +10,10 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.journal import Journal
-from curranthill.dispatch.leadership import Leadership
+from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S, Leadership
 from curranthill.dispatch.rooms import room_needed
 from curranthill.dispatch.runs import MARKED, UNKNOWN, Run
-from curranthill.dispatch.session import RENEW_WITHOUT_STORE_S, WorkerSession
+from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.workers import DONE, RUN_FAILED, EndReport
 from curranthill.storage.rows import RowRemoval
@@ -66,12 +66,14 @@
 
     def may_renew(self) -> bool:
         """Return whether leases may still be extended."""
+        if self._leadership.resigning:
+            return False
         return self._leadership.age_s < RENEW_WITHOUT_STORE_S
 
     def may_order(self) -> bool:
         """Return whether starts and stops may still be ordered."""
-        lost = self._leadership.lost
-        return not lost and self._leadership.age_s < ORDER_FRESHNESS_S
+        over = self._leadership.lost or self._leadership.resigning
+        return not over and self._leadership.age_s < ORDER_FRESHNESS_S
 
     def session_changed(self, session: WorkerSession) -> None:
         """Make a round soon."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -295,6 +295,31 @@
 
         in_domain(case)
 
+    def test_a_hand_over_adds_no_wait_for_a_lost_worker(self) -> None:
+        """A leader that stepped down renews nothing: one lease is enough."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            await domain.clock.advance(13)
+            lost = next(one for one in domain.workers.values() if one.runs)
+            lost.cut = True
+            await domain.clock.advance(2)
+            for name in ('h2', 'h3'):
+                leading = domain.leading()[0]
+                domain.start_host(name)
+                assert leading.leader is not None
+                await leading.during(leading.leader.step_down())
+                await leading.kill()
+                await domain.leader()
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=8,
+            )
+
+        in_domain(case, run_s=60)
+
     def test_a_takeover_without_a_reply_is_found_out(self) -> None:
         """The row was won, and the reply lost: a leader within a second."""
 
