--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test lint lint-format lint-style lint-types model bench slopes soak soak-hosts fuzz format generate
+.PHONY: install demo test lint lint-format lint-style lint-types model bench slopes soak soak-hosts takeover fuzz format generate
 
 install: $(BIN)/curranthill
 
@@ -47,6 +47,9 @@
 soak-hosts: install
 	$(BIN)/python -m bench.soak_hosts --seed 1 --count 50
 
+takeover: install
+	$(BIN)/python -m bench.takeover
+
 fuzz: install
 	HYPOTHESIS_PROFILE=deep $(BIN)/python -m nose2 --start-dir tests --top-level-directory .
 
