--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -77,9 +77,12 @@
         self._worker_proxies: dict[str, Proxy] = {}
         self._store_proxies: list[Proxy] = []
         self._processes: list[asyncio.subprocess.Process] = []
+        self.started: list[asyncio.subprocess.Process] = []
         self._addresses: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._healing = False
+        self._closing = False
+        self._starting: set[asyncio.Future[asyncio.subprocess.Process]] = set()
 
     async def run(self) -> dict[str, Any]:
         """Run to the end and return the report."""
@@ -150,7 +153,7 @@
 
     async def _start_host(self, number: int) -> asyncio.subprocess.Process:
         with (self._folder / f'h{number}.log').open('ab') as log:
-            return await asyncio.create_subprocess_exec(
+            start = asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
                 'curranthill.commands.host',
@@ -159,6 +162,17 @@
                 stdout=log,
                 stderr=log,
             )
+            starting = asyncio.ensure_future(start)
+            self._starting.add(starting)
+            starting.add_done_callback(self._note_start)
+            return await asyncio.shield(starting)
+
+    def _note_start(
+        self,
+        starting: asyncio.Future[asyncio.subprocess.Process],
+    ) -> None:
+        self._starting.discard(starting)
+        self.started.append(starting.result())
 
     async def _until_ready(self) -> None:
         """Wait for a leader and its first look at every worker."""
@@ -293,7 +307,7 @@
     async def _restart(self, number: int) -> None:
         process = self._processes[number]
         await process.wait()
-        if self._processes[number] is process:
+        if self._processes[number] is process and not self._closing:
             self._processes[number] = await self._start_host(number)
 
     async def _heal(self) -> None:
@@ -353,12 +367,17 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _close(self) -> None:
-        for task in list(self._tasks):
+        self._closing = True
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        for process in self._processes:
+        await asyncio.gather(*tasks, return_exceptions=True)
+        # A start goes on when its task is cancelled, and is waited for here.
+        await asyncio.gather(*self._starting)
+        for process in self.started:
             if process.returncode is None:
                 process.kill()
-                await process.wait()
+            await process.wait()
 
 
 def main(
--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -11,6 +11,26 @@
 SEEDS = (1,)
 
 
+class EndedDuringRestarts(Soak):
+    """A soak that ends while every host is being started again."""
+
+    async def _start_host(self, number: int) -> asyncio.subprocess.Process:
+        process = await super()._start_host(number)
+        await asyncio.sleep(0.3)
+        return process
+
+    async def _inject(self) -> None:
+        for _ in range(8):
+            self._spawn(self._fault_kill())
+        await asyncio.sleep(0.15)
+
+    async def _heal(self) -> None:
+        self._healing = True
+
+    async def _await_ends(self) -> None:
+        await asyncio.sleep(0.1)
+
+
 class SoakTest(unittest.TestCase):
     """Kills, pauses, stops, cut links, and workers that come back."""
 
@@ -22,3 +42,19 @@
                 report = asyncio.run(soak.run())
             self.assertEqual(report['faults'], [], f'seed {seed}')
             self.assertGreater(report['accepted'], 10, f'seed {seed}')
+
+    def test_every_process_that_was_started_is_ended(self) -> None:
+        """Also one whose start is under way when the soak ends."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = EndedDuringRestarts(
+                seed=1,
+                fault_s=0.0,
+                folder=Path(folder),
+            )
+            asyncio.run(soak.run())
+        left = [one.pid for one in soak.started if one.returncode is None]
+        for one in soak.started:
+            if one.returncode is None:
+                one.kill()
+        self.assertGreater(len(soak.started), 4)
+        self.assertEqual(left, [])
