One timeout leaves all connections that may have fallen silent

Cause: open connections may fall silent for good while new ones work. Calls kept their connections in one set; each call that timed out closed only its own, and the next one picked another silent one, so that a host with several kept connections to the store waited through one timeout for each.

Ruled out: the timeouts themselves (0.3 s for a reading is right for one lost reply); TCP_USER_TIMEOUT, which only shows itself once data is unacknowledged.

Change: connections.ConnectionPools keeps a pool a peer. A call that times out retires its peer's pool: calls under way end on it, later ones open their own.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -1,10 +1,14 @@
 """One HTTP call to a service of the platform or to a worker."""
 
+from contextlib import AbstractAsyncContextManager
 from typing import Any, Final, NamedTuple
+from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
 
+from curranthill.connections import ConnectionPools
+
 #: The longest a new connection may take, in seconds: the farthest peer is a
 #: few milliseconds away, and a lost opening packet is sent again after 1 s.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -36,21 +40,11 @@
 
 
 class Caller:
-    """Makes calls over connections that it keeps.
-
-    :param connections_per_peer: most connections to one address; 0: any.
-    """
+    """Makes calls over connections that it keeps."""
 
-    def __init__(self, *, connections_per_peer: int = 0) -> None:
+    def __init__(self) -> None:
         """Open no connection yet."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=connections_per_peer,
-                keepalive_timeout=60,
-            ),
-            auto_decompress=False,
-        )
+        self._pools = ConnectionPools()
 
     async def call(
         self,
@@ -77,15 +71,17 @@
             sock_connect=CONNECT_TIMEOUT_S,
         )
         try:
-            async with self._session.request(
-                method,
-                url,
-                data=body,
-                params=params,
-                headers=sent_headers,
-                timeout=timeout,
-            ) as response:
-                return Answer(response.status, await response.read())
+            async with self._pools.session(urlsplit(url).netloc) as session:
+                return await _exchange(
+                    session.request(
+                        method,
+                        url,
+                        data=body,
+                        params=params,
+                        headers=sent_headers,
+                        timeout=timeout,
+                    ),
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -96,7 +92,14 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._pools.close()
+
+
+async def _exchange(
+    request: AbstractAsyncContextManager[aiohttp.ClientResponse],
+) -> Answer:
+    async with request as response:
+        return Answer(response.status, await response.read())
 
 
 __all__ = (
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -1,5 +1,6 @@
 """The platform's HTTP calls in front of the stand-ins' models."""
 
+import asyncio
 import base64
 import json
 from collections.abc import Awaitable, Callable
@@ -30,6 +31,25 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class Connections:
+    """The connections of a server, each of which may fall silent for good."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._open: set[object] = set()
+        self._silent: set[object] = set()
+
+    def silence(self) -> None:
+        """Let no connection opened so far be answered again."""
+        self._silent.update(self._open)
+
+    async def pass_request(self, request: web.BaseRequest) -> None:
+        """Return if the request's connection is answered; else never."""
+        self._open.add(request.protocol)
+        if request.protocol in self._silent:
+            await asyncio.Event().wait()
+
+
 class StoreServer:
     """The metadata store as its page says, over a model of rows.
 
@@ -40,12 +60,14 @@
     def __init__(self, *, model: RowModel) -> None:
         """Serve one model."""
         self._model = model
+        self.connections = Connections()
         self.refuse_with = 0
         self.requests: list[str] = []
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         self.requests.append(request.path)
+        await self.connections.pass_request(request)
         if self.refuse_with:
             return web.Response(status=self.refuse_with)
         name = request.path.removeprefix('/curranthill/')
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -9,7 +9,7 @@
 
 #: From the bottom up; a package may import from its own layer and below.
 LAYERS = (
-    {'errors', 'clock', 'registry', 'application'},
+    {'errors', 'clock', 'registry', 'application', 'connections'},
     {'settings', 'protocol', 'telemetry'},
     {'jobs', 'configuration', 'workers', 'storage', 'tasks'},
     {'routing', 'membership'},
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from curranthill.dispatch.workers import WorkerEntry, WorkerGoneError
 from curranthill.errors import (
     NotSentError,
+    ReplyLostError,
     SettingsError,
     WorkerReplyLostError,
     WorkerUnreachableError,
@@ -191,6 +192,44 @@
         on_bench(case)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Kept connections that fall silent while new ones work."""
+
+    def test_one_lost_reply_is_enough_to_leave_all_silent_ones(self) -> None:
+        """Three kept connections cost one timeout, not three."""
+
+        async def case(bench: Bench) -> None:
+            await read_together(bench, 3)
+            bench.store_server.connections.silence()
+            with self.assertRaises(ReplyLostError):
+                await bench.store.read('t', 'k')
+            for _ in range(3):
+                self.assertIsNone(await bench.store.read('t', 'k'))
+
+        on_bench(case)
+
+    def test_a_call_under_way_outlives_the_loss_of_another(self) -> None:
+        """A feed that waits is not broken off by another call's timeout."""
+
+        async def case(bench: Bench) -> None:
+            follow = asyncio.ensure_future(bench.store.changes('t', 0, 2.0))
+            await asyncio.sleep(0.05)
+            await read_together(bench, 2)
+            bench.store_server.connections.silence()
+            with self.assertRaises(ReplyLostError):
+                await bench.store.read('t', 'k')
+            bench.rows.apply((), (RowPut('t', 'k', b'v'),), ())
+            changes = await follow
+            self.assertEqual([row.key for row in changes.rows], ['k'])
+
+        on_bench(case)
+
+
+async def read_together(bench: Bench, count: int) -> None:
+    """Make so many readings at once, so that as many connections are kept."""
+    await asyncio.gather(*(bench.store.read('t', 'k') for _ in range(count)))
+
+
 class WorkerTest(unittest.TestCase):
     """Orders over HTTP."""
 
