An end that cannot be stored keeps no lease from being renewed

Cause: a session noted an end, then waited until it was stored before its next renewal. While the store was away the worker's lease was not renewed, and after 6 s every other run on that worker lapsed.

Ruled out: the limit on renewing without the store (12 s, outages are shorter).

Change: the session waits for the store half a second at a time and renews in between; the acknowledgement still goes out only after the end is stored.

Before: the new test (an end during an outage of 9 s, a neighbour that runs for 12 s) sees the neighbour started twice.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import Final, Protocol
 
-from curranthill.clock import Clock
+from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.runs import (
     MARKED,
@@ -46,6 +46,10 @@
 #: The pause after a renewal without an answer, in seconds.
 MISSED_DELAY_S: Final = 0.25
 
+#: While ends wait to be stored a renewal is made so often, in seconds: the
+#: worker lists them again at once each time.
+UNSAVED_PAUSE_S: Final = 0.5
+
 #: A worker that rejected a start is given no other for so long, in seconds:
 #: the same start would be rejected again some hundred times a second.
 REJECTION_PAUSE_S: Final = 0.5
@@ -125,6 +129,8 @@
         self._clock = clock
         self._token = epoch * RAISES_PER_EPOCH
         self._acknowledged = 0
+        self._saving: asyncio.Future[None] | None = None
+        self._saving_upto = 0
         self._noted = 0
         self._told = 0
         self._lease = Lease(
@@ -171,11 +177,18 @@
 
     async def run(self) -> None:
         """Renew the lease while anything may run; end with this life."""
-        while not self.gone:
-            if self._is_idle():
-                await self._urgent.wait()
-            self._urgent.clear()
-            await self._renew()
+        try:
+            while not self.gone:
+                await self._run_once()
+        finally:
+            if self._saving is not None:
+                self._saving.cancel()
+
+    async def _run_once(self) -> None:
+        if self._is_idle():
+            await self._urgent.wait()
+        self._urgent.clear()
+        await self._renew()
 
     async def start(self, run: Run, payload: str) -> None:
         """Order one start; the run's state tells what became of it."""
@@ -279,6 +292,7 @@
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
+        await self._acknowledge()
         if self._worker is None or not self._owner.may_renew():
             await self._clock.sleep(MISSED_DELAY_S)
             self._check_lapse()
@@ -415,7 +429,7 @@
         for run in list(self.runs.values()):
             if run.name not in seen:
                 self._check_absent(run, order, sent_s)
-        await self._take_ends(new_ends)
+        self._take_ends(new_ends)
         self._owner.session_changed(self)
 
     def _take_run(self, report: RunReport) -> None:
@@ -471,18 +485,35 @@
         elif run.state == RUNNING and run.settled_s < sent_s:
             self._vanish(run, 'not listed')
 
-    async def _take_ends(self, ends: list[EndReport]) -> None:
-        """Note the ends; acknowledge them only once they are stored."""
+    def _take_ends(self, ends: list[EndReport]) -> None:
+        """Note the ends."""
         if not ends:
             return
         for end in ends:
             self._owner.run_ended(self, end)
             self.runs.pop((end.task, end.attempt), None)
             self._noted = max(self._noted, end.number)
-        noted = self._noted
         self._owner.session_changed(self)
-        await self._owner.ends_saved()
-        self._acknowledged = noted
+
+    async def _acknowledge(self) -> None:
+        """Acknowledge ends that are stored; wait a while for those noted.
+
+        A store that is away must not keep the lease from being renewed: the
+        worker's other runs would lapse.
+        """
+        if self._saving is None:
+            if self._acknowledged == self._noted:
+                return
+            self._saving_upto = self._noted
+            self._saving = asyncio.ensure_future(self._owner.ends_saved())
+        if await wait_at_most(
+            self._saving,
+            timeout_s=UNSAVED_PAUSE_S,
+            clock=self._clock,
+        ):
+            self._saving.result()
+            self._acknowledged = self._saving_upto
+            self._saving = None
 
     def _vanish(self, run: Run, reason: str) -> None:
         if self.runs.get(run.name) is not run:
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -44,6 +44,8 @@
     """One life of one worker.
 
     :param run_s: how long each task takes.
+    :param lengths_s: how long some tasks take instead.
+    :param stalled: whether tasks make no progress.
     :param voided: ends that were listed when the lease lapsed: such an end may
         be given up, since nobody had heard of it in time.
     :param starts: every start that took effect, in order.
@@ -67,6 +69,8 @@
         self.entry = entry
         self.clock = clock
         self.run_s = run_s
+        self.lengths_s: dict[TaskKey, float] = {}
+        self.stalled = False
         self.starts: list[StartOrder] = []
         self.runs: dict[tuple[TaskKey, int], ActiveRun] = {}
         self.ends: list[EndReport] = []
@@ -137,11 +141,15 @@
         for run in list(self.runs.values()):
             if self.failing:
                 self._end(run, 'failed')
-            elif run.began_s + self.run_s <= min(now_s, self._deadline_s):
+            elif self._is_done(run, min(now_s, self._deadline_s)):
                 self._end(run, 'done')
             elif now_s > self._deadline_s:
                 self._end(run, 'lapsed')
 
+    def _is_done(self, run: ActiveRun, by_s: float) -> bool:
+        length_s = self.lengths_s.get(run.task, self.run_s)
+        return not self.stalled and run.began_s + length_s <= by_s
+
     def _start(self, order: StartOrder) -> None:
         self._check_token(order.token, 'start')
         if self.clock.monotonic_s() > order.deadline_s:
@@ -173,6 +181,8 @@
         task.add_done_callback(self._late.discard)
 
     def _report(self, run: ActiveRun) -> RunReport:
+        if self.stalled:
+            return RunReport(run.task, run.attempt, '', 0)
         share = (self.clock.monotonic_s() - run.began_s) / self.run_s
         return RunReport(run.task, run.attempt, '', min(100 * share, 99))
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -276,6 +276,29 @@
 
         in_domain(case, run_s=12)
 
+    def test_an_end_during_an_outage_costs_its_neighbours_no_lease(
+        self,
+    ) -> None:
+        """The end cannot be stored for 9 s; the lease is renewed meanwhile."""
+
+        async def case(domain: Domain) -> None:
+            worker = domain.workers['w0']
+            second = FIRST._replace(rank=1)
+            worker.lengths_s = {FIRST: 2.0, second: 12.0}
+            host = domain.start_host('h1')
+            await domain.leader()
+            step = Step(width=2, needs=ONE_GPU, estimate_s=2.0)
+            await host.accept(make_spec('a1', step))
+            await started(domain, second)
+            domain.rows.down.add('*')
+            await domain.clock.advance(9)
+            domain.rows.down.clear()
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+            self.assertEqual(domain.starts(second), [1])
+
+        in_domain(case, workers=1)
+
     def test_a_planned_stop_hands_over_at_once(self) -> None:
         """The next leader starts a job within half a second."""
 
