Runs that stand still start elsewhere; doubted workers are avoided sooner

Cause: a worker that fails or hangs all it starts kept its place in the order: its room was the tightest, so the same gang came back to it until two runs had failed there, and a run that hung was never moved. Nothing read the percentage that reports carry.

Ruled out: taking health answers (not published here); estimates alone (up to three times off), so only a percentage that does not move counts.

Change: a run that showed no progress between reports for 1.4 s, or a tenth of its estimate, puts its worker in doubt; once it stood still for as long as a stop would throw away it is stopped and started elsewhere. One failure is enough for doubt, until a run there is done; gangs take the rack with the least doubt, and room is made on workers without it. Unread fields of a run went.

Before: three of six new tests fail. After: they pass.

--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -75,6 +75,14 @@
     )
 
 
+@sentences.register('moved_stalled')
+def _moved_stalled(line: Line) -> str:
+    return (
+        f'{line["task"]} stopped at {line["done_percent"]}%: no progress for '
+        f'{line["stalled_s"]} s at {line["worker"]}'
+    )
+
+
 @sentences.register('job_completed')
 def _completed(line: Line) -> str:
     late_s = line['late_s']
--- a/src/curranthill/dispatch/evictions.py
+++ b/src/curranthill/dispatch/evictions.py
@@ -10,6 +10,10 @@
 #: Runs of this priority are never stopped for others.
 URGENT: Final = 0
 
+#: What a worker in doubt costs for each run that failed or stood still there,
+#: in core-seconds: the work of an urgent task of two accelerators and 2.5 s.
+DOUBT_CORE_S: Final = 50.0
+
 Fellows = dict[tuple[TaskKey, int], list[Run]]
 
 
@@ -39,10 +43,6 @@
         """Return the runs to stop."""
         return tuple(self._victims.values())
 
-    def fits(self, room: Room, needs: Resources) -> bool:
-        """Return whether a task fits without more victims."""
-        return self._soon[room.entry.worker_id].covers(needs)
-
     def take(self, room: Room, needs: Resources) -> None:
         """Take room for a task."""
         worker_id = room.entry.worker_id
@@ -55,6 +55,8 @@
     ) -> tuple[float, list[Run]] | None:
         """Return the cheapest runs whose end makes room, and their loss."""
         soon = self._soon[room.entry.worker_id]
+        if soon.covers(needs):
+            return (0, [])
         candidates = [
             run
             for run in room.runs
@@ -123,14 +125,14 @@
     search: _Search,
 ) -> Room | None:
     allowed = [room for room in rooms if room.allows(key, step)]
-    for room in allowed:
-        if search.fits(room, needs):
-            return room
     best: tuple[float, Room, list[Run]] | None = None
     for room in allowed:
         found = search.victims_in(room, needs)
-        if found and (best is None or found[0] < best[0]):
-            best = (found[0], room, found[1])
+        if found is None:
+            continue
+        cost = found[0] + room.doubt * DOUBT_CORE_S
+        if best is None or cost < best[0]:
+            best = (cost, room, found[1])
     if best is None:
         return None
     search.stop(best[2])
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -129,11 +129,7 @@
                 room for room in rooms if room.entry.worker_id in ready.tickets
             ]
         groups = self._groups(job, ready, rooms)
-        chosen: list[tuple[TaskKey, Room]] = []
-        for group in groups:
-            chosen = choose_rooms(ready, group)
-            if chosen:
-                break
+        chosen = choose_group(ready, groups)
         if chosen:
             workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
@@ -214,6 +210,28 @@
             room.claim(needs)
 
 
+def choose_group(
+    ready: ReadyStep,
+    groups: list[list[Room]],
+) -> list[tuple[TaskKey, Room]]:
+    """Take rooms of one group: the first without doubt, or the least doubted.
+
+    A gang with one member on a worker that fails all it starts fails whole,
+    each time it is put there.
+    """
+    best: tuple[float, list[Room]] | None = None
+    for group in groups:
+        chosen = choose_rooms(ready, group)
+        doubt = sum(room.doubt for _, room in chosen)
+        if chosen and not doubt:
+            return chosen
+        for key, room in chosen:
+            room.unplace(key, room_needed(ready.step))
+        if chosen and (best is None or doubt < best[0]):
+            best = (doubt, group)
+    return choose_rooms(ready, best[1]) if best else []
+
+
 def choose_rooms(
     ready: ReadyStep,
     rooms: list[Room],
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -27,11 +27,9 @@
 #: A round is made at least so often, in seconds, for what becomes due.
 ROUND_INTERVAL_S: Final = 0.25
 
-#: A worker whose tasks failed so often within the memory is avoided.
-DISTRUST_FAILURES: Final = 2
-
-#: How long a failed run counts against its worker, in seconds.
-FAILURE_MEMORY_S: Final = 10.0
+#: How long a run that failed or stood still counts against its worker, in
+#: seconds: some two times as long as workers were seen to misbehave.
+TROUBLE_MEMORY_S: Final = 10.0
 
 
 #: How often the gauges are set, in seconds.
@@ -89,6 +87,7 @@
         if not self._work.may_order():
             return
         self._work.empty_leaving_workers()
+        self._work.move_stalled_runs()
         began_s = self._clock.monotonic_s()
         planner = Planner(
             rooms=self._rooms(),
@@ -151,11 +150,12 @@
         return rooms
 
     def _doubt(self, session: WorkerSession) -> float:
-        """Return how many runs failed at a worker of late."""
-        oldest_s = self._clock.monotonic_s() - FAILURE_MEMORY_S
-        recent = [one for one in session.failed_ends_s if one > oldest_s]
-        session.failed_ends_s = recent
-        return len(recent) if len(recent) >= DISTRUST_FAILURES else 0
+        """Return how many runs failed or stood still at a worker of late."""
+        oldest_s = self._clock.monotonic_s() - TROUBLE_MEMORY_S
+        recent = [one for one in session.troubles_s if one > oldest_s]
+        session.troubles_s = recent
+        stalled = sum(1 for run in session.runs.values() if run.stalled_s)
+        return len(recent) + stalled
 
     def _guaranteed(self) -> dict[str, int]:
         revision = self._revision.current
--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -21,6 +21,15 @@
 RESTART_S: Final = 0.3
 
 
+#: A run whose percentage stays the same for so long stands still, in seconds:
+#: just under the interval of reports when nothing ends.
+SHORTEST_STALL_S: Final = 1.4
+
+#: The same, as a share of the estimated run time: far from its data and on a
+#: slow worker a task still shows one percent more in that time.
+STALL_SHARE: Final = 0.1
+
+
 class Run:
     """One run of one task on one worker; it takes room until its end is known.
 
@@ -29,6 +38,7 @@
     :param checkpointable: whether a stop loses only the newest work.
     :param stop_wanted: it is to end, and its room counts as becoming free;
         whether it exists is told by its state alone.
+    :param estimate_s: how long it may take; 0 for a task that lasts.
     :param age_s: how long it has run, as of the newest report.
     """
 
@@ -44,7 +54,7 @@
         'percent_changed_s',
         'priority',
         'settled_s',
-        'start_percent',
+        'estimate_s',
         'started_s',
         'state',
         'ticket',
@@ -64,8 +74,10 @@
         checkpointable: bool,
         state: RunState,
         now_s: float,
+        estimate_s: float = 0.0,
     ) -> None:
         """Make a run that takes its room from now on."""
+        self.estimate_s = estimate_s
         self.key = key
         self.attempt = attempt
         self.worker_id = worker_id
@@ -77,7 +89,6 @@
         self.checkpoint = ''
         self.ticket = ''
         self.done_percent = 0.0
-        self.start_percent = -1.0
         self.started_s = now_s
         self.percent_changed_s = now_s
         self.settled_s = now_s
@@ -85,13 +96,39 @@
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
+    @property
+    def lost_s(self) -> float:
+        """Return the run time that a stop throws away."""
+        if self.checkpointable:
+            return min(self.age_s, CHECKPOINT_LOSS_S)
+        return self.age_s
+
     @property
     def loss_core_s(self) -> float:
         """Return the work that a stop throws away, in core-seconds."""
-        lost_s = self.age_s
-        if self.checkpointable:
-            lost_s = min(lost_s, CHECKPOINT_LOSS_S)
-        return self.needs.weight_cores * (lost_s + RESTART_S)
+        return self.needs.weight_cores * (self.lost_s + RESTART_S)
+
+    @property
+    def stalled_s(self) -> float:
+        """Return for how long reports have shown no progress; 0 if too short.
+
+        Only time between reports counts: an unreachable worker shows nothing.
+        """
+        if self.state != RUNNING or not self.estimate_s:
+            return 0.0
+        reported_s = self.started_s + self.age_s
+        stalled_s = reported_s - self.percent_changed_s
+        shortest_s = max(SHORTEST_STALL_S, STALL_SHARE * self.estimate_s)
+        return stalled_s if stalled_s >= shortest_s else 0.0
+
+    @property
+    def pays_to_move(self) -> bool:
+        """Return whether a stalled run should start again elsewhere.
+
+        It has stood still for as long as the work that a stop throws away
+        took, so moving costs at most twice what the best choice would have.
+        """
+        return self.stalled_s > max(0.0, self.lost_s - self.stalled_s)
 
     @property
     def name(self) -> tuple[TaskKey, int]:
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -102,6 +102,8 @@
 
     :param entry: the worker as listed last.
     :param runs: all runs that may exist there, by task and attempt.
+    :param troubles_s: when runs failed or stood still here since the last one
+        that was done.
     """
 
     def __init__(
@@ -122,7 +124,7 @@
         self.gone = False
         self.reachable = False
         self.synced = False
-        self.failed_ends_s: list[float] = []
+        self.troubles_s: list[float] = []
         self.rejected_s = -REJECTION_PAUSE_S
         self._worker = worker
         self._owner = owner
@@ -442,8 +444,6 @@
             run.settled_s = now_s
         if report.done_percent != run.done_percent:
             run.percent_changed_s = now_s
-        if run.start_percent < 0:
-            run.start_percent = report.done_percent
         run.done_percent = report.done_percent
         run.age_s = now_s - run.started_s
         if report.checkpoint:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -114,9 +114,9 @@
         )
         metrics.runs_ended.add(1, {'how': end.kind})
         if end.kind == RUN_FAILED:
-            session.failed_ends_s.append(self._clock.monotonic_s())
+            session.troubles_s.append(self._clock.monotonic_s())
         elif end.kind == DONE:
-            session.failed_ends_s.clear()
+            session.troubles_s.clear()
         job = self.jobs.get(end.task.job_id)
         if job is None:
             return
@@ -208,6 +208,23 @@
                     )
                     self.stop_run(run)
 
+    def move_stalled_runs(self) -> None:
+        """Stop runs that stand still and are better started elsewhere."""
+        for session in self.sessions.values():
+            for run in list(session.runs.values()):
+                if run.stop_wanted or not run.pays_to_move:
+                    continue
+                session.troubles_s.append(self._clock.monotonic_s())
+                events.log(
+                    'moved_stalled',
+                    task=str(run.key),
+                    attempt=run.attempt,
+                    worker=session.worker_id,
+                    stalled_s=round(run.stalled_s, 2),
+                    done_percent=run.done_percent,
+                )
+                self.stop_run(run)
+
     def forget(self, job_id: str) -> None:
         """Drop the state of a job that ended long ago.
 
@@ -239,6 +256,7 @@
             checkpointable=job.step_of(key).checkpointable,
             state=MARKED,
             now_s=self._clock.monotonic_s(),
+            estimate_s=job.step_of(key).run_s,
         )
         session.runs[run.name] = run
         job.runs[key] = run
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -147,8 +147,10 @@
                 self._end(run, 'lapsed')
 
     def _is_done(self, run: ActiveRun, by_s: float) -> bool:
-        length_s = self.lengths_s.get(run.task, self.run_s)
-        return not self.stalled and run.began_s + length_s <= by_s
+        return not self.stalled and run.began_s + self._length_s(run) <= by_s
+
+    def _length_s(self, run: ActiveRun) -> float:
+        return self.lengths_s.get(run.task, self.run_s)
 
     def _start(self, order: StartOrder) -> None:
         self._check_token(order.token, 'start')
@@ -183,7 +185,8 @@
     def _report(self, run: ActiveRun) -> RunReport:
         if self.stalled:
             return RunReport(run.task, run.attempt, '', 0)
-        share = (self.clock.monotonic_s() - run.began_s) / self.run_s
+        ran_s = self.clock.monotonic_s() - run.began_s
+        share = ran_s / self._length_s(run)
         return RunReport(run.task, run.attempt, '', min(100 * share, 99))
 
     def _end(self, run: ActiveRun, kind: EndKind) -> None:
--- a/src/curranthill/tasks/records.py
+++ b/src/curranthill/tasks/records.py
@@ -79,6 +79,11 @@
     image: str = ''
     target_ms: float = 0.0
 
+    @property
+    def run_s(self) -> float:
+        """Return how long a task may run; 0 if it lasts."""
+        return 0.0 if self.perpetual else self.estimate_s
+
 
 class Queue(NamedTuple):
     """Where jobs are handed in, and how they are treated.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -830,6 +830,70 @@
         in_domain(case)
 
 
+class StalledRunTest(unittest.TestCase):
+    """A worker whose health is good and whose tasks stand still."""
+
+    def test_a_task_that_stands_still_starts_elsewhere(self) -> None:
+        """Two reports without progress; the worker is avoided then."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for worker in domain.workers.values():
+                worker.stalled = True
+            await host.accept(make_spec())
+            await started(domain, FIRST)
+            stuck = next(one for one in domain.workers.values() if one.runs)
+            for worker in domain.workers.values():
+                worker.stalled = worker is stuck
+            self.assertEqual(await domain.ended('a1', within_s=6), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1, 2])
+            await host.accept(make_spec('a2'))
+            self.assertEqual(await domain.ended('a2', within_s=3), 'completed')
+
+        in_domain(case)
+
+    def test_a_task_that_ran_long_is_given_as_long_to_go_on(self) -> None:
+        """It has run for 5 s and stands still for 4 s: nothing is lost."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            step = Step(width=1, needs=ONE_GPU, estimate_s=8.0)
+            await host.accept(make_spec('a1', step))
+            await started(domain, FIRST)
+            await domain.clock.advance(5)
+            for worker in domain.workers.values():
+                worker.stalled = True
+            await domain.clock.advance(4)
+            for worker in domain.workers.values():
+                worker.stalled = False
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case, run_s=10)
+
+    def test_a_lasting_task_does_not_stand_still(self) -> None:
+        """Its percentage says that it is at work, and stays."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            step = Step(
+                width=1,
+                needs=ONE_GPU,
+                estimate_s=1.0,
+                perpetual=True,
+            )
+            for worker in domain.workers.values():
+                worker.stalled = True
+            await host.accept(make_spec('a1', step))
+            await domain.clock.advance(10)
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
+
 class LateEndTest(unittest.TestCase):
     """An end that is heard of only after the lease lapsed."""
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -97,6 +97,43 @@
     }
 
 
+class DoubtTest(unittest.TestCase):
+    """Workers at which runs failed or stood still."""
+
+    def test_a_gang_goes_to_the_rack_without_doubt(self) -> None:
+        """Both racks have room; one worker of the first failed a run."""
+        rooms = [
+            make_room('a1', 'r1', doubt=1),
+            make_room('a2', 'r1'),
+            make_room('b1', 'r2'),
+            make_room('b2', 'r2'),
+        ]
+        step = Step(width=2, needs=needs(8), gang=True, same_rack=True)
+        decided = plan(rooms, make_spec('a', step))
+        self.assertEqual(placed(decided), {'a': ['b1', 'b2']})
+
+    def test_doubt_is_better_than_no_room(self) -> None:
+        """The one rack with room has a worker in doubt."""
+        rooms = [
+            make_room('a1', 'r1', doubt=1),
+            make_room('a2', 'r1'),
+            make_room('b1', 'r2', make_run('b1', 8)),
+        ]
+        step = Step(width=2, needs=needs(8), gang=True, same_rack=True)
+        decided = plan(rooms, make_spec('a', step))
+        self.assertEqual(placed(decided), {'a': ['a2', 'a1']})
+
+    def test_room_is_made_where_there_is_no_doubt(self) -> None:
+        """Two workers would cost the same; one of them failed a run."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8), doubt=1),
+            make_room('a2', 'r1', make_run('a2', 8, job_id='b')),
+        ]
+        step = Step(width=1, needs=needs(8))
+        decided = plan(rooms, make_spec('a', step, priority=0))
+        self.assertEqual([one.worker_id for one in decided.victims], ['a2'])
+
+
 class RackTest(unittest.TestCase):
     """Tasks that run longer apart stay together."""
 
