--- /dev/null
+++ b/src/curranthill/dispatch/owner.py
@@ -0,0 +1,52 @@
+"""What a session asks of the term that it belongs to, and tells it."""
+
+from typing import TYPE_CHECKING, Protocol
+
+from curranthill.dispatch.runs import Run
+from curranthill.dispatch.workers import EndReport
+from curranthill.tasks import Resources, TaskKey
+
+if TYPE_CHECKING:
+    from curranthill.dispatch.session import WorkerSession
+
+
+class SessionOwner(Protocol):
+    """Who is told of what a session learns."""
+
+    def may_renew(self) -> bool:
+        """Return whether the leader may still extend leases."""
+
+    def may_order(self) -> bool:
+        """Return whether the leader may still start and stop tasks."""
+
+    def run_reported(self, session: 'WorkerSession', run: Run) -> None:
+        """Take note of a run's progress."""
+
+    def fenced(self, session: 'WorkerSession') -> None:
+        """Take note that another leader orders the worker."""
+
+    def stop_again(self, session: 'WorkerSession', run: Run) -> None:
+        """Order a stop once more that has had no effect yet."""
+
+    def run_ended(self, session: 'WorkerSession', end: EndReport) -> None:
+        """Take note of an end; the run takes no more room."""
+
+    def run_vanished(
+        self,
+        session: 'WorkerSession',
+        run: Run,
+        reason: str,
+    ) -> None:
+        """Take note that a run does not exist and never will."""
+
+    def needs_of(self, key: TaskKey) -> Resources:
+        """Return the room a task takes, for runs found at a worker."""
+
+    async def ends_saved(self) -> None:
+        """Return once every end noted so far is stored."""
+
+    def session_changed(self, session: 'WorkerSession') -> None:
+        """Look at placements again."""
+
+
+__all__ = ('SessionOwner',)
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
-from typing import Final, Protocol
+from typing import Final
 
-from curranthill.clock import Clock, wait_at_most
+from curranthill.clock import Clock
+from curranthill.dispatch.ends import EndLog
 from curranthill.dispatch.lease import Lease
+from curranthill.dispatch.owner import SessionOwner
 from curranthill.dispatch.runs import (
     MARKED,
     ORDERED,
@@ -31,7 +33,7 @@
     WorkerGoneError,
 )
 from curranthill.errors import WorkerError
-from curranthill.tasks import Resources, TaskKey, Timing
+from curranthill.tasks import TaskKey, Timing
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
@@ -46,10 +48,6 @@
 #: The pause after a renewal without an answer, in seconds.
 MISSED_DELAY_S: Final = 0.25
 
-#: While ends wait to be stored a renewal is made so often, in seconds: the
-#: worker lists them again at once each time.
-UNSAVED_PAUSE_S: Final = 0.5
-
 #: A worker that rejected a start is given no other for so long, in seconds:
 #: the same start would be rejected again some hundred times a second.
 REJECTION_PAUSE_S: Final = 0.5
@@ -58,45 +56,6 @@
 STOP_REPEAT_S: Final = 0.5
 
 
-class SessionOwner(Protocol):
-    """Who is told of what a session learns."""
-
-    def may_renew(self) -> bool:
-        """Return whether the leader may still extend leases."""
-
-    def may_order(self) -> bool:
-        """Return whether the leader may still start and stop tasks."""
-
-    def run_reported(self, session: 'WorkerSession', run: Run) -> None:
-        """Take note of a run's progress."""
-
-    def fenced(self, session: 'WorkerSession') -> None:
-        """Take note that another leader orders the worker."""
-
-    def stop_again(self, session: 'WorkerSession', run: Run) -> None:
-        """Order a stop once more that has had no effect yet."""
-
-    def run_ended(self, session: 'WorkerSession', end: EndReport) -> None:
-        """Take note of an end; the run takes no more room."""
-
-    def run_vanished(
-        self,
-        session: 'WorkerSession',
-        run: Run,
-        reason: str,
-    ) -> None:
-        """Take note that a run does not exist and never will."""
-
-    def needs_of(self, key: TaskKey) -> Resources:
-        """Return the room a task takes, for runs found at a worker."""
-
-    async def ends_saved(self) -> None:
-        """Return once every end noted so far is stored."""
-
-    def session_changed(self, session: 'WorkerSession') -> None:
-        """Look at placements again."""
-
-
 class WorkerSession:
     """One life of one worker.
 
@@ -130,11 +89,7 @@
         self._owner = owner
         self._clock = clock
         self._token = epoch * RAISES_PER_EPOCH
-        self._acknowledged = 0
-        self._saving: asyncio.Future[None] | None = None
-        self._saving_upto = 0
-        self._noted = 0
-        self._told = 0
+        self._ends = EndLog(saved=owner.ends_saved, clock=clock)
         self._lease = Lease(
             clock=clock,
             length_s=timing.lease_s,
@@ -183,8 +138,7 @@
             while not self.gone:
                 await self._run_once()
         finally:
-            if self._saving is not None:
-                self._saving.cancel()
+            self._ends.close()
 
     async def _run_once(self) -> None:
         if self._is_idle():
@@ -288,20 +242,20 @@
         return (
             self.synced
             and not self.runs
-            and self._told == self._noted
+            and self._ends.settled
             and not self._urgent.is_set()
         )
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
-        await self._acknowledge()
+        await self._ends.acknowledge()
         if self._worker is None or not self._owner.may_renew():
             await self._clock.sleep(MISSED_DELAY_S)
             self._check_lapse()
             return
         order = LeaseOrder(
             token=self._token,
-            acknowledged=self._acknowledged,
+            acknowledged=self._ends.acknowledged,
             # A worker that does not answer is only looked at: were its lease
             # extended by calls that may yet arrive, it would never lapse.
             deadline_s=self._lease.grant() if self.reachable else 0.0,
@@ -346,7 +300,7 @@
             urgent.cancel()
 
     def _renewal_wait_s(self) -> float:
-        if not self.synced or self._told < self._noted:
+        if not self.synced or not self._ends.settled:
             return 0.0
         return RENEWAL_WAIT_S if self.runs else 0.0
 
@@ -418,13 +372,13 @@
         if not self.reachable:
             self.reachable = True
             events.log('worker_reachable', worker=self.worker_id)
-        self._told = max(self._told, order.acknowledged)
+        self._ends.tell(order.acknowledged)
         if order.token == self._token:
             self.synced = True
             # Orders of lower tokens are shut out, so no lease is longer.
             self._lease.bound()
         seen = {(one.task, one.attempt) for one in report.runs}
-        new_ends = [end for end in report.ends if end.number > self._noted]
+        new_ends = self._ends.new_of(report.ends)
         seen.update((end.task, end.attempt) for end in new_ends)
         for one in report.runs:
             self._take_run(one)
@@ -492,29 +446,9 @@
         for end in ends:
             self._owner.run_ended(self, end)
             self.runs.pop((end.task, end.attempt), None)
-            self._noted = max(self._noted, end.number)
+            self._ends.note(end)
         self._owner.session_changed(self)
 
-    async def _acknowledge(self) -> None:
-        """Acknowledge ends that are stored; wait a while for those noted.
-
-        A store that is away must not keep the lease from being renewed: the
-        worker's other runs would lapse.
-        """
-        if self._saving is None:
-            if self._acknowledged == self._noted:
-                return
-            self._saving_upto = self._noted
-            self._saving = asyncio.ensure_future(self._owner.ends_saved())
-        if await wait_at_most(
-            self._saving,
-            timeout_s=UNSAVED_PAUSE_S,
-            clock=self._clock,
-        ):
-            self._saving.result()
-            self._acknowledged = self._saving_upto
-            self._saving = None
-
     def _vanish(self, run: Run, reason: str) -> None:
         if self.runs.get(run.name) is not run:
             return
@@ -522,4 +456,4 @@
         self._owner.run_vanished(self, run, reason)
 
 
-__all__ = ('SessionOwner', 'WorkerSession')
+__all__ = ('WorkerSession',)
