Test a worker's list that crosses an unanswered start

The guard in WorkerSession._check_absent was needed by no test: with it taken out the new test fails (the run is given up by a list under the old token).

--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,168 @@
+"""One life of one worker, against replies that cross each other."""
+
+import asyncio
+import unittest
+
+from curranthill.clock import Clock
+from curranthill.dispatch.runs import MARKED, UNKNOWN, Run
+from curranthill.dispatch.session import WorkerSession
+from curranthill.dispatch.workers import (
+    EndReport,
+    LeaseOrder,
+    LeaseReport,
+    StartOrder,
+    WorkerEntry,
+)
+from curranthill.errors import WorkerReplyLostError
+from curranthill.tasks import Resources, TaskKey, Timing
+from tests.domain import ONE_GPU, ROOM
+from tests.support import ManualClock, run
+
+TASK = TaskKey('a1', 0, 0, 0)
+
+
+class CrossingWorker:
+    """Answers a renewal just as a start is given up.
+
+    :param renewals: every renewal that was asked for.
+    """
+
+    def __init__(self) -> None:
+        """Answer at once until a renewal is to be held."""
+        self.renewals: list[LeaseOrder] = []
+        self.hold = False
+        self._held: asyncio.Future[None] | None = None
+
+    async def start(self, order: StartOrder) -> float:
+        """Give no answer; the held renewal is answered at this moment."""
+        assert self._held is not None
+        self.hold = False
+        self._held.set_result(None)
+        raise WorkerReplyLostError('No answer.', step='start')
+
+    async def stop(self, task: TaskKey, attempt: int, token: int) -> float:
+        """Accept a stop."""
+        return 0.0
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """List nothing."""
+        self.renewals.append(order)
+        if self.hold:
+            self._held = asyncio.get_running_loop().create_future()
+            await self._held
+        return LeaseReport(clock_s=0.0, runs=(), ends=())
+
+
+class Owner:
+    """Keeps what a session tells.
+
+    :param vanished: why each run was given up, and the token of the newest
+        renewal then.
+    """
+
+    def __init__(self, worker: CrossingWorker) -> None:
+        """Start with nothing told."""
+        self.vanished: list[tuple[str, int]] = []
+        self._worker = worker
+
+    def may_renew(self) -> bool:
+        """Allow renewals."""
+        return True
+
+    def may_order(self) -> bool:
+        """Allow orders."""
+        return True
+
+    def run_reported(self, session: WorkerSession, run: Run) -> None:
+        """Pass over progress."""
+
+    def fenced(self, session: WorkerSession) -> None:
+        """Pass over another leader."""
+
+    def stop_again(self, session: WorkerSession, run: Run) -> None:
+        """Pass over a stop without effect."""
+
+    def run_ended(self, session: WorkerSession, end: EndReport) -> None:
+        """Pass over an end."""
+
+    def run_vanished(
+        self,
+        session: WorkerSession,
+        run: Run,
+        reason: str,
+    ) -> None:
+        """Keep why a run was given up."""
+        newest = self._worker.renewals[-1]
+        self.vanished.append((reason, newest.token))
+
+    def needs_of(self, key: TaskKey) -> Resources:
+        """Return what every task takes."""
+        return ONE_GPU
+
+    async def ends_saved(self) -> None:
+        """Store at once."""
+
+    def session_changed(self, session: WorkerSession) -> None:
+        """Pass over news."""
+
+
+def open_session(
+    worker: CrossingWorker,
+    owner: Owner,
+    clock: Clock,
+) -> WorkerSession:
+    """Return a session of a worker that a leader has just won."""
+    return WorkerSession(
+        entry=WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM),
+        worker=worker,
+        owner=owner,
+        clock=clock,
+        timing=Timing(),
+        epoch=1,
+        former_s=0.0,
+    )
+
+
+def marked_run(clock: Clock) -> Run:
+    """Return a run that is stored and not ordered yet."""
+    return Run(
+        key=TASK,
+        attempt=1,
+        worker_id='w1',
+        needs=ONE_GPU,
+        priority=1,
+        checkpointable=False,
+        state=MARKED,
+        now_s=clock.monotonic_s(),
+    )
+
+
+class CrossingReplyTest(unittest.TestCase):
+    """A list that was made before an order is known to be shut out."""
+
+    def test_a_list_under_the_old_token_says_nothing_of_a_lost_start(
+        self,
+    ) -> None:
+        """The start may yet take effect; only a list under the new token."""
+
+        async def case() -> None:
+            clock = ManualClock()
+            worker = CrossingWorker()
+            owner = Owner(worker)
+            session = open_session(worker, owner, clock)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            one = marked_run(clock)
+            session.runs[one.name] = one
+            worker.hold = True
+            session.wake()
+            await clock.advance(0.1)
+            token = session.token
+            await session.start(one, 'text')
+            self.assertEqual(one.state, UNKNOWN)
+            await clock.advance(1)
+            self.assertEqual(owner.vanished, [('never started', token + 1)])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        run(case())
