--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -25,6 +25,9 @@
 #: just under the interval of reports when nothing ends.
 SHORTEST_STALL_S: Final = 1.4
 
+#: What a run reports that has done all its work.
+ALL_DONE_PERCENT: Final = 100
+
 #: The same, as a share of the estimated run time: far from its data and on a
 #: slow worker a task still shows one percent more in that time.
 STALL_SHARE: Final = 0.1
@@ -113,8 +116,10 @@
         """Return for how long reports have shown no progress; 0 if too short.
 
         Only time between reports counts: an unreachable worker shows nothing.
+        A member of a gang that has done its work waits for the others.
         """
-        if self.state != RUNNING or not self.estimate_s:
+        watched = self.estimate_s and self.done_percent < ALL_DONE_PERCENT
+        if self.state != RUNNING or not watched:
             return 0.0
         reported_s = self.started_s + self.age_s
         stalled_s = reported_s - self.percent_changed_s
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -873,6 +873,24 @@
 
         in_domain(case, run_s=10)
 
+    def test_a_gang_member_that_waits_for_the_others_stands_not_still(
+        self,
+    ) -> None:
+        """One has done all its work; the other needs 4 s more."""
+
+        async def case(domain: Domain) -> None:
+            slow = FIRST._replace(rank=1)
+            for worker in domain.workers.values():
+                worker.lengths_s = {slow: 5.0}
+                worker.gangs = {FIRST.job_id}
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', gang()))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case)
+
     def test_a_lasting_task_does_not_stand_still(self) -> None:
         """Its percentage says that it is at work, and stays."""
 
