Large jobs fit their row, or are refused before they are stored

Cause: a job's progress lies in one row of 64 KB. By the size of its records a job of some 900 started tasks with checkpoints passed that; the store then refuses the leader's commit, which it repeats for ever, and nothing else is written. Nothing bounded tasks or steps.

Ruled out: a row a task (a commit takes 100 entries); cutting the record (each start must be marked).

Change: records from 8 KB on are compressed; tasks of a step that is done are no longer listed; jobs of over 3,000 tasks at a time or 400 steps are refused with 400 and stored nowhere.

--- a/src/curranthill/dispatch/jobs.py
+++ b/src/curranthill/dispatch/jobs.py
@@ -55,7 +55,7 @@
     @property
     def begun(self) -> bool:
         """Return whether any task ever started."""
-        return bool(self.progress.tasks)
+        return bool(self.progress.tasks or self.progress.done_steps)
 
     def ready_steps(self, now_s: float) -> Iterator[ReadyStep]:
         """Yield what may start at a wall-clock time in seconds."""
@@ -93,11 +93,16 @@
         """Return whether all tasks of a step are done."""
         if (occurrence, number) in self._done_steps:
             return True
+        if self.progress.is_step_done(occurrence, number):
+            self._done_steps.add((occurrence, number))
+            return True
         done = all(
             self._is_done(key) for key in self.keys_of(occurrence, number)
         )
         if done:
             self._done_steps.add((occurrence, number))
+            width = self.spec.steps[number].width
+            self.progress.note_step_done(occurrence, number, width)
         return done
 
     def check_completed(self, now_s: float) -> bool:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -89,8 +89,9 @@
             run.stop_wanted = True
             self._spawner.spawn(session.stop(run))
             return
-        if run.checkpoint:
-            job.progress.task(run.key).checkpoint = run.checkpoint
+        task = job.progress.peek(run.key)
+        if run.checkpoint and task is not None:
+            task.checkpoint = run.checkpoint
 
     def fenced(self, session: WorkerSession) -> None:
         """End the term: a worker has seen another leader's token."""
@@ -316,6 +317,7 @@
         self.jobs.pop(job_id)
         self.ended_at_s[job_id] = job.progress.ended_at_s
         job.progress.tasks.clear()
+        job.progress.done_steps.clear()
         self._journal.note(job)
         self._cleanup.add(job_id)
 
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -144,7 +144,7 @@
             steps = tuple(step_from(fields) for fields in submitted.steps)
         except (msgspec.MsgspecError, TypeError) as error:
             raise _bad_job(target, str(error)) from error
-        faults = faults_of(submitted.spec, steps)
+        faults = faults_of(submitted.spec, steps, times=submitted.times)
         if faults:
             raise _bad_job(target, ' '.join(faults))
         return JobSpec(
--- a/src/curranthill/tasks/checks.py
+++ b/src/curranthill/tasks/checks.py
@@ -7,10 +7,31 @@
 #: The longest text that a caller may hand to its tasks, in characters.
 PAYLOAD_LIMIT = 4000
 
+#: The most tasks that a job may have at a time: with a checkpoint each, their
+#: progress fits the 64 KB of a row (tested with random checkpoints).
+MOST_TASKS = 3000
 
-def faults_of(payload: str, steps: tuple[Step, ...]) -> tuple[str, ...]:
-    """Return every fault of a job as a plain sentence."""
+#: The most steps of a job: with the longest text they fit the 64 KB of a row.
+MOST_STEPS = 400
+
+
+def faults_of(
+    payload: str,
+    steps: tuple[Step, ...],
+    *,
+    times: int,
+) -> tuple[str, ...]:
+    """Return every fault of a job as a plain sentence.
+
+    :param times: how often the steps run; 0 for a plain job.
+    """
     faults = []
+    if sum(step.width for step in steps) > MOST_TASKS:
+        faults.append(f'The job has more than {MOST_TASKS} tasks.')
+    if len(steps) > MOST_STEPS:
+        faults.append(f'The job has more than {MOST_STEPS} steps.')
+    if times < 0:
+        faults.append('The job runs a negative number of times.')
     if len(payload) > PAYLOAD_LIMIT:
         faults.append(f'The text is longer than {PAYLOAD_LIMIT} characters.')
     if not steps:
@@ -30,4 +51,4 @@
             yield f'Step {number} waits for step {earlier}, no earlier step.'
 
 
-__all__ = ('PAYLOAD_LIMIT', 'faults_of')
+__all__ = ('MOST_STEPS', 'MOST_TASKS', 'PAYLOAD_LIMIT', 'faults_of')
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -1,5 +1,6 @@
 """How far a job has come: what the leader writes and any host reads."""
 
+import zlib
 from typing import Any, Final, Literal, TypeVar
 
 import msgspec
@@ -16,6 +17,16 @@
 
 ENDED: Final = frozenset((COMPLETED, FAILED, CANCELLED))
 
+#: Records from this size on are compressed, in bytes: 64 KB must hold the
+#: progress of the widest jobs, and small rows are cheaper as they are.
+COMPRESS_FROM_BYTES: Final = 8192
+
+#: zlib's fastest level.
+COMPRESSION_LEVEL: Final = 1
+
+#: The first byte of zlib's format; no JSON text begins so.
+_ZLIB_START: Final = b'\x78'
+
 Record = TypeVar('Record')
 
 
@@ -40,12 +51,26 @@
 
     :param tasks: by occurrence, step and rank, joined by dots.
     :param ended_at_s: wall-clock seconds of the end, 0 before it.
+    :param done_steps: occurrence and step, joined by a dot, of steps all of
+        whose tasks are done; these are listed no more.
     """
 
     queue: str
     state: JobState = QUEUED
     tasks: dict[str, TaskProgress] = {}
     ended_at_s: float = 0.0
+    done_steps: list[str] = []
+
+    def note_step_done(self, occurrence: int, step: int, width: int) -> None:
+        """Keep of a step only that all its tasks are done."""
+        name = f'{occurrence}.{step}'
+        self.done_steps.append(name)
+        for rank in range(width):
+            self.tasks.pop(f'{name}.{rank}', None)
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Return whether a step is known to be done."""
+        return f'{occurrence}.{step}' in self.done_steps
 
     def task(self, key: TaskKey) -> TaskProgress:
         """Return a task's progress, made on first use."""
@@ -62,8 +87,11 @@
 
 
 def encode(record: msgspec.Struct | tuple[Any, ...]) -> bytes:
-    """Return a record's stored form."""
-    return msgspec.json.encode(record)
+    """Return a record's stored form; large ones are compressed."""
+    content = msgspec.json.encode(record)
+    if len(content) < COMPRESS_FROM_BYTES:
+        return content
+    return zlib.compress(content, COMPRESSION_LEVEL)
 
 
 def decode(content: bytes, record: type[Record]) -> Record:
@@ -71,6 +99,11 @@
 
     :raises msgspec.DecodeError: if the content is not such a record.
     """
+    if content.startswith(_ZLIB_START):
+        try:
+            content = zlib.decompress(content)
+        except zlib.error as error:
+            raise msgspec.DecodeError(str(error)) from error
     return msgspec.json.decode(content, type=record)
 
 
