Lasting tasks get room at once and keep it; filling stays away from serving

Cause: a task that lasts waited for room like any other of its priority, though it must be at work again within seconds however full the service is; it could be stopped for urgent work without regard to how many of its step were away; and nothing kept tasks that fill from slowing tasks with a bound on their answers.

Ruled out, for now: controlling the pace of what fills (not built; keeping the two apart keeps the bound and leaves room unused).

Change: a lasting task may stop others, after covered urgent jobs, and is never stopped for them; what fills and what serves never share a worker.

Before: the three new tests fail (no victim; the lasting run is stopped; both share a worker). After: they pass.

--- a/src/curranthill/dispatch/evictions.py
+++ b/src/curranthill/dispatch/evictions.py
@@ -17,6 +17,13 @@
 Fellows = dict[tuple[TaskKey, int], list[Run]]
 
 
+def may_stop(run: Run) -> bool:
+    """Return whether a run may be stopped for others."""
+    if run.stop_wanted or run.lasting:
+        return False
+    return run.priority > URGENT and run.state == RUNNING
+
+
 class Eviction(NamedTuple):
     """Rooms for tasks, one each, and the runs that must end first.
 
@@ -60,10 +67,7 @@
         candidates = [
             run
             for run in room.runs
-            if run.priority > URGENT
-            and run.state == RUNNING
-            and not run.stop_wanted
-            and run.name not in self._victims
+            if may_stop(run) and run.name not in self._victims
         ]
         chosen: list[Run] = []
         loss = 0.0
--- a/src/curranthill/dispatch/jobs.py
+++ b/src/curranthill/dispatch/jobs.py
@@ -52,6 +52,11 @@
         """Return whether the job's state is final."""
         return self.progress.state in ENDED
 
+    @property
+    def lasting(self) -> bool:
+        """Return whether tasks of it run until it is cancelled."""
+        return any(step.perpetual for step in self.spec.steps)
+
     @property
     def begun(self) -> bool:
         """Return whether any task ever started."""
@@ -107,7 +112,7 @@
 
     def check_completed(self, now_s: float) -> bool:
         """Set the job's state once every task is done."""
-        if self.ended or any(step.perpetual for step in self.spec.steps):
+        if self.ended or self.lasting:
             return False
         for occurrence in range(self.spec.occurrences):
             for number, _ in enumerate(self.spec.steps):
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -78,6 +78,7 @@
         waiting.sort(
             key=lambda job: (
                 job.spec.job_id not in covered,
+                not job.lasting,
                 job.spec.queue.priority,
                 job.spec.objective_s,
             ),
@@ -118,7 +119,8 @@
         return ready._replace(tickets=self._tickets(job, ready))
 
     def _place_step(self, job: ActiveJob, ready: ReadyStep) -> None:
-        urgent = job.spec.queue.priority == URGENT
+        # A task that lasts must be at work again soon, however full all is.
+        urgent = job.spec.queue.priority == URGENT or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
         if shape in self._too_large and not (urgent or advised):
@@ -226,7 +228,7 @@
         if chosen and not doubt:
             return chosen
         for key, room in chosen:
-            room.unplace(key, room_needed(ready.step))
+            room.unplace(key, ready.step)
         if chosen and (best is None or doubt < best[0]):
             best = (doubt, group)
     return choose_rooms(ready, best[1]) if best else []
@@ -243,12 +245,12 @@
         room = best_room(key, ready.step, needs, rooms)
         if room is None:
             break
-        room.place(key, needs)
+        room.place(key, ready.step)
         chosen.append((key, room))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
         for key, room in chosen:
-            room.unplace(key, needs)
+            room.unplace(key, ready.step)
         return []
     return chosen
 
--- a/src/curranthill/dispatch/rooms.py
+++ b/src/curranthill/dispatch/rooms.py
@@ -1,11 +1,27 @@
 """Room on workers while one round of placements is worked out."""
 
+from collections import Counter
 from collections.abc import Iterable
-
-from curranthill.dispatch.runs import Run
+from typing import Final
+
+from curranthill.dispatch.runs import (
+    FILLING,
+    PLAIN,
+    SERVING,
+    Run,
+    RunKind,
+    kind_of,
+)
 from curranthill.dispatch.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
+#: Kinds of runs that are not put on one worker: what fills slows what serves
+#: within seconds, by amounts that nobody knows before.
+_DISTURBED: Final[dict[RunKind, RunKind]] = {
+    FILLING: SERVING,
+    SERVING: FILLING,
+}
+
 
 class Room:
     """One worker's room in one round.
@@ -16,7 +32,7 @@
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     """
 
-    __slots__ = ('_counts', 'doubt', 'entry', 'free', 'runs', 'soon')
+    __slots__ = ('_counts', '_kinds', 'doubt', 'entry', 'free', 'runs', 'soon')
 
     def __init__(
         self,
@@ -30,6 +46,7 @@
         self.runs = [run for run in runs]
         self.doubt = doubt
         self._counts: dict[tuple[str, int, int], int] = {}
+        self._kinds = Counter(run.kind for run in self.runs)
         free = entry.room
         soon = entry.room
         for run in self.runs:
@@ -49,6 +66,9 @@
         label = step.label
         if label and label not in self.entry.labels:
             return False
+        disturbed = _DISTURBED.get(kind_of(step), PLAIN)
+        if disturbed != PLAIN and self._kinds[disturbed]:
+            return False
         if not step.max_per_worker:
             return True
         count = self._counts.get((key.job_id, key.occurrence, key.step), 0)
@@ -58,14 +78,18 @@
         """Return whether this worker stands in a rack."""
         return rack in self.entry.labels
 
-    def place(self, key: TaskKey, needs: Resources) -> None:
+    def place(self, key: TaskKey, step: Step) -> None:
         """Take room for a task that starts now."""
+        needs = room_needed(step)
+        self._kinds[kind_of(step)] += 1
         self.free = self.free.minus(needs)
         self.soon = self.soon.minus(needs)
         self._count(key)
 
-    def unplace(self, key: TaskKey, needs: Resources) -> None:
+    def unplace(self, key: TaskKey, step: Step) -> None:
         """Give back what :meth:`place` took."""
+        needs = room_needed(step)
+        self._kinds[kind_of(step)] -= 1
         self.free = self.free.plus(needs)
         self.soon = self.soon.plus(needs)
         self._counts[(key.job_id, key.occurrence, key.step)] -= 1
--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -2,12 +2,20 @@
 
 from typing import Final, Literal
 
-from curranthill.tasks import Resources, TaskKey
+from curranthill.tasks import Resources, Step, TaskKey
 
 #: A run's life at the leader. ``marked``: stored, not yet ordered.
 #: ``ordered``: the start is under way. ``unknown``: it may or may not exist.
 RunState = Literal['marked', 'ordered', 'unknown', 'running']
 
+#: What a run is to its neighbours. ``serving``: its users wait for answers
+#: within a bound; ``filling``: it takes what others leave, and slows them.
+RunKind = Literal['plain', 'serving', 'filling']
+
+PLAIN: Final = 'plain'
+SERVING: Final = 'serving'
+FILLING: Final = 'filling'
+
 MARKED: Final = 'marked'
 ORDERED: Final = 'ordered'
 UNKNOWN: Final = 'unknown'
@@ -42,6 +50,8 @@
     :param stop_wanted: it is to end, and its room counts as becoming free;
         whether it exists is told by its state alone.
     :param estimate_s: how long it may take; 0 for a task that lasts.
+    :param lasting: it runs until its job is cancelled.
+    :param kind: whether it answers users of its own, or fills what is left.
     :param age_s: how long it has run, as of the newest report.
     """
 
@@ -54,6 +64,8 @@
         'key',
         'needs',
         'ordered_token',
+        'kind',
+        'lasting',
         'percent_changed_s',
         'priority',
         'settled_s',
@@ -78,9 +90,13 @@
         state: RunState,
         now_s: float,
         estimate_s: float = 0.0,
+        lasting: bool = False,
+        kind: RunKind = PLAIN,
     ) -> None:
         """Make a run that takes its room from now on."""
         self.estimate_s = estimate_s
+        self.lasting = lasting
+        self.kind = kind
         self.key = key
         self.attempt = attempt
         self.worker_id = worker_id
@@ -141,11 +157,23 @@
         return (self.key, self.attempt)
 
 
+def kind_of(step: Step) -> RunKind:
+    """Return what a step's runs are to their neighbours."""
+    if step.fills:
+        return FILLING
+    return SERVING if step.target_ms else PLAIN
+
+
 __all__ = (
+    'FILLING',
     'MARKED',
     'ORDERED',
+    'PLAIN',
     'RUNNING',
+    'SERVING',
     'UNKNOWN',
     'Run',
+    'RunKind',
     'RunState',
+    'kind_of',
 )
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -13,7 +13,7 @@
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S, Leadership
 from curranthill.dispatch.rooms import room_needed
-from curranthill.dispatch.runs import MARKED, UNKNOWN, Run
+from curranthill.dispatch.runs import MARKED, UNKNOWN, Run, kind_of
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.workers import DONE, RUN_FAILED, EndReport
@@ -248,16 +248,19 @@
         session: WorkerSession,
     ) -> Run:
         """Add a run that takes room at its worker from now on."""
+        step = job.step_of(key)
         run = Run(
             key=key,
             attempt=attempt,
             worker_id=session.worker_id,
-            needs=room_needed(job.step_of(key)),
+            needs=room_needed(step),
             priority=job.spec.queue.priority,
-            checkpointable=job.step_of(key).checkpointable,
+            checkpointable=step.checkpointable,
             state=MARKED,
             now_s=self._clock.monotonic_s(),
-            estimate_s=job.step_of(key).run_s,
+            estimate_s=step.run_s,
+            lasting=step.perpetual,
+            kind=kind_of(step),
         )
         session.runs[run.name] = run
         job.runs[key] = run
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,7 +9,14 @@
 from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.planner import Plan, Planner
 from curranthill.dispatch.rooms import Room
-from curranthill.dispatch.runs import RUNNING, Run
+from curranthill.dispatch.runs import (
+    FILLING,
+    PLAIN,
+    RUNNING,
+    SERVING,
+    Run,
+    RunKind,
+)
 from curranthill.dispatch.workers import WorkerEntry
 from curranthill.tasks import JobProgress, JobSpec, Resources, Step, TaskKey
 from tests.domain import ROOM, SERVICE, make_spec
@@ -30,6 +37,8 @@
     age_s: float = 1.0,
     job_id: str = 'other',
     rank: int = 0,
+    lasting: bool = False,
+    kind: RunKind = PLAIN,
 ) -> Run:
     """Return a run that takes accelerators of a worker."""
     run = Run(
@@ -41,6 +50,8 @@
         checkpointable=False,
         state=RUNNING,
         now_s=0.0,
+        lasting=lasting,
+        kind=kind,
     )
     run.age_s = age_s
     return run
@@ -134,6 +145,44 @@
         self.assertEqual([one.worker_id for one in decided.victims], ['a2'])
 
 
+class LastingTest(unittest.TestCase):
+    """Tasks that run until their job is cancelled."""
+
+    def test_a_lasting_task_makes_room_in_a_full_cluster(self) -> None:
+        """It must be at work again soon, however full the service is."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, priority=1))]
+        step = Step(width=1, needs=needs(1), perpetual=True)
+        decided = plan(rooms, make_spec('a', step, priority=2))
+        self.assertEqual([one.worker_id for one in decided.victims], ['a1'])
+
+    def test_a_lasting_task_is_never_stopped_for_others(self) -> None:
+        """An urgent job waits for the other worker instead."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8, lasting=True, age_s=0)),
+            make_room('a2', 'r1', make_run('a2', 8, job_id='b', age_s=9)),
+        ]
+        step = Step(width=1, needs=needs(8))
+        decided = plan(rooms, make_spec('a', step, priority=0))
+        self.assertEqual([one.worker_id for one in decided.victims], ['a2'])
+
+    def test_what_fills_stays_away_from_what_serves(self) -> None:
+        """Neither is put beside the other."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 1, kind=SERVING)),
+            make_room('a2', 'r1', make_run('a2', 1, kind=FILLING)),
+        ]
+        fills = Step(width=1, needs=needs(1), fills=True)
+        serves = Step(width=1, needs=needs(1), target_ms=50, perpetual=True)
+        decided = plan(rooms, make_spec('f', fills), make_spec('s', serves))
+        self.assertEqual(placed(decided), {'f': ['a2'], 's': ['a1']})
+        both = plan(
+            [make_room('a1', 'r1')],
+            make_spec('f', fills),
+            make_spec('s', serves),
+        )
+        self.assertEqual(placed(both), {'s': ['a1']})
+
+
 class RackTest(unittest.TestCase):
     """Tasks that run longer apart stay together."""
 
