--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from typing import Final, Literal
 
-Mode = Literal['pass', 'delay', 'reset', 'silent', 'one_way']
+Mode = Literal['pass', 'delay', 'reset', 'silent', 'one_way', 'mute']
 
 #: What the ``delay`` mode adds to each piece of data, in seconds.
 DELAY_S: Final = 0.15
@@ -15,7 +15,8 @@
 class Proxy:
     """Forwards one port of this machine to another address.
 
-    :param mode: what happens to connections and data from now on.
+    :param mode: what happens to connections and data from now on; ``mute``:
+        those open by now are silent for good, new ones pass.
     """
 
     def __init__(self, *, target: str) -> None:
@@ -25,6 +26,7 @@
         ip, port = target.rsplit(':', 1)
         self._target = (ip, int(port))
         self._writers: set[asyncio.StreamWriter] = set()
+        self._muted: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -40,6 +42,8 @@
     def change(self, mode: Mode) -> None:
         """Change the mode; ``reset`` also cuts what is open."""
         self.mode = mode
+        if mode == 'mute':
+            self._muted.update(self._writers)
         if mode == 'reset':
             for writer in list(self._writers):
                 writer.transport.abort()
@@ -71,6 +75,13 @@
             self._copy(far_reader, writer, back=True),
         )
         self._writers.difference_update((writer, far_writer))
+        self._muted.difference_update((writer, far_writer))
+
+    def _swallows(self, writer: asyncio.StreamWriter, *, back: bool) -> bool:
+        """Return whether data towards a writer is lost."""
+        if self.mode == 'silent' or writer in self._muted:
+            return True
+        return back and self.mode == 'one_way'
 
     async def _copy(
         self,
@@ -83,7 +94,7 @@
             while piece := await reader.read(PIECE_BYTES):
                 if self.mode == 'delay':
                     await asyncio.sleep(DELAY_S)
-                if self.mode == 'silent' or (back and self.mode == 'one_way'):
+                if self._swallows(writer, back=back):
                     continue
                 writer.write(piece)
                 await writer.drain()
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -291,7 +291,13 @@
         await self._add_worker(f'{name}x')
 
     async def _disturb(self, proxies: list[Proxy]) -> None:
-        modes: tuple[Mode, ...] = ('delay', 'reset', 'silent', 'one_way')
+        modes: tuple[Mode, ...] = (
+            'delay',
+            'reset',
+            'silent',
+            'one_way',
+            'mute',
+        )
         mode = self.random.choice(modes)
         for proxy in proxies:
             proxy.change(mode)
