An urgent job beyond its guarantee throws away a bounded amount of work

Change: a job that is not covered may throw away three times its own work. Covered jobs, and lasting tasks, stop whatever they need, as before.

--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/dispatch/planner.py
@@ -24,6 +24,11 @@
 #: would leave room unused that smaller jobs could fill.
 RESERVATIONS: Final = 1
 
+#: An urgent job that no guarantee covers may throw away so many times its own
+#: work: mean worth of six days at Tenggara over three seeds 0.728 against 0.704
+#: without a limit, at Kalvola 0.807 against 0.801.
+MOST_LOSS_SHARE: Final = 3.0
+
 
 class Placement(NamedTuple):
     """Tasks of one step that start now; gangs are placed whole."""
@@ -68,16 +73,17 @@
         self._fellows = fellows
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
+        self._covered: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
         self._reservations = RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
         """Return the decisions for jobs in any order."""
         waiting = [job for job in jobs if not job.ended]
-        covered = self._covered_jobs(waiting)
+        self._covered = self._covered_jobs(waiting)
         waiting.sort(
             key=lambda job: (
-                job.spec.job_id not in covered,
+                job.spec.job_id not in self._covered,
                 not job.lasting,
                 job.spec.queue.priority,
                 job.spec.objective_s,
@@ -139,7 +145,7 @@
         if not missing:
             return
         if urgent:
-            self._make_room(ready, missing, groups)
+            self._make_room(job, ready, missing, groups)
             return
         if not advised:
             self._too_large.add(shape)
@@ -169,6 +175,7 @@
 
     def _make_room(
         self,
+        job: ActiveJob,
         ready: ReadyStep,
         missing: tuple[TaskKey, ...],
         groups: list[list[Room]],
@@ -176,19 +183,41 @@
         """Stop what is needed for urgent tasks, and keep what gets free."""
         needed = [missing] if ready.step.gang else [(key,) for key in missing]
         for tasks in needed:
-            best: Eviction | None = None
-            for group in groups:
-                found = cheapest_eviction(
-                    tasks,
-                    ready.step,
-                    group,
-                    self._fellows,
-                )
-                if found and (best is None or found.loss < best.loss):
-                    best = found
-            if best is not None:
+            best = self._best_eviction(tasks, ready.step, groups)
+            if best is not None and self._pays(job, ready.step, tasks, best):
                 self._evict(best, room_needed(ready.step))
 
+    def _best_eviction(
+        self,
+        tasks: tuple[TaskKey, ...],
+        step: Step,
+        groups: list[list[Room]],
+    ) -> Eviction | None:
+        """Return the eviction of the least loss over all groups, if any."""
+        found = (
+            cheapest_eviction(tasks, step, group, self._fellows)
+            for group in groups
+        )
+        return min(
+            (one for one in found if one is not None),
+            key=lambda one: one.loss,
+            default=None,
+        )
+
+    def _pays(
+        self,
+        job: ActiveJob,
+        step: Step,
+        tasks: tuple[TaskKey, ...],
+        eviction: Eviction,
+    ) -> bool:
+        """Return whether making room is worth the work thrown away."""
+        covered = job.spec.job_id in self._covered
+        if covered or step.perpetual or not step.estimate_s:
+            return True
+        work_core_s = len(tasks) * step.needs.weight_cores * step.estimate_s
+        return eviction.loss <= MOST_LOSS_SHARE * work_core_s
+
     def _evict(self, eviction: Eviction, needs: Resources) -> None:
         for run in eviction.victims:
             self._victims.append(run)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -145,6 +145,34 @@
         self.assertEqual([one.worker_id for one in decided.victims], ['a2'])
 
 
+class WasteTest(unittest.TestCase):
+    """What an urgent job may throw away."""
+
+    step = Step(width=1, needs=needs(8), estimate_s=1.0)
+
+    def test_a_job_beyond_its_guarantee_does_not_stop_long_work(self) -> None:
+        """A minute of work for a second of it: the job waits."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, age_s=60))]
+        decided = plan(rooms, make_spec('a', self.step, priority=0))
+        self.assertEqual(decided.victims, ())
+
+    def test_a_job_beyond_its_guarantee_stops_what_has_just_begun(self) -> None:
+        """Hardly any work is lost."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, age_s=0.1))]
+        decided = plan(rooms, make_spec('a', self.step, priority=0))
+        self.assertEqual([one.worker_id for one in decided.victims], ['a1'])
+
+    def test_a_covered_job_stops_whatever_it_needs(self) -> None:
+        """Its workspace's guarantee goes before any work of others."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, age_s=60))]
+        decided = plan(
+            rooms,
+            make_spec('a', self.step, priority=0),
+            guaranteed={'alpha': 8},
+        )
+        self.assertEqual([one.worker_id for one in decided.victims], ['a1'])
+
+
 class LastingTest(unittest.TestCase):
     """Tasks that run until their job is cancelled."""
 
