--- a/src/curranthill/dispatch/runs.py
+++ b/src/curranthill/dispatch/runs.py
@@ -33,13 +33,13 @@
 #: just under the interval of reports when nothing ends.
 SHORTEST_STALL_S: Final = 1.4
 
-#: What a run reports that has done all its work.
-ALL_DONE_PERCENT: Final = 100
-
 #: The same, as a share of the estimated run time: far from its data and on a
 #: slow worker a task still shows one percent more in that time.
 STALL_SHARE: Final = 0.1
 
+#: What a run reports that has done all its work.
+ALL_DONE_PERCENT: Final = 100
+
 
 class Run:
     """One run of one task on one worker; it takes room until its end is known.
