--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -191,11 +191,14 @@
             headers={'Host': 'jobs.example'},
             timeout=aiohttp.ClientTimeout(total=3.0),
         ) as session:
-            number = 0
-            while not self._healing:
-                number += 1
-                self._spawn(self._hand_in(session, f'{number:016x}'))
-                await asyncio.sleep(self.random.uniform(0.05, 0.3))
+            # The session stays open until the last caller has its answer.
+            async with asyncio.TaskGroup() as callers:
+                number = 0
+                while not self._healing:
+                    number += 1
+                    job_id = f'{number:016x}'
+                    callers.create_task(self._hand_in(session, job_id))
+                    await asyncio.sleep(self.random.uniform(0.05, 0.3))
 
     async def _hand_in(
         self,
@@ -360,7 +363,7 @@
         self.faults.extend(
             f'{one} was refused and stored'
             for one in self.refused
-            if ('progress', one) in self.rows.rows
+            if {('intake', one), ('progress', one)} & self.rows.rows.keys()
         )
 
     def _done(self, job_id: str) -> bool:
