--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,96 @@
+"""Following a table of the store through its faults."""
+
+import asyncio
+import unittest
+
+from curranthill.standin.rows import RowModel
+from curranthill.storage.follower import FEED_WAIT_S, RETRY_S, TableFollower
+from curranthill.storage.rows import RowPut, StoredRow
+from tests.support import ManualClock, run
+
+#: Within so long a change must be in force everywhere, in seconds.
+IN_FORCE_S = 2.0
+
+
+class Followed:
+    """A follower of one table, and what it was told.
+
+    :param seen: the content of each row, as told last.
+    """
+
+    def __init__(self) -> None:
+        """Follow an empty table."""
+        self.clock = ManualClock()
+        self.rows = RowModel(clock=self.clock)
+        self.seen: dict[str, bytes] = {}
+        self._follower = TableFollower(
+            store=self.rows.client('h1'),
+            clock=self.clock,
+            table='t',
+            take_all=self._take,
+            take_changes=self._take,
+        )
+
+    async def follow(self) -> None:
+        """Read the table and follow it."""
+        await self._follower.read()
+        await self._follower.follow()
+
+    def write(self, key: str, content: bytes) -> None:
+        """Change a row."""
+        self.rows.apply((), (RowPut('t', key, content),), ())
+
+    def _take(self, rows: tuple[StoredRow, ...]) -> None:
+        self.seen.update({row.key: row.content for row in rows})
+
+
+class FollowerTest(unittest.TestCase):
+    """Changes arrive in bounded time, whatever became of a reading."""
+
+    def test_a_change_arrives_at_once(self) -> None:
+        """The feed waits at the store."""
+
+        async def case() -> None:
+            followed = Followed()
+            following = asyncio.ensure_future(followed.follow())
+            await followed.clock.advance(0.5)
+            followed.write('k', b'1')
+            await followed.clock.advance(0.05)
+            self.assertEqual(followed.seen, {'k': b'1'})
+            following.cancel()
+
+        run(case())
+
+    def test_a_lost_reading_costs_less_than_the_bound(self) -> None:
+        """A change is made while a reading is lost."""
+
+        async def case() -> None:
+            followed = Followed()
+            following = asyncio.ensure_future(followed.follow())
+            await followed.clock.advance(0.5)
+            followed.rows.down.add('h1')
+            await followed.clock.advance(FEED_WAIT_S)
+            followed.write('k', b'1')
+            followed.rows.down.clear()
+            await followed.clock.advance(IN_FORCE_S - RETRY_S)
+            self.assertEqual(followed.seen, {'k': b'1'})
+            following.cancel()
+
+        run(case())
+
+    def test_a_lost_history_is_read_again(self) -> None:
+        """What changed in the gap is there after it."""
+
+        async def case() -> None:
+            followed = Followed()
+            following = asyncio.ensure_future(followed.follow())
+            await followed.clock.advance(0.5)
+            followed.rows.down.add('h1')
+            followed.write('k', b'1')
+            followed.rows.forget_history()
+            followed.rows.down.clear()
+            await followed.clock.advance(IN_FORCE_S)
+            self.assertEqual(followed.seen, {'k': b'1'})
+            following.cancel()
+
+        run(case())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
@@ -446,6 +448,44 @@
         self.assertEqual(await status(caller.get(job)), 410)
 
 
+class ReloadTest(unittest.TestCase):
+    """SIGHUP has the settings read again; the host serves on."""
+
+    def test_good_settings_are_taken_and_bad_ones_refused(self) -> None:
+        """The file is broken, then mended; the old settings hold between."""
+
+        async def case(bench: Bench) -> None:
+            content = json.dumps(CONFIGURATION).encode()
+            bench.rows.apply((), (RowPut('op', 'config', content),), ())
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / 'local.json'
+                settings = json.dumps(settings_of(bench))
+                path.write_text(settings, 'utf-8')
+                host = HostDaemon(
+                    read_settings=lambda: read_platform_settings(path),
+                )
+                await host.app.start()
+                await until(lambda: bool(host.is_ready))
+                try:
+                    await reload(path, '{', 'reload_refused')
+                    await reload(path, settings, 'reloaded')
+                    self.assertTrue(host.is_ready)
+                finally:
+                    await host.app.stop()
+
+        on_bench(case)
+
+
+async def reload(path: Path, settings: str, outcome: str) -> None:
+    """Change the settings, send SIGHUP, and wait until its outcome is told."""
+    path.write_text(settings, 'utf-8')
+    with patch.object(events, 'log') as log:
+        os.kill(os.getpid(), signal.SIGHUP)
+        await until(
+            lambda: any(call.args[0] == outcome for call in log.call_args_list),
+        )
+
+
 class PlannedStopTest(unittest.TestCase):
     """A leading host that is told to stop."""
 
