Parts that are read side by side share one page

Cause: a takeover reads the 16 parts of the accepted jobs at once, each by pages of 100 rows; on a host with 5 Mbit/s that is up to 3.2 MB under way, five seconds of its link, and every page would be given up after 1.5 s.

Ruled out: reading them one after the other (a store that is slow takes a quarter of a second for each).

Change: the parts share the rows of one page. Before: the new test fails, 1,600 rows under way. After: 96, it passes.

--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -33,7 +33,8 @@
 FEED_SLACK_S: Final = 0.5
 
 #: Rows in one reading of a table, of some 2 KB each: a host with 5 Mbit/s
-#: takes such a page in a third of a second.
+#: takes such a page in a third of a second. Parts that are read side by side
+#: share it.
 PAGE_ROWS: Final = 100
 
 #: What one page may take, in seconds: a third of a second for the slowest
@@ -116,7 +117,10 @@
         if table in PLATFORM_TABLES:
             parts = (PLATFORM_PART,)
         scans = await asyncio.gather(
-            *(self._scan_part(table, part) for part in parts),
+            *(
+                self._scan_part(table, part, PAGE_ROWS // len(parts))
+                for part in parts
+            ),
         )
         return RowChanges(
             tuple(row for scan in scans for row in scan.rows),
@@ -124,11 +128,16 @@
             min(scan.version for scan in scans),
         )
 
-    async def _scan_part(self, table: str, part: str) -> RowChanges:
+    async def _scan_part(
+        self,
+        table: str,
+        part: str,
+        page_rows: int,
+    ) -> RowChanges:
         """Return all rows of one part, page by page."""
         rows: list[StoredRow] = []
         version: int | None = None
-        params = {'part': part, 'limit': str(PAGE_ROWS)}
+        params = {'part': part, 'limit': str(page_rows)}
         while True:
             fields = await self._get(table, params, self._page_timeout)
             page = _rows(fields)
@@ -272,4 +281,4 @@
     )
 
 
-__all__ = ('PlatformStore',)
+__all__ = ('PAGE_ROWS', 'PlatformStore')
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -55,6 +55,7 @@
 
     :param refuse_with: a status that every call is answered with, or 0.
     :param requests: every path that was called.
+    :param limits: the most rows that each reading of a table asked for.
     """
 
     def __init__(self, *, model: RowModel) -> None:
@@ -63,6 +64,7 @@
         self.connections = Connections()
         self.refuse_with = 0
         self.requests: list[str] = []
+        self.limits: list[int] = []
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
@@ -116,6 +118,7 @@
             if row.key >= start and part_of(table, row.key) == query['part']
         ]
         limit = int(query.get('limit', '500'))
+        self.limits.append(limit)
         return _answer(
             200,
             rows=[_row(row) for row in rows[:limit]],
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,7 @@
 from curranthill.platform import HostDaemon, read_platform_settings
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import decode_revision, step_from
-from curranthill.platform.store import PlatformStore
+from curranthill.platform.store import PAGE_ROWS, PlatformStore
 from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
@@ -161,6 +161,22 @@
 
         on_bench(case)
 
+    def test_partitions_read_side_by_side_share_one_page(self) -> None:
+        """A host with a slow link takes one page in time, not sixteen."""
+
+        async def case(bench: Bench) -> None:
+            for number in range(250):
+                put = RowPut(tables.INTAKE, f'{number:016x}', b'')
+                bench.rows.apply((), (put,), ())
+            listed = await bench.store.scan(tables.INTAKE)
+            keys = {row.key for row in listed.rows}
+            self.assertEqual((len(keys), len(listed.rows)), (250, 250))
+            together = len(tables.INTAKE_PARTITIONS)
+            in_flight = max(bench.store_server.limits) * together
+            self.assertLessEqual(in_flight, PAGE_ROWS)
+
+        on_bench(case)
+
     def test_feeds_bring_changes_and_tell_of_lost_history(self) -> None:
         """A change comes at once; an old version is refused."""
 
