A test that could not fail: rows of an ended job and a refused leader

Cause: the test refused all of a host's writes, the removal that it watches too, so it passed with the wait for the stored end taken out.

Ruled out: a fault of the code; with the wait it keeps the row as it should.

Change: the stand-in refuses the commits of named partitions; the test refuses only the leader's.

Before: the test passes without the wait in IntakeCleanup. After: it fails without it and passes with it (5 of 5 in its file). Nothing that hosts run changed.

--- a/src/curranthill/standin/rows.py
+++ b/src/curranthill/standin/rows.py
@@ -32,6 +32,7 @@
 
     :param down: hosts that get no answer; ``*`` stands for all.
     :param refusing: hosts whose calls are refused; ``*`` stands for all.
+    :param refusing_partitions: partitions whose commits are refused.
     :param lose_next: how many of the next commits apply without an answer.
     :param late_next: how many of the next commits apply ``late_s`` later.
     :param commit_s: what a commit takes; those of one partition take turns.
@@ -43,6 +44,7 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.down: set[str] = set()
         self.refusing: set[str] = set()
+        self.refusing_partitions: set[str] = set()
         self.lose_next = 0
         self.late_next = 0
         self.late_s = 2.0
@@ -169,6 +171,9 @@
     ) -> int:
         """Apply all or nothing and return the new version."""
         await self._pass('commit')
+        partition = _partition_of_all(checks, puts, removals)
+        if partition in self._model.refusing_partitions:
+            raise NotSentError('Refused.', step='commit', peer='rows')
         if self._model.late_next:
             self._model.late_next -= 1
             self._model.apply_late(checks, puts, removals)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -96,7 +96,7 @@
         in_domain(case)
 
     def test_rows_of_an_ended_job_go_only_after_its_end_is_stored(self) -> None:
-        """The store stops taking the leader's writes, then the leader dies."""
+        """The store refuses the leader's partition only, then it dies."""
 
         async def case(domain: Domain) -> None:
             host = domain.start_host('h1')
@@ -104,11 +104,11 @@
             step = Step(width=2, needs=ONE_GPU, estimate_s=1.0)
             await host.accept(make_spec('a1', step))
             await domain.clock.until(lambda: bool(domain.starts(FIRST)))
-            domain.rows.refusing.add('h1')
-            await domain.clock.advance(2)
+            domain.rows.refusing_partitions.add(tables.LEADERS_PARTITION)
+            await domain.clock.advance(4)
             self.assertIn((tables.INTAKE, 'a1'), domain.rows.rows)
             await host.kill()
-            domain.rows.refusing.clear()
+            domain.rows.refusing_partitions.clear()
             domain.start_host('h2')
             self.assertEqual(await domain.ended('a1'), 'completed')
             self.assertEqual(domain.starts(FIRST), [1])
