Decisions stand in a package of their own

Change: planner, evictions, rooms, runs and jobs move to placement, and the entry of a listed worker with them. placement imports the records of tasks only; the layers' test holds it to that. No behaviour changes.

--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -22,7 +22,7 @@
 from bench.processes import free_port
 from bench.proxy import Mode, Proxy
 from curranthill.clock import SystemClock
-from curranthill.dispatch import WorkerEntry
+from curranthill.placement import WorkerEntry
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.rows import RowPut, RowRemoval
--- a/src/curranthill/dispatch/__init__.py
+++ b/src/curranthill/dispatch/__init__.py
@@ -15,7 +15,6 @@
     StartOrder,
     TaskWorker,
     WorkerConnector,
-    WorkerEntry,
     WorkerGoneError,
 )
 
@@ -36,7 +35,6 @@
     'StartOrder',
     'TaskWorker',
     'WorkerConnector',
-    'WorkerEntry',
     'WorkerFeed',
     'WorkerGoneError',
 )
--- a/src/curranthill/dispatch/advice.py
+++ b/src/curranthill/dispatch/advice.py
@@ -7,8 +7,8 @@
 from typing import Final, NamedTuple, Protocol
 
 from curranthill.clock import Clock
-from curranthill.dispatch.jobs import ReadyStep
 from curranthill.errors import CurranthillError
+from curranthill.placement import ReadyStep
 from curranthill.telemetry.events import events
 
 #: Workers named in one question: the advisor takes longer for each.
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from curranthill.clock import Clock
-from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.leadership import Leadership
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
-from curranthill.dispatch.workers import WorkerConnector, WorkerEntry
+from curranthill.dispatch.workers import WorkerConnector
+from curranthill.placement import ActiveJob, WorkerEntry
 from curranthill.storage.follower import RowsTaker, TableFollower
 from curranthill.storage.rows import RowStore, StoredRow
 from curranthill.tasks import (
--- a/src/curranthill/dispatch/journal.py
+++ b/src/curranthill/dispatch/journal.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from curranthill.clock import Clock, wait_at_most
-from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.leadership import Leadership
+from curranthill.placement import ActiveJob
 from curranthill.storage.rows import RowPut, RowRemoval
 from curranthill.tasks import encode, tables
 
--- a/src/curranthill/dispatch/owner.py
+++ b/src/curranthill/dispatch/owner.py
@@ -2,8 +2,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from curranthill.dispatch.runs import Run
 from curranthill.dispatch.workers import EndReport
+from curranthill.placement import Run
 from curranthill.tasks import Resources, TaskKey
 
 if TYPE_CHECKING:
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -7,15 +7,20 @@
 
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.advice import TicketOffice
-from curranthill.dispatch.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import LeadershipLostError
-from curranthill.dispatch.planner import Placement, Planner
-from curranthill.dispatch.rooms import Room
-from curranthill.dispatch.runs import Run
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
+from curranthill.placement import (
+    ActiveJob,
+    Placement,
+    Planner,
+    ReadyStep,
+    Room,
+    Run,
+    checkpoint_of,
+)
 from curranthill.tasks import QUEUED, RUNNING, JobSpec, Revision, TaskKey
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -13,13 +13,6 @@
 from curranthill.dispatch.ends import EndLog
 from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.owner import SessionOwner
-from curranthill.dispatch.runs import (
-    MARKED,
-    ORDERED,
-    RUNNING,
-    UNKNOWN,
-    Run,
-)
 from curranthill.dispatch.workers import (
     FENCE,
     EndReport,
@@ -29,10 +22,17 @@
     RunReport,
     StartOrder,
     TaskWorker,
-    WorkerEntry,
     WorkerGoneError,
 )
 from curranthill.errors import WorkerError
+from curranthill.placement import (
+    MARKED,
+    ORDERED,
+    RUNNING,
+    UNKNOWN,
+    Run,
+    WorkerEntry,
+)
 from curranthill.tasks import TaskKey, Timing
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -9,14 +9,19 @@
 
 from curranthill.clock import Clock
 from curranthill.dispatch.cleanup import IntakeCleanup
-from curranthill.dispatch.jobs import ActiveJob
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S, Leadership
-from curranthill.dispatch.rooms import room_needed
-from curranthill.dispatch.runs import MARKED, UNKNOWN, Run, kind_of
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.workers import DONE, RUN_FAILED, EndReport
+from curranthill.placement import (
+    MARKED,
+    UNKNOWN,
+    ActiveJob,
+    Run,
+    kind_of,
+    room_needed,
+)
 from curranthill.storage.rows import RowRemoval
 from curranthill.tasks import (
     CANCELLED,
--- a/src/curranthill/dispatch/workers.py
+++ b/src/curranthill/dispatch/workers.py
@@ -7,7 +7,8 @@
 from typing import Final, Literal, NamedTuple, Protocol
 
 from curranthill.errors import WorkerError
-from curranthill.tasks import Resources, TaskKey
+from curranthill.placement import WorkerEntry
+from curranthill.tasks import TaskKey
 
 #: How a run ended; ``lapsed`` is a lease that ran out, ``broken`` a member
 #: whose gang lost another, ``alone`` one whose gang never came together.
@@ -22,31 +23,6 @@
 FENCE: Final = 'fence'
 
 
-class WorkerEntry(NamedTuple):
-    """One worker as the platform lists it; one life of one machine.
-
-    :param room: all that the worker has, used or not.
-    :param labels: the worker's kind and its rack.
-    :param clock_s: the worker's steady clock when it wrote the entry.
-    :param remaining_s: the least time left while it is leaving.
-    """
-
-    worker_id: str
-    service: str
-    address: str
-    data_centre: str
-    room: Resources
-    labels: tuple[str, ...] = ()
-    leaving: bool = False
-    clock_s: float = 0.0
-    remaining_s: float = 0.0
-
-    @property
-    def rack(self) -> str:
-        """Return the rack, which stands last among the labels."""
-        return self.labels[-1] if self.labels else ''
-
-
 class RunReport(NamedTuple):
     """One run that the worker has.
 
@@ -173,6 +149,5 @@
     'StartOrder',
     'TaskWorker',
     'WorkerConnector',
-    'WorkerEntry',
     'WorkerGoneError',
 )
--- a/src/curranthill/dispatch/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from curranthill.dispatch.rooms import Room, room_needed
-from curranthill.dispatch.runs import RUNNING, Run
+from curranthill.placement.rooms import Room, room_needed
+from curranthill.placement.runs import RUNNING, Run
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: Runs of this priority are never stopped for others.
--- a/src/curranthill/dispatch/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from curranthill.dispatch.runs import Run
+from curranthill.placement.runs import Run
 from curranthill.tasks import (
     COMPLETED,
     ENDED,
--- a/src/curranthill/dispatch/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from curranthill.dispatch.evictions import Eviction, cheapest_eviction
-from curranthill.dispatch.jobs import ActiveJob, ReadyStep
-from curranthill.dispatch.rooms import Room, racks_of, room_needed
-from curranthill.dispatch.runs import Run
+from curranthill.placement.evictions import Eviction, cheapest_eviction
+from curranthill.placement.jobs import ActiveJob, ReadyStep
+from curranthill.placement.rooms import Room, racks_of, room_needed
+from curranthill.placement.runs import Run
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: How many waiting jobs one round looks at: bounds a round's processor time
--- a/src/curranthill/dispatch/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from curranthill.dispatch.runs import (
+from curranthill.placement.runs import (
     FILLING,
     PLAIN,
     SERVING,
@@ -12,7 +12,7 @@
     RunKind,
     kind_of,
 )
-from curranthill.dispatch.workers import WorkerEntry
+from curranthill.placement.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: Kinds of runs that are not put on one worker: what fills slows what serves
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -11,10 +11,10 @@
     RejectedError,
     RunReport,
     StartOrder,
-    WorkerEntry,
     WorkerGoneError,
 )
 from curranthill.errors import WorkerReplyLostError, WorkerUnreachableError
+from curranthill.placement import WorkerEntry
 from curranthill.platform.calls import (
     Answer,
     Caller,
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -15,11 +15,11 @@
     RejectedError,
     RunReport,
     StartOrder,
-    WorkerEntry,
     WorkerGoneError,
 )
 from curranthill.dispatch.workers import EndKind
 from curranthill.errors import WorkerReplyLostError
+from curranthill.placement import WorkerEntry
 from curranthill.tasks import TaskKey
 
 #: What a call takes, in seconds.
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -15,10 +15,10 @@
     LeaseReport,
     StartOrder,
     TaskWorker,
-    WorkerEntry,
 )
 from curranthill.entry import Desk
 from curranthill.errors import WorkerReplyLostError
+from curranthill.placement import WorkerEntry
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.health import StoreHealth
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -12,10 +12,10 @@
     LeaseOrder,
     RejectedError,
     StartOrder,
-    WorkerEntry,
     WorkerGoneError,
 )
 from curranthill.errors import WorkerReplyLostError
+from curranthill.placement import WorkerEntry
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.rows import (
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -6,18 +6,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from curranthill.dispatch.jobs import ActiveJob
-from curranthill.dispatch.planner import Plan, Planner
-from curranthill.dispatch.rooms import Room
-from curranthill.dispatch.runs import (
+from curranthill.placement import (
     FILLING,
     PLAIN,
     RUNNING,
     SERVING,
+    ActiveJob,
+    Plan,
+    Planner,
+    Room,
     Run,
     RunKind,
+    WorkerEntry,
 )
-from curranthill.dispatch.workers import WorkerEntry
 from curranthill.tasks import JobProgress, JobSpec, Resources, Step, TaskKey
 from tests.domain import ROOM, SERVICE, make_spec
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 from curranthill.clock import SystemClock
 from curranthill.dispatch import LeaseOrder, RejectedError, StartOrder
 from curranthill.dispatch.leadership import LeaderRow
-from curranthill.dispatch.workers import WorkerEntry, WorkerGoneError
+from curranthill.dispatch.workers import WorkerGoneError
 from curranthill.errors import (
     NotSentError,
     ReplyLostError,
@@ -24,6 +24,7 @@
     WorkerReplyLostError,
     WorkerUnreachableError,
 )
+from curranthill.placement import WorkerEntry
 from curranthill.platform import HostDaemon, read_platform_settings
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import decode_revision, step_from
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from curranthill.dispatch.jobs import ActiveJob
+from curranthill.placement import ActiveJob
 from curranthill.tasks import (
     JobProgress,
     Step,
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -4,16 +4,15 @@
 import unittest
 
 from curranthill.clock import Clock
-from curranthill.dispatch.runs import MARKED, UNKNOWN, Run
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.workers import (
     EndReport,
     LeaseOrder,
     LeaseReport,
     StartOrder,
-    WorkerEntry,
 )
 from curranthill.errors import WorkerReplyLostError
+from curranthill.placement import MARKED, UNKNOWN, Run, WorkerEntry
 from curranthill.tasks import Resources, TaskKey, Timing
 from tests.domain import ONE_GPU, ROOM
 from tests.support import ManualClock, run
