curranthill losses: where jobs' time and work went

Change: losses reads the saved lines of all hosts and sums up, a queue, workspace, data centre or job: seconds waiting, seconds in runs thrown away by reason, seconds in runs that ended done, and core-seconds thrown away. Cut-off lines are passed over, lines without their fields counted, lines that hosts left out told. The line of an acceptance names the queue's priority.

Left: the picture of accelerators over time.

--- /dev/null
+++ b/src/curranthill/commands/losses.py
@@ -0,0 +1,120 @@
+"""Where the time and the work of jobs went, from saved log lines."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from curranthill.commands.options import FAILED, fail
+from curranthill.commands.tables import show_table
+from curranthill.commands.timelines import USEFUL, JobTimeline, Timelines
+from curranthill.commands.trace import LogPaths, events_of
+from curranthill.registry import Registry
+
+#: What jobs can be summed up by.
+groupings: Registry[Callable[[JobTimeline], str]] = Registry(
+    concern='grouping',
+)
+
+
+@groupings.register('queue')
+def _queue(job: JobTimeline) -> str:
+    return f'{job.priority} {job.queue}'.strip()
+
+
+@groupings.register('workspace')
+def _workspace(job: JobTimeline) -> str:
+    return job.workspace
+
+
+@groupings.register('data-centre')
+def _data_centre(job: JobTimeline) -> str:
+    return job.data_centre
+
+
+@groupings.register('job')
+def _job(job: JobTimeline) -> str:
+    return job.job_id
+
+
+def losses(
+    logs: LogPaths,
+    *,
+    by: Annotated[
+        str,
+        typer.Option(help=f'Sum up by: {", ".join(groupings)}.'),
+    ] = 'queue',
+    as_json: Annotated[
+        bool,
+        typer.Option('--json', help='Print JSON.'),
+    ] = False,
+) -> None:
+    """Tell where jobs' time went, and which work was thrown away."""
+    timelines = read_timelines(logs)
+    if not timelines.jobs:
+        fail('These logs tell of no accepted job.', FAILED)
+    groups: dict[str, list[JobTimeline]] = defaultdict(list)
+    grouping = groupings.get(by)
+    for job in timelines.finished():
+        groups[grouping(job)].append(job)
+    causes = _causes(timelines.finished())
+    show_table(
+        (by, 'jobs', 'late', 'mean late s', *causes, 'lost core-s'),
+        [_row(name, groups[name], causes) for name in sorted(groups)],
+        as_json=as_json,
+    )
+    unfinished = len(timelines.jobs) - sum(map(len, groups.values()))
+    typer.echo(
+        f'{unfinished} jobs cancelled or without an end; '
+        f'{timelines.unread} lines unread, '
+        f'{timelines.left_out} not written by their hosts',
+        err=True,
+    )
+
+
+def read_timelines(logs: Iterable[Path]) -> Timelines:
+    """Return the jobs that saved logs tell of."""
+    timelines = Timelines()
+    lines = list(events_of(logs, ''))
+    timelines.read(sorted(lines, key=lambda line: line['t_s']))
+    return timelines
+
+
+def _causes(jobs: Iterable[JobTimeline]) -> list[str]:
+    """Return the causes that took any time, the longest first."""
+    totals: dict[str, float] = defaultdict(float)
+    for job in jobs:
+        for cause, spent_s in job.seconds_by_cause().items():
+            totals[cause] += spent_s
+    return sorted(totals, key=lambda cause: -totals[cause])
+
+
+def _row(
+    name: str,
+    jobs: list[JobTimeline],
+    causes: list[str],
+) -> list[str | int | float]:
+    """Return a group's mean seconds by cause, and its work thrown away."""
+    spent: dict[str, float] = defaultdict(float)
+    for job in jobs:
+        for cause, spent_s in job.seconds_by_cause().items():
+            spent[cause] += spent_s
+    late = [job.late_s for job in jobs if job.late_s > 0]
+    lost_core_s = sum(
+        run.core_s for job in jobs for run in job.runs if run.cause != USEFUL
+    )
+    mean_late_s = sum(late) / len(late) if late else 0.0
+    means_s = [spent[cause] / len(jobs) for cause in causes]
+    return [
+        name,
+        len(jobs),
+        len(late),
+        mean_late_s,
+        *means_s,
+        round(lost_core_s),
+    ]
+
+
+__all__ = ('groupings', 'losses', 'read_timelines')
--- a/src/curranthill/commands/operator.py
+++ b/src/curranthill/commands/operator.py
@@ -9,6 +9,7 @@
 from curranthill.commands import configuration, inspect
 from curranthill.commands.daemons import EPILOG, FAILED, Version
 from curranthill.commands.demo import DemoReport, run_demo
+from curranthill.commands.losses import losses
 from curranthill.commands.tables import show_table
 from curranthill.commands.trace import trace
 from curranthill.load.measures import GANG_SIZES
@@ -23,6 +24,7 @@
 app.add_typer(configuration.app, name='config')
 inspect.register(app)
 app.command(epilog=EPILOG)(trace)
+app.command(epilog=EPILOG)(losses)
 
 AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
 
--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -105,7 +105,7 @@
     ] = False,
 ) -> None:
     """Tell what happened to one job, in order, over all hosts."""
-    lines = sorted(lines_of(job_id, logs), key=lambda line: line['t_s'])
+    lines = sorted(events_of(logs, job_id), key=lambda line: line['t_s'])
     if not lines:
         fail(f'No line of these logs names {job_id}.', FAILED)
     began_s = lines[0]['t_s']
@@ -132,13 +132,16 @@
     return f'{line["t_s"] - began_s:9.3f} s  {line["host"]}  {sentence}'
 
 
-def lines_of(job_id: str, paths: Iterable[Path]) -> Iterator[Line]:
-    """Yield the events that name a job; other lines are passed over."""
+def events_of(paths: Iterable[Path], named: str) -> Iterator[Line]:
+    """Yield the events of saved logs.
+
+    :param named: what a line must hold, such as a job's id; empty for all.
+    """
     for path in paths:
         for one in sorted(path.iterdir()) if path.is_dir() else [path]:
             texts = one.read_text('utf-8', 'replace').splitlines()
             for text in texts:
-                if job_id in text:
+                if named in text:
                     yield from _event(text)
 
 
@@ -153,4 +156,4 @@
         yield line
 
 
-__all__ = ('lines_of', 'sentences', 'told', 'trace')
+__all__ = ('events_of', 'sentences', 'told', 'trace')
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -130,6 +130,7 @@
             'accepted',
             job=spec.job_id,
             queue=target.queue.name,
+            priority=target.queue.priority,
             workspace=target.workspace,
             revision=revision.number,
             steps=[_summary(step) for step in spec.steps],
