Room for an urgent gang is made on as many workers as its step needs

Cause: the search for victims did not count the tasks it had already given a worker against the step's own limit. With room for two tasks of a gang on one worker, and one allowed there, it stopped runs on that worker only; the gang never fitted, and every round looked again in vain.

Ruled out: the choice among free rooms, which counts what it places.

Change: the search takes a worker out once the step may not put more there.

Test: test_room_is_made_on_as_many_workers_as_a_step_needs, which fails before.

--- /dev/null
+++ b/bench/record_rounds.py
@@ -0,0 +1,58 @@
+"""Records what rounds over drawn full clusters decide.
+
+``python -m bench.record_rounds`` writes ``tests/data/recorded_rounds.json``
+anew, after a change of policy; the commit says which plans differ and why.
+"""
+
+import hashlib
+import json
+from typing import Any, Final
+
+from bench.full_cluster import draw, plan_round
+from bench.processes import ROOT
+from curranthill.placement import Plan
+
+RECORD: Final = ROOT / 'tests' / 'data' / 'recorded_rounds.json'
+
+
+def digest_of(plan: Plan) -> str:
+    """Return a digest of all starts and stops, in order."""
+    starts = [
+        [
+            one.job.spec.job_id,
+            one.ready.number,
+            [[key.rank, worker] for key, worker in one.workers],
+        ]
+        for one in plan.placements
+    ]
+    stops = [[str(run.key), run.worker_id] for run in plan.victims]
+    content = json.dumps([starts, stops], separators=(',', ':'))
+    return hashlib.sha256(content.encode()).hexdigest()
+
+
+def recorded() -> list[dict[str, Any]]:
+    """Return the rounds on record."""
+    rounds: list[dict[str, Any]] = json.loads(RECORD.read_text('utf-8'))
+    return rounds
+
+
+def main() -> None:
+    """Plan each round on record again and write what it decides now."""
+    lines = []
+    for one in recorded():
+        drawn = {name: one[name] for name in ('workers', 'waiting', 'seed')}
+        plan = plan_round(draw(**drawn))
+        line = {
+            **drawn,
+            'placed_steps': len(plan.placements),
+            'victims': len(plan.victims),
+            'sha256': digest_of(plan),
+        }
+        print(line, 'as before' if line == one else 'differs')
+        lines.append(json.dumps(line))
+    rows = ',\n  '.join(lines)
+    RECORD.write_text(f'[\n  {rows}\n]\n', 'utf-8')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -153,6 +153,7 @@
         self._evictions = evictions
         self._losses = losses
         self._rooms: dict[str, tuple[int, Room]] = {}
+        self._tasks_left: dict[str, float] = {}
         self._soon: dict[str, Resources] = {}
         self._ended: dict[Run, None] = {}
         self._ways: dict[str, _Way] = {}
@@ -162,6 +163,7 @@
                 continue
             worker_id = room.entry.worker_id
             self._rooms[worker_id] = (index, room)
+            self._tasks_left[worker_id] = room.tasks_left(key, step)
             way = evictions.way_in(room, self._needs)
             if way is not None:
                 self._ways[worker_id] = way
@@ -191,6 +193,7 @@
                 changed.update(self._end(self._losses.ending_with(victim)))
         soon = self._soon.get(worker_id, room.soon)
         self._soon[worker_id] = soon.minus(self._needs)
+        self._tasks_left[worker_id] -= 1
         for one in changed:
             self._look_again(one)
         return room
@@ -216,7 +219,7 @@
             self._soon[worker_id],
             self._ended,
         )
-        if way is None:
+        if way is None or self._tasks_left[worker_id] <= 0:
             self._ways.pop(worker_id, None)
             return
         self._ways[worker_id] = way
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -1,5 +1,6 @@
 """Room on workers while one round of placements is worked out."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from typing import Final
@@ -81,9 +82,13 @@
             disturbed = _DISTURBED.get(kind_of(step), PLAIN)
             if disturbed in self._kinds:
                 return False
+        return self.tasks_left(key, step) > 0
+
+    def tasks_left(self, key: TaskKey, step: Step) -> float:
+        """Return how many more tasks of a step its own limit lets run here."""
         if not step.max_per_worker:
-            return True
-        return self._count(key) < step.max_per_worker
+            return math.inf
+        return step.max_per_worker - self._count(key)
 
     def near(self, rack: str) -> bool:
         """Return whether this worker stands in a rack."""
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -376,6 +376,17 @@
         workers = placed(decided)['j1']
         self.assertEqual(sorted(workers), ['a0', 'a0', 'a1', 'a1'])
 
+    def test_room_is_made_on_as_many_workers_as_a_step_needs(self) -> None:
+        """One task a worker: room for both on the cheaper one does not do."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8, age_s=1)),
+            make_room('a2', 'r1', make_run('a2', 8, job_id='b', age_s=9)),
+        ]
+        step = Step(width=2, needs=needs(4), gang=True, max_per_worker=1)
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        workers = sorted(run.worker_id for run in decided.victims)
+        self.assertEqual(workers, ['a1', 'a2'])
+
     @given(
         widths=st.lists(st.integers(1, 12), min_size=1, max_size=6),
         gpus=st.lists(st.integers(1, 8), min_size=6, max_size=6),
