Mechanisms of placement can be switched off by name

Cause: what a mechanism is worth is known only from the same load without it, and each trial edited constants.

--- a/src/curranthill/commands/host.py
+++ b/src/curranthill/commands/host.py
@@ -11,6 +11,7 @@
 
 from curranthill.commands.options import EPILOG, WRONG_USE, Version, fail
 from curranthill.errors import SettingsError
+from curranthill.placement import checked, mechanisms
 from curranthill.platform import (
     PATH_VARIABLE,
     HostDaemon,
@@ -32,6 +33,12 @@
         bool,
         typer.Option('--check-settings', help='Check the settings and end.'),
     ] = False,
+    without: Annotated[
+        list[str] | None,
+        typer.Option(
+            help=f'Switch a mechanism off: {", ".join(mechanisms)}.',
+        ),
+    ] = None,
     version: Version = False,
 ) -> None:
     """Run an entry host until SIGTERM, then stop gracefully."""
@@ -39,13 +46,15 @@
     read = partial(read_platform_settings, path)
     try:
         record = read()
+        switched_off = checked(without or ())
     except SettingsError as error:
         fail(error.message, WRONG_USE)
     if check_settings:
         return
     events.open(host=record.host, data_centre=record.data_centre)
+    daemon = HostDaemon(read_settings=read, without=switched_off)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(HostDaemon(read_settings=read).app.run())
+        runner.run(daemon.app.run())
 
 
 def main() -> None:
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -17,6 +17,7 @@
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
 from curranthill.dispatch.workers import WorkerConnector
+from curranthill.placement import ALL_ON
 from curranthill.storage.rows import RowStore
 from curranthill.tasks import Timing
 from curranthill.telemetry import metrics
@@ -43,8 +44,12 @@
         timing: Timing,
         revision: RevisionSource,
         advisor: Advisor,
+        without: frozenset[str] = ALL_ON,
     ) -> None:
-        """Start with nothing known."""
+        """Start with nothing known.
+
+        :param without: mechanisms of placement that are switched off.
+        """
         self._clock = clock
         self._leadership = leadership
         self._timing = timing
@@ -79,6 +84,7 @@
             spawner=self._spawner,
             revision=revision,
             office=TicketOffice(advisor=advisor, clock=clock),
+            without=without,
         )
 
     async def run(self) -> None:
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -13,6 +13,9 @@
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
 from curranthill.placement import (
+    ALL_ON,
+    DOUBT,
+    STALLED_MOVES,
     ActiveJob,
     Placement,
     Planner,
@@ -68,8 +71,13 @@
         spawner: Spawner,
         revision: RevisionSource,
         office: TicketOffice,
+        without: frozenset[str] = ALL_ON,
     ) -> None:
-        """Start without a round."""
+        """Start without a round.
+
+        :param without: mechanisms that are switched off.
+        """
+        self._without = without
         self._office = office
         self._asking = False
         self._clock = clock
@@ -100,12 +108,14 @@
         began_s = self._clock.monotonic_s()
         if began_s - self._stalls_seen_s >= STALLS_INTERVAL_S:
             self._stalls_seen_s = began_s
-            self._work.look_for_stalled_runs()
+            if STALLED_MOVES not in self._without:
+                self._work.look_for_stalled_runs()
         planner = Planner(
             rooms=self._rooms(),
             guaranteed=self._guaranteed(),
             now_s=self._clock.wall_s(),
             tickets=self._tickets,
+            without=self._without,
         )
         plan = planner.plan(self._work.jobs.values())
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
@@ -162,6 +172,8 @@
 
     def _doubt(self, session: WorkerSession) -> float:
         """Return how many runs failed or stood still at a worker of late."""
+        if DOUBT in self._without:
+            return 0.0
         if session.troubles_s:
             oldest_s = self._clock.monotonic_s() - TROUBLE_MEMORY_S
             session.troubles_s = [
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -4,6 +4,13 @@
 """
 
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
+from curranthill.placement.mechanisms import (
+    ALL_ON,
+    DOUBT,
+    STALLED_MOVES,
+    checked,
+    mechanisms,
+)
 from curranthill.placement.planner import Placement, Plan, Planner
 from curranthill.placement.rooms import Room, room_needed
 from curranthill.placement.runs import (
@@ -22,12 +29,15 @@
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
+    'ALL_ON',
+    'DOUBT',
     'FILLING',
     'MARKED',
     'ORDERED',
     'PLAIN',
     'RUNNING',
     'SERVING',
+    'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
     'Placement',
@@ -39,7 +49,9 @@
     'RunKind',
     'RunState',
     'WorkerEntry',
+    'checked',
     'checkpoint_of',
     'kind_of',
+    'mechanisms',
     'room_needed',
 )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -8,6 +8,12 @@
 from curranthill.placement.fitting import choose_group, groups_of
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
+from curranthill.placement.mechanisms import (
+    ALL_ON,
+    BOUNDED_LOSS,
+    RACK_PATIENCE,
+    RESERVATION,
+)
 from curranthill.placement.order import covered_jobs, in_order, is_urgent
 from curranthill.placement.reservations import RESERVATIONS, reserve
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
@@ -54,6 +60,7 @@
     :param now_s: wall-clock seconds.
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
+    :param without: mechanisms that are switched off.
     """
 
     def __init__(
@@ -63,9 +70,11 @@
         guaranteed: Mapping[str, int],
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
+        without: frozenset[str] = ALL_ON,
     ) -> None:
         """Keep the snapshot."""
         self._tickets = tickets
+        self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
             for service, found in rooms.items()
@@ -82,7 +91,7 @@
         self._victims: list[Run] = []
         self._covered: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
-        self._reservations = RESERVATIONS
+        self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
         """Return the decisions for all jobs, in any order."""
@@ -140,9 +149,14 @@
         rooms = self._services.get(job.spec.queue.service, _NO_ROOMS)
         if ready.tickets is not None:
             rooms = rooms.limited_to(ready.tickets)
+        return groups_of(ready, rooms, patient=self._is_patient(job, ready))
+
+    def _is_patient(self, job: ActiveJob, ready: ReadyStep) -> bool:
+        """Return whether a job goes on waiting for the right rack."""
+        if RACK_PATIENCE in self._without:
+            return False
         waited_s = self._now_s - job.spec.accepted_at_s
-        patience_s = PATIENCE_FOR_RACK * ready.step.estimate_s
-        return groups_of(ready, rooms, patient=waited_s <= patience_s)
+        return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
 
     def _make_room(
         self,
@@ -182,6 +196,8 @@
         covered = job.spec.job_id in self._covered
         if covered or step.perpetual or not step.estimate_s:
             return math.inf
+        if BOUNDED_LOSS in self._without:
+            return math.inf
         work_core_s = tasks * step.needs.weight_cores * step.estimate_s
         return MOST_LOSS_SHARE * work_core_s
 
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -13,6 +13,7 @@
 from curranthill.dispatch import Election, Leader, Leadership
 from curranthill.entry import Desk, RevisionFollower
 from curranthill.errors import SettingsError
+from curranthill.placement import ALL_ON
 from curranthill.platform.advisor import PlatformAdvisor
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import TABLE, decode_revision
@@ -43,14 +44,17 @@
     """All parts of one entry host.
 
     :param read_settings: reads the settings, at start and at each SIGHUP.
+    :param without: mechanisms of placement that are switched off.
     """
 
     def __init__(
         self,
         *,
         read_settings: Callable[[], PlatformSettings],
+        without: frozenset[str] = ALL_ON,
     ) -> None:
         """Build the parts; none runs yet."""
+        self._without = without
         settings = read_settings()
         self._read_settings = read_settings
         self._settings = settings
@@ -170,6 +174,7 @@
                 caller=self._caller,
                 address=self._settings.advisor_address,
             ),
+            without=self._without,
         )
         try:
             await self._leader.run()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from curranthill.errors import SettingsError
 from curranthill.placement import (
     FILLING,
     PLAIN,
@@ -18,6 +19,7 @@
     Run,
     RunKind,
     WorkerEntry,
+    checked,
 )
 from curranthill.tasks import JobProgress, JobSpec, Resources, Step, TaskKey
 from tests.domain import ROOM, SERVICE, make_spec
@@ -81,6 +83,7 @@
     *specs: JobSpec,
     guaranteed: dict[str, int] | None = None,
     running: Sequence[ActiveJob] = (),
+    without: Sequence[str] = (),
 ) -> Plan:
     """Make one round."""
     planner = Planner(
@@ -88,6 +91,7 @@
         guaranteed=guaranteed or {},
         now_s=NOW_S,
         tickets=lambda job, ready: {},
+        without=checked(without),
     )
     return planner.plan([*running, *(make_job(spec) for spec in specs)])
 
@@ -422,3 +426,48 @@
             for _, worker in one.workers:
                 taken[worker] += step.needs.gpus
         self.assertLessEqual(max(taken.values()), 8)
+
+
+class MechanismTest(unittest.TestCase):
+    """What can be switched off by name."""
+
+    def test_a_gang_keeps_no_room_without_reservations(self) -> None:
+        """The small job takes what is free."""
+        rooms = [
+            make_room('a1', 'r1'),
+            make_room('a2', 'r1', make_run('a2', 8, priority=1)),
+        ]
+        gang = Step(width=2, needs=needs(8), gang=True)
+        decided = plan(
+            rooms,
+            make_spec('j1', gang, priority=1, accepted_at_s=NOW_S - 99),
+            make_spec('j2', Step(width=1, needs=needs(1)), priority=2),
+            without=('reservation',),
+        )
+        self.assertEqual(placed(decided), {'j2': ['a1']})
+
+    def test_a_task_waits_for_no_rack_without_patience(self) -> None:
+        """It goes where room is."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8)),
+            make_room('b1', 'r2'),
+        ]
+        step = Step(width=1, needs=needs(8), near_rack='r1', estimate_s=10)
+        decided = plan(rooms, make_spec('j1', step), without=('rack-patience',))
+        self.assertEqual(placed(decided), {'j1': ['b1']})
+
+    def test_an_urgent_job_stops_any_work_without_its_bound(self) -> None:
+        """A minute of work for a second of it."""
+        rooms = [make_room('a1', 'r1', make_run('a1', 8, age_s=60))]
+        step = Step(width=1, needs=needs(8), estimate_s=1.0)
+        decided = plan(
+            rooms,
+            make_spec('a', step, priority=0),
+            without=('bounded-loss',),
+        )
+        self.assertEqual([one.worker_id for one in decided.victims], ['a1'])
+
+    def test_an_unknown_name_is_refused(self) -> None:
+        """The error names those that are known."""
+        with self.assertRaisesRegex(SettingsError, 'rack-patience'):
+            checked(['rack-patients'])
