A replay plays loads against the real decisions of placement

Tests: a seed repeats; light load earns nearly all; overload costs the lower priorities first; pairs against themselves differ by nothing.

Left: jobs waiting for a store, silent workers and slow ones are not drawn.

--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,581 @@
+"""Plays loads against the real decisions of ``placement`` on a fake clock.
+
+``python -m bench.replay --load burst --seeds 20`` draws days of jobs with
+bursts, wrong estimates, failing runs and workers that leave, and prints what
+callers earn by the users' measures, what was thrown away, and how often jobs
+started. ``--without NAME`` plays each day once more without one mechanism and
+prints the difference of the pairs with its standard error.
+
+No store, no network and no leader: what takes time between a decision and its
+effect is one constant each.
+"""
+
+import heapq
+import json
+import math
+import random
+import statistics
+from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
+from typing import Annotated, Any, Final, NamedTuple
+
+import typer
+
+from curranthill.placement import (
+    RUNNING,
+    ActiveJob,
+    Planner,
+    Room,
+    Run,
+    WorkerEntry,
+    checked,
+)
+from curranthill.tasks import (
+    JobProgress,
+    JobSpec,
+    Queue,
+    Resources,
+    Step,
+    TaskKey,
+)
+
+SERVICE: Final = 'calc'
+NOW_S: Final = 1_700_001_000.0
+ROOM: Final = Resources(cpu_millis=32_000, memory_mb=131_072, gpus=8)
+
+#: From a decision to the start, and from a stop to the news of the end, in
+#: seconds: a commit and a call; a stop that takes its time and a report.
+START_S: Final = 0.02
+STOP_S: Final = 0.2
+
+#: The shortest time between two rounds, in seconds.
+ROUND_S: Final = 0.02
+
+#: How soon a round is made again while a job waits, in seconds.
+WAITING_ROUND_S: Final = 0.25
+
+#: What a run takes to resume from a checkpoint, in seconds, and how much
+#: longer tasks run apart from their rack.
+RESTORE_S: Final = 0.6
+FAR_FACTOR: Final = 3.0
+
+#: A late job earns until this multiple of its objective.
+LATE_UNTIL: Final = 3.0
+
+#: What a core-second thrown away costs, in the worth of jobs.
+WASTE_PRICE: Final = 0.0017
+
+#: The widest steps, the most accelerators of one job (a rack has 48), and how
+#: far estimates are off, as a logarithm.
+MOST_WIDE: Final = 40
+MOST_GPUS_TOGETHER: Final = 40
+ESTIMATE_SPREAD: Final = 0.6
+
+#: Jobs arrive for so long, and what is left then may end, in seconds.
+DAY_S: Final = 40.0
+DRAIN_S: Final = 40.0
+
+
+class Kind(NamedTuple):
+    """One kind of job.
+
+    :param per_worker_s: arrivals a second, a worker.
+    :param late_worth: what a late job earns.
+    """
+
+    priority: int
+    per_worker_s: float
+    width: float
+    run_s: float
+    spread: float
+    cpu_millis: int
+    memory_mb: int
+    gpus: tuple[int, ...]
+    gang: bool
+    same_rack_share: float
+    checkpoint_share: float
+    fails_share: float
+    slack_factor: float
+    target_s: float
+    worth: float
+    late_worth: float
+
+
+GPUS: Final = (1, 2, 4, 8, 8)
+KINDS: Final = (
+    Kind(
+        0,
+        0.025,
+        5.4,
+        2.5,
+        0.5,
+        3700,
+        15_000,
+        GPUS,
+        True,
+        0.8,
+        0.0,
+        0.05,
+        1.5,
+        0.25,
+        4.0,
+        0.8,
+    ),  # fmt: skip
+    Kind(
+        1,
+        0.006,
+        13.0,
+        8.5,
+        0.3,
+        13_000,
+        38_000,
+        GPUS,
+        True,
+        0.6,
+        0.45,
+        0.02,
+        2.0,
+        1.0,
+        3.0,
+        0.9,
+    ),  # fmt: skip
+    Kind(
+        2,
+        0.006,
+        39.0,
+        7.6,
+        0.3,
+        2800,
+        11_000,
+        (1,),
+        False,
+        0.0,
+        0.45,
+        0.02,
+        3.0,
+        3.0,
+        1.0,
+        0.3,
+    ),  # fmt: skip
+)
+
+
+class Load(NamedTuple):
+    """What happens on a day besides the usual arrivals.
+
+    :param rate: multiplies all arrivals.
+    :param bursts: begin, end and factor of more urgent arrivals.
+    :param leaving: when and which share of the workers leaves, and how long
+        before it says so, in seconds.
+    """
+
+    rate: float = 1.0
+    bursts: tuple[tuple[float, float, float], ...] = ()
+    leaving: tuple[tuple[float, float, float], ...] = ()
+
+
+LOADS: Final = {
+    'calm': Load(),
+    'over': Load(rate=2.4, bursts=((5, 11, 2.2), (20, 24, 2.1))),
+    'burst': Load(rate=1.4, bursts=((5, 11, 2.2), (20, 24, 2.1))),
+    'full': Load(rate=1.8, bursts=((5, 11, 2.2), (20, 24, 2.1))),
+    'leaving': Load(
+        rate=1.4,
+        bursts=((5, 11, 2.2),),
+        leaving=((8, 0.15, 2.0), (22, 0.1, 3.0)),
+    ),
+}
+
+
+class Drawn(NamedTuple):
+    """One drawn job; what the planner does not know of it."""
+
+    kind: Kind
+    run_s: float
+    arrives_s: float
+    fails_at: float
+
+    def objective_s(self) -> float:
+        """Return when it should be done, by what it truly takes."""
+        slack_s = self.kind.slack_factor * self.run_s
+        return self.arrives_s + slack_s + self.kind.target_s
+
+
+class Outcome(NamedTuple):
+    """What one day brought.
+
+    :param worth: credit as a share of what was owed, less waste.
+    """
+
+    worth: float
+    credit: float
+    urgent: float
+    middle: float
+    low: float
+    wasted_share: float
+    starts_a_job: float
+
+
+class Day:
+    """One day of one load."""
+
+    def __init__(
+        self,
+        *,
+        load: Load,
+        workers: int,
+        seed: int,
+        without: frozenset[str],
+    ) -> None:
+        """Draw the day."""
+        self._source = random.Random(seed)  # noqa: S311
+        self._without = without
+        self._now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._round_due = False
+        self._jobs: dict[str, ActiveJob] = {}
+        self._drawn: dict[str, Drawn] = {}
+        self._work: dict[str, float] = {}
+        self._done_s: dict[str, float] = {}
+        self._left_s: dict[TaskKey, float] = {}
+        self._failed: set[str] = set()
+        self._wasted_core_s = 0.0
+        self._useful_core_s = 0.0
+        self._starts = 0
+        per_rack = max(6, workers // 9)
+        self._entries = {
+            f'w{number}': WorkerEntry(
+                worker_id=f'w{number}',
+                service=SERVICE,
+                address='',
+                data_centre='dc',
+                room=ROOM,
+                labels=('a', f'r{number // per_rack}'),
+            )
+            for number in range(workers)
+        }
+        self._runs: dict[str, list[Run]] = {one: [] for one in self._entries}
+        self._leaving: dict[str, float] = {}
+        self._memory: dict[str, Any] = {}
+        self._draw_arrivals(load, workers)
+        self._draw_leavings(load, workers)
+
+    def play(self) -> Outcome:
+        """Play the day to its end and return what it brought."""
+        while self._events:
+            at_s, _, action = heapq.heappop(self._events)
+            if at_s > DAY_S + DRAIN_S:
+                break
+            self._now_s = at_s
+            action()
+        return self._outcome()
+
+    def _at(self, at_s: float, action: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (at_s, self._count, action))
+
+    def _draw_arrivals(self, load: Load, workers: int) -> None:
+        for kind in KINDS:
+            at_s = 0.0
+            while at_s < DAY_S:
+                rate = load.rate * kind.per_worker_s * workers
+                if kind.priority == 0:
+                    rate *= _burst_at(load, at_s)
+                at_s += self._source.expovariate(rate)
+                self._draw_job(kind, at_s)
+
+    def _draw_job(self, kind: Kind, at_s: float) -> None:
+        source = self._source
+        job_id = f'j{len(self._drawn)}'
+        run_s = min(source.lognormvariate(0, kind.spread) * kind.run_s, 11.0)
+        gpus = source.choice(kind.gpus)
+        width = min(int(source.expovariate(1 / kind.width)) + 1, MOST_WIDE)
+        fits_a_rack = width * gpus <= MOST_GPUS_TOGETHER
+        step = Step(
+            width=width if fits_a_rack else 1,
+            needs=Resources(kind.cpu_millis, kind.memory_mb, gpus),
+            estimate_s=run_s * source.lognormvariate(0, ESTIMATE_SPREAD),
+            gang=kind.gang,
+            same_rack=source.random() < kind.same_rack_share,
+            checkpointable=source.random() < kind.checkpoint_share,
+        )
+        fails_at = source.random()
+        if source.random() > kind.fails_share:
+            fails_at = math.inf
+        self._drawn[job_id] = Drawn(kind, run_s, at_s, fails_at)
+        self._work[job_id] = step.width * step.needs.weight_cores * run_s
+        queue = Queue(
+            name=f'q{kind.priority}',
+            host='',
+            path_prefix='/',
+            service=SERVICE,
+            priority=kind.priority,
+            attempts=4,
+            slack_factor=kind.slack_factor,
+            target_s=kind.target_s,
+        )
+        spec = JobSpec(
+            job_id=job_id,
+            queue=queue,
+            workspace=f't{source.randrange(4)}',
+            payload='',
+            steps=(step,),
+            accepted_at_s=NOW_S + at_s,
+        )
+        self._at(at_s, lambda: self._accept(spec))
+
+    def _draw_leavings(self, load: Load, workers: int) -> None:
+        for at_s, share, notice_s in load.leaving:
+            chosen = self._source.sample(
+                sorted(self._entries), int(share * workers)
+            )
+            for worker_id in chosen:
+                self._at(at_s, partial(self._leave, worker_id, notice_s))
+
+    def _accept(self, spec: JobSpec) -> None:
+        progress = JobProgress(queue=spec.queue.name, tasks={})
+        self._jobs[spec.job_id] = ActiveJob(spec=spec, progress=progress)
+        self._want_round()
+
+    def _want_round(self) -> None:
+        if not self._round_due:
+            self._round_due = True
+            self._at(self._now_s + ROUND_S, self._round)
+
+    def _round(self) -> None:
+        self._round_due = False
+        for runs in self._runs.values():
+            for run in runs:
+                run.age_s = max(0.0, self._now_s - run.started_s)
+        rooms = [
+            Room(entry=self._entries[name], runs=runs, doubt=0.0)
+            for name, runs in self._runs.items()
+            if name not in self._leaving
+        ]
+        planner = Planner(
+            rooms={SERVICE: rooms},
+            guaranteed={f't{team}': 4 * len(rooms) // 4 for team in range(4)},
+            now_s=NOW_S + self._now_s,
+            tickets=lambda job, ready: {},
+            without=self._without,
+        )
+        plan = planner.plan(self._jobs.values())
+        for victim in plan.victims:
+            self._stop(victim)
+        for placement in plan.placements:
+            self._start(
+                placement.job, placement.ready.step, dict(placement.workers)
+            )
+        if any(not job.runs for job in self._jobs.values()):
+            self._at(self._now_s + WAITING_ROUND_S, self._want_round)
+
+    def _start(
+        self, job: ActiveJob, step: Step, workers: dict[TaskKey, str]
+    ) -> None:
+        drawn = self._drawn[job.spec.job_id]
+        racks = {self._entries[name].rack for name in workers.values()}
+        factor = FAR_FACTOR if step.same_rack and len(racks) > 1 else 1.0
+        job.progress.state = 'running'
+        self._starts += len(workers)
+        started = []
+        for key, worker_id in workers.items():
+            run = Run(
+                key=key,
+                attempt=job.next_attempt((key,)),
+                worker_id=worker_id,
+                needs=step.needs,
+                priority=job.spec.queue.priority,
+                checkpointable=step.checkpointable,
+                state=RUNNING,
+                now_s=self._now_s + START_S,
+                estimate_s=step.estimate_s,
+            )
+            task = job.progress.task(key)
+            task.worker = worker_id
+            task.attempt = run.attempt
+            job.runs[key] = run
+            self._runs[worker_id].append(run)
+            started.append(run)
+        if step.gang:
+            self._schedule_end(job, started, drawn, factor)
+        else:
+            for run in started:
+                self._schedule_end(job, [run], drawn, factor)
+
+    def _schedule_end(
+        self, job: ActiveJob, runs: list[Run], drawn: Drawn, factor: float
+    ) -> None:
+        left_s = self._left_s.get(runs[0].key, drawn.run_s)
+        takes_s = left_s * factor
+        if left_s < drawn.run_s:
+            takes_s += RESTORE_S
+        began_s = self._now_s + START_S
+        fails_s = drawn.fails_at * takes_s
+        if job.spec.job_id not in self._failed and fails_s < takes_s:
+            self._at(began_s + fails_s, lambda: self._fail(job, runs))
+        else:
+            self._at(began_s + takes_s, lambda: self._finish(job, runs))
+
+    def _finish(self, job: ActiveJob, runs: list[Run]) -> None:
+        if not all(job.runs.get(run.key) is run for run in runs):
+            return
+        if any(run.stop_wanted for run in runs):
+            return
+        for run in runs:
+            self._useful_core_s += run.needs.weight_cores * (
+                self._now_s - run.started_s
+            )
+            self._free(job, run)
+            job.progress.task(run.key).done = True
+        if job.check_completed(self._now_s):
+            self._done_s[job.spec.job_id] = self._now_s
+            self._jobs.pop(job.spec.job_id)
+        self._want_round()
+
+    def _fail(self, job: ActiveJob, runs: list[Run]) -> None:
+        if all(job.runs.get(run.key) is run for run in runs):
+            self._failed.add(job.spec.job_id)
+            for run in runs:
+                self._throw_away(job, run)
+
+    def _stop(self, run: Run) -> None:
+        run.stop_wanted = True
+        job = self._jobs[run.key.job_id]
+        self._at(self._now_s + STOP_S, lambda: self._throw_away(job, run))
+
+    def _throw_away(self, job: ActiveJob, run: Run) -> None:
+        if job.runs.get(run.key) is not run:
+            return
+        ran_s = max(0.0, self._now_s - run.started_s)
+        if run.checkpointable and run.stop_wanted:
+            drawn = self._drawn[job.spec.job_id]
+            left_s = self._left_s.get(run.key, drawn.run_s)
+            self._left_s[run.key] = max(0.05, left_s - ran_s)
+            ran_s = min(ran_s, 0.3)
+        self._wasted_core_s += run.needs.weight_cores * ran_s
+        self._free(job, run)
+        self._want_round()
+
+    def _free(self, job: ActiveJob, run: Run) -> None:
+        job.runs.pop(run.key)
+        job.progress.task(run.key).worker = ''
+        self._runs[run.worker_id].remove(run)
+
+    def _leave(self, worker_id: str, notice_s: float) -> None:
+        self._leaving[worker_id] = self._now_s + notice_s
+        self._at(self._now_s + notice_s, lambda: self._gone(worker_id))
+
+    def _gone(self, worker_id: str) -> None:
+        for run in list(self._runs[worker_id]):
+            job = self._jobs[run.key.job_id]
+            for key in job.members_of(run.key):
+                fellow = job.runs.get(key)
+                if fellow is not None:
+                    self._throw_away(job, fellow)
+
+    def _outcome(self) -> Outcome:
+        owed: dict[int, float] = defaultdict(float)
+        earned: dict[int, float] = defaultdict(float)
+        means = {
+            kind.priority: statistics.fmean(
+                self._work[job_id]
+                for job_id, drawn in self._drawn.items()
+                if drawn.kind is kind
+            )
+            for kind in KINDS
+        }
+        for job_id, drawn in self._drawn.items():
+            share = self._work[job_id] / means[drawn.kind.priority]
+            size = min(0.3 + 0.7 * share, 4.0)
+            owed[drawn.kind.priority] += size * drawn.kind.worth
+            earned[drawn.kind.priority] += size * self._earned(job_id, drawn)
+        total = sum(owed.values())
+        waste = WASTE_PRICE * self._wasted_core_s / total
+        credit = sum(earned.values()) / total
+        shares = [earned[one] / owed[one] for one in sorted(owed)]
+        return Outcome(
+            worth=0.7 * credit + 0.3 * min(shares) - waste,
+            credit=credit,
+            urgent=shares[0],
+            middle=shares[1],
+            low=shares[2],
+            wasted_share=self._wasted_core_s
+            / (self._wasted_core_s + self._useful_core_s),
+            starts_a_job=self._starts / len(self._drawn),
+        )
+
+    def _earned(self, job_id: str, drawn: Drawn) -> float:
+        done_s = self._done_s.get(job_id, math.inf)
+        objective_s = drawn.objective_s()
+        if done_s <= objective_s:
+            return drawn.kind.worth
+        late_s = LATE_UNTIL * (objective_s - drawn.arrives_s)
+        if done_s <= drawn.arrives_s + late_s:
+            return drawn.kind.late_worth
+        return 0.0
+
+
+def _burst_at(load: Load, at_s: float) -> float:
+    for began_s, ended_s, factor in load.bursts:
+        if began_s <= at_s < ended_s:
+            return factor
+    return 1.0
+
+
+def compare(
+    load: Load,
+    workers: int,
+    seeds: int,
+    without: frozenset[str],
+) -> list[Outcome]:
+    """Return the outcomes of days with some mechanisms switched off."""
+    return [
+        Day(load=load, workers=workers, seed=seed, without=without).play()
+        for seed in range(seeds)
+    ]
+
+
+def difference(
+    ours: list[Outcome],
+    theirs: list[Outcome],
+) -> tuple[float, float]:
+    """Return the mean of the paired differences in worth, and its error."""
+    pairs = [
+        one.worth - other.worth for one, other in zip(ours, theirs, strict=True)
+    ]
+    error = statistics.stdev(pairs) / math.sqrt(len(pairs))
+    return statistics.fmean(pairs), error
+
+
+def main(
+    loads: Annotated[str, typer.Option('--load')] = ','.join(LOADS),
+    workers: int = 24,
+    seeds: int = 10,
+    without: str = '',
+    out: str = '',
+) -> None:
+    """Play loads, and once more without each named mechanism."""
+    results: dict[str, Any] = {}
+    for name in loads.split(','):
+        base = compare(LOADS[name], workers, seeds, frozenset())
+        results[name] = base
+        fields = [
+            f'{field} {statistics.fmean(values):.4f}'
+            for field, values in zip(
+                Outcome._fields, zip(*base, strict=True), strict=True
+            )
+        ]
+        typer.echo(f'{name}: {", ".join(fields)}')
+        for mechanism in filter(None, without.split(',')):
+            others = compare(LOADS[name], workers, seeds, checked([mechanism]))
+            mean, error = difference(base, others)
+            typer.echo(f'  {mechanism}: worth {mean:+.4f} +- {error:.4f}')
+    if out:
+        with open(out, 'w', encoding='utf-8') as target:
+            json.dump(results, target)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,36 @@
+"""The replay of loads against the decisions of ``placement``."""
+
+import unittest
+
+from bench.replay import LOADS, Day, Load, Outcome, compare, difference
+from curranthill.placement import ALL_ON
+
+
+def play(load: Load, *, workers: int = 24, seed: int = 3) -> Outcome:
+    """Play one day."""
+    return Day(load=load, workers=workers, seed=seed, without=ALL_ON).play()
+
+
+class ReplayTest(unittest.TestCase):
+    """What a played day tells."""
+
+    def test_a_seed_plays_the_same_day_again(self) -> None:
+        """To the last digit."""
+        self.assertEqual(play(LOADS['burst']), play(LOADS['burst']))
+
+    def test_nearly_all_is_earned_where_there_is_room_for_all(self) -> None:
+        """A quarter of the usual load; some runs fail by themselves."""
+        outcome = play(Load(rate=0.25))
+        self.assertGreater(outcome.credit, 0.9)
+        self.assertLess(outcome.wasted_share, 0.05)
+
+    def test_too_much_load_costs_the_lower_priorities_first(self) -> None:
+        """Urgent jobs take their room."""
+        outcome = play(Load(rate=4.0))
+        self.assertLess(outcome.credit, 0.95)
+        self.assertGreater(outcome.urgent, outcome.middle)
+
+    def test_days_are_compared_in_pairs(self) -> None:
+        """A mechanism against itself differs by nothing."""
+        days = compare(LOADS['burst'], 24, 3, ALL_ON)
+        self.assertEqual(difference(days, days), (0.0, 0.0))
