A comment tells of the looks that were counted

Cause: the purpose beside the interval of looks for stalled runs named a share of function calls that no run had given.

Change: it gives the count of the profile instead.

--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -40,8 +40,8 @@
 TROUBLE_MEMORY_S: Final = 10.0
 
 #: How often runs that stand still are looked for, in seconds: workers report
-#: progress every 1.5 s when nothing ends. Done in each round, it was a fifth of
-#: the leader's function calls with 600 runs.
+#: progress every 1.5 s when nothing ends. Done in each round, it was 868,000
+#: looks at runs in 16 s of a leader with 157 workers, by its profile.
 STALLS_INTERVAL_S: Final = 0.25
 
 #: How often the gauges are set, in seconds.
