--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -134,7 +134,7 @@
         self.rows.apply((), (row,), ())
 
     def _write_settings(self, number: int, proxy: Proxy) -> str:
-        ports = [free_port() for _ in range(3)]
+        ports = [free_port() for _ in range(4)]
         settings = {
             'node_name': f'h{number}',
             'ip': '127.0.0.1',
@@ -143,7 +143,7 @@
                 'front': f'127.0.0.1:{ports[0]}',
                 'ready': f'127.0.0.1:{ports[1]}',
             },
-            'port_range': [ports[2], ports[2]],
+            'port_range': [ports[2], ports[3]],
             'platform': {'address': proxy.address},
             'bounds': {'max_hold_ms': 6000, 'grace_s': 2},
         }
--- a/src/curranthill/entry/__init__.py
+++ b/src/curranthill/entry/__init__.py
@@ -1,6 +1,7 @@
 """What any host does for callers, and the configuration it goes by."""
 
 from curranthill.entry.desk import Desk
+from curranthill.entry.peers import PeerList
 from curranthill.entry.revisions import RevisionFollower
 
-__all__ = ('Desk', 'RevisionFollower')
+__all__ = ('Desk', 'PeerList', 'RevisionFollower')
--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -52,7 +52,7 @@
         url: str,
         *,
         timeout_s: float,
-        fields: dict[str, Any] | None = None,
+        fields: dict[str, Any] | msgspec.Raw | None = None,
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
     ) -> Answer:
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -11,17 +11,19 @@
 
 from curranthill.application import Application
 from curranthill.dispatch import Election, Leader, Leadership
-from curranthill.entry import Desk, RevisionFollower
+from curranthill.entry import Desk, PeerList, RevisionFollower
 from curranthill.errors import SettingsError
 from curranthill.placement import ALL_ON
 from curranthill.platform.advisor import PlatformAdvisor
 from curranthill.platform.calls import Caller
 from curranthill.platform.configuration import TABLE, decode_revision
 from curranthill.platform.front import Front
+from curranthill.platform.relay import StoreProbe, StoreRelay
 from curranthill.platform.settings import Address, PlatformSettings
 from curranthill.platform.store import PlatformStore
 from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
 from curranthill.storage.health import StoreHealth
+from curranthill.storage.paths import StorePaths
 from curranthill.telemetry import provide
 from curranthill.telemetry.events import events
 
@@ -78,17 +80,20 @@
     @property
     def callers_address(self) -> str:
         """Return where callers' requests arrive, for a port chosen freely."""
-        ip, port = self._callers.addresses[0][:2]
-        return f'{ip}:{port}'
+        return _bound_address(self._callers)
 
     async def _start(self) -> None:
         settings = self._settings
         clock = self.app.clock
         provide(PrometheusMetricReader())
         self._caller = Caller()
+        self._paths = StorePaths(
+            direct=settings.store_address,
+            peers=self._peer_addresses,
+        )
         self._store = PlatformStore(
             caller=self._caller,
-            address=settings.store_address,
+            paths=self._paths,
             clock=clock,
         )
         self._connector = PlatformConnector(caller=self._caller)
@@ -125,11 +130,31 @@
             signal.SIGHUP,
             self._reload,
         )
+        await self._start_relay()
         self._callers = await _serve(self._front.handle, settings.callers)
         self._readiness = await _serve(self._ready, settings.readiness)
         self._metrics = await _serve(_show_metrics, settings.metrics)
         events.log('started', callers=settings.callers)
 
+    async def _start_relay(self) -> None:
+        """Pass peers' calls on, and learn who passes on this host's."""
+        clock = self.app.clock
+        relay = StoreRelay(caller=self._caller, paths=self._paths)
+        self._relay = await _serve(relay.handle, self._settings.relay)
+        self._peers = PeerList(
+            store=self._store,
+            clock=clock,
+            host=self._settings.host,
+            address=_bound_address(self._relay),
+        )
+        probe = StoreProbe(
+            caller=self._caller,
+            paths=self._paths,
+            clock=clock,
+        )
+        self.app.spawn(self._peers.run(), name='peers')
+        self.app.spawn(probe.run(), name='probe')
+
     async def _stop(self) -> None:
         """Turn callers away, hand leadership over, finish what was read."""
         events.log('stopping', leading=self._leader is not None)
@@ -144,6 +169,7 @@
         await self._callers.cleanup()
         await self._readiness.cleanup()
         await self._metrics.cleanup()
+        await self._relay.cleanup()
         await self._caller.close()
         events.log('stopped')
 
@@ -190,6 +216,9 @@
         else:
             events.log('reloaded')
 
+    def _peer_addresses(self) -> tuple[str, ...]:
+        return self._peers.addresses
+
     def _may_count_wrongly(self) -> bool:
         if self._leader is not None:
             return False
@@ -214,4 +243,10 @@
     return runner
 
 
+def _bound_address(runner: web.ServerRunner) -> str:
+    """Return where a server listens, for a port chosen freely too."""
+    ip, port = runner.addresses[0][:2]
+    return f'{ip}:{port}'
+
+
 __all__ = ('HostDaemon',)
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -31,6 +31,7 @@
     :param callers: where callers' requests arrive.
     :param readiness: where the balancer asks whether this host is ready.
     :param metrics: where this process shows its metrics.
+    :param relay: where other hosts' calls are passed on to the store.
     :param store_address: the platform's metadata store.
     :param advisor_address: who knows which workers may run a step; or empty.
     """
@@ -40,6 +41,7 @@
     callers: Address
     readiness: Address
     metrics: Address
+    relay: Address
     store_address: str
     advisor_address: str
     timing: Timing
@@ -68,6 +70,7 @@
         callers=Address.parse(listen['front']),
         readiness=Address.parse(listen['ready']),
         metrics=Address(fields['ip'], fields['port_range'][0]),
+        relay=Address(fields['ip'], fields['port_range'][1]),
         store_address=fields['platform']['address'],
         advisor_address=fields.get('placement_advisor') or '',
         timing=_timing(fields.get('bounds', {})),
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -13,6 +13,7 @@
     CallNotSentError,
     CallUnansweredError,
 )
+from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import (
     HistoryLostError,
     RowChanges,
@@ -41,6 +42,13 @@
 #: link, and the answer of a store that is slow.
 PAGE_TIMEOUT_S: Final = 1.5
 
+#: What the paths of the store's calls begin with.
+PATH_PREFIX: Final = '/curranthill/'
+
+#: What a peer answers if it does not know whether the store did a call.
+UNANSWERED: Final = 504
+
+_REFUSED: Final = frozenset((429, 503))
 _OK: Final = 200
 _GONE: Final = 410
 _CONFLICT: Final = 412
@@ -49,13 +57,19 @@
 class PlatformStore:
     """Rows over the platform's HTTP calls.
 
-    :param address: the store's IP number and port.
+    :param paths: the way that calls take, which changes when they fail.
     """
 
-    def __init__(self, *, caller: Caller, address: str, clock: Clock) -> None:
-        """Keep the address."""
+    def __init__(
+        self,
+        *,
+        caller: Caller,
+        paths: StorePaths,
+        clock: Clock,
+    ) -> None:
+        """Keep the paths."""
         self._caller = caller
-        self._address = address
+        self._paths = paths
         self._clock = clock
         self._commit_timeout = ReplyTimeout()
         self._read_timeout = ReplyTimeout()
@@ -93,7 +107,7 @@
             raise RowConflictError(
                 'A row has another version than expected.',
                 step='commit',
-                peer=self._address,
+                peer=self._paths.address,
                 rows=_rows(self._fields(answer, 'commit')),
             )
         self._expect_ok(answer, 'commit')
@@ -170,7 +184,7 @@
             raise HistoryLostError(
                 f'The history of {table} past {after} is gone.',
                 step='changes',
-                peer=self._address,
+                peer=self._paths.address,
             )
         self._expect_ok(answer, 'changes')
         fields = self._fields(answer, 'changes')
@@ -214,36 +228,25 @@
         return answer
 
     async def _call(self, method: str, path: str, **options: Any) -> Answer:
-        url = f'http://{self._address}/curranthill/{path}'
+        address = self._paths.address
         try:
-            return await self._caller.call(method, url, **options)
-        except CallNotSentError as error:
-            raise NotSentError(
-                f'The store cannot be reached: {error}.',
-                step=path,
-                peer=self._address,
-            ) from error
-        except CallUnansweredError as error:
-            raise ReplyLostError(
-                f'The store did not answer: {error}.',
-                step=path,
-                peer=self._address,
-            ) from error
+            answer = await call_store(
+                self._caller, address, method, path, **options
+            )
+        except StorageError:
+            self._paths.failed(address)
+            raise
+        self._paths.answered(address)
+        return answer
 
     def _expect_ok(self, answer: Answer, step: str) -> None:
         """Raise the error of any other status: nothing was done."""
         if answer.status == _OK:
             return
-        if answer.status in {429, 503}:
-            raise NotSentError(
-                f'The store refused with {answer.status}.',
-                step=step,
-                peer=self._address,
-            )
         raise StorageError(
             f'The store answered {answer.status}: {answer.body[:200]!r}.',
             step=step,
-            peer=self._address,
+            peer=self._paths.address,
         )
 
     def _fields(self, answer: Answer, step: str) -> dict[str, Any]:
@@ -253,10 +256,52 @@
             raise ReplyLostError(
                 f'The store did not answer: {error}.',
                 step=step,
-                peer=self._address,
+                peer=self._paths.address,
             ) from error
 
 
+async def call_store(
+    caller: Caller,
+    address: str,
+    method: str,
+    path: str,
+    **options: Any,
+) -> Answer:
+    """Make one call of the store, at its own address or at a peer's.
+
+    :raises NotSentError: if nothing was done.
+    :raises ReplyLostError: if the effect is unknown.
+    """
+    url = f'http://{address}{PATH_PREFIX}{path}'
+    try:
+        answer = await caller.call(method, url, **options)
+    except CallNotSentError as error:
+        raise NotSentError(
+            f'The store cannot be reached: {error}.',
+            step=path,
+            peer=address,
+        ) from error
+    except CallUnansweredError as error:
+        raise ReplyLostError(
+            f'The store did not answer: {error}.',
+            step=path,
+            peer=address,
+        ) from error
+    if answer.status in _REFUSED:
+        raise NotSentError(
+            f'The store refused with {answer.status}.',
+            step=path,
+            peer=address,
+        )
+    if answer.status == UNANSWERED:
+        raise ReplyLostError(
+            'The store did not answer the host that passed the call on.',
+            step=path,
+            peer=address,
+        )
+    return answer
+
+
 def _part_of(table: str, key: str) -> str:
     if table in PLATFORM_TABLES:
         return PLATFORM_PART
@@ -281,4 +326,10 @@
     )
 
 
-__all__ = ('PAGE_ROWS', 'PlatformStore')
+__all__ = (
+    'PAGE_ROWS',
+    'PATH_PREFIX',
+    'UNANSWERED',
+    'PlatformStore',
+    'call_store',
+)
--- a/src/curranthill/tasks/tables.py
+++ b/src/curranthill/tasks/tables.py
@@ -17,6 +17,9 @@
 #: The leader's row, and the queue lengths that the leader counts.
 LEADER: Final = 'leader'
 
+#: Where each host passes other hosts' calls on to the store.
+HOSTS: Final = 'hosts'
+
 LEADER_KEY: Final = 'leader'
 PENDING_KEY: Final = 'pending'
 
@@ -26,6 +29,9 @@
 #: The partition of all that the leader writes.
 LEADERS_PARTITION: Final = 'main'
 
+#: The partition of the list of hosts: a hundred of them start together.
+HOSTS_PARTITION: Final = 'hosts'
+
 #: Partitions of accepted jobs: a store that takes 0.3 s for each commit then
 #: accepts some fifty jobs a second, eight times what the largest deployment
 #: is sent. A takeover reads each of them.
@@ -34,6 +40,8 @@
 
 def partition_of(table: str, key: str) -> str:
     """Return the partition of a row."""
+    if table == HOSTS:
+        return HOSTS_PARTITION
     if table != INTAKE:
         return LEADERS_PARTITION
     job_id = key.removesuffix(CANCEL_SUFFIX)
@@ -42,7 +50,9 @@
 
 def partitions_of(table: str) -> tuple[str, ...]:
     """Return the partitions that a table's rows may lie in."""
-    return INTAKE_PARTITIONS if table == INTAKE else (LEADERS_PARTITION,)
+    if table == INTAKE:
+        return INTAKE_PARTITIONS
+    return (partition_of(table, ''),)
 
 
 def cancel_key(job_id: str) -> str:
@@ -52,6 +62,8 @@
 
 __all__ = (
     'CANCEL_SUFFIX',
+    'HOSTS',
+    'HOSTS_PARTITION',
     'INTAKE',
     'INTAKE_PARTITIONS',
     'LEADER',
--- /dev/null
+++ b/tests/test_paths.py
@@ -0,0 +1,203 @@
+"""Calls to the store go through another host while the straight way fails."""
+
+import asyncio
+import unittest
+
+from curranthill.errors import NotSentError, ReplyLostError
+from curranthill.platform.relay import StoreProbe, StoreRelay
+from curranthill.platform.store import PlatformStore
+from curranthill.storage.paths import PEERS_IN_TURN, StorePaths
+from curranthill.storage.rows import RowCheck, RowConflictError, RowPut
+from tests.platform_standin import StoreServer, serve
+from tests.test_platform import Bench, on_bench, until
+
+DIRECT = '10.0.0.1:80'
+PEERS = ('10.0.1.1:80', '10.0.1.2:80')
+
+PUT = RowPut('t', 'k', b'text')
+
+
+class ChoiceTest(unittest.TestCase):
+    """Which way is taken next."""
+
+    def setUp(self) -> None:
+        """Know two peers."""
+        self.paths = StorePaths(direct=DIRECT, peers=lambda: PEERS)
+
+    def test_the_straight_way_is_kept_while_it_answers(self) -> None:
+        """Whatever peers there are."""
+        self.paths.answered(DIRECT)
+        self.assertTrue(self.paths.is_direct)
+
+    def test_a_failure_of_the_straight_way_leads_to_a_peer(self) -> None:
+        """From the next call on."""
+        self.paths.failed(DIRECT)
+        self.assertIn(self.paths.address, PEERS)
+
+    def test_calls_that_fail_together_change_the_way_once(self) -> None:
+        """Ten calls were under way when the store fell silent."""
+        self.paths.failed(DIRECT)
+        chosen = self.paths.address
+        for _ in range(9):
+            self.paths.failed(DIRECT)
+        self.assertEqual(self.paths.address, chosen)
+
+    def test_a_peer_that_fails_is_followed_by_another(self) -> None:
+        """It may have lost the store too."""
+        self.paths.failed(DIRECT)
+        first = self.paths.address
+        self.paths.failed(first)
+        self.assertIn(self.paths.address, set(PEERS) - {first})
+
+    def test_the_straight_way_has_its_turn_when_peers_fail_too(self) -> None:
+        """The store may be down for all, and come back."""
+        taken = []
+        for _ in range(PEERS_IN_TURN + 2):
+            taken.append(self.paths.address)
+            self.paths.failed(self.paths.address)
+        self.assertEqual(taken[0], DIRECT)
+        self.assertEqual(taken.count(DIRECT), 2)
+
+    def test_the_straight_way_is_taken_again_once_it_answers(self) -> None:
+        """A call that tried it tells."""
+        self.paths.failed(DIRECT)
+        self.paths.answered(DIRECT)
+        self.assertTrue(self.paths.is_direct)
+
+    def test_without_peers_the_straight_way_stays(self) -> None:
+        """A deployment of one host."""
+        paths = StorePaths(direct=DIRECT, peers=tuple)
+        paths.failed(DIRECT)
+        self.assertTrue(paths.is_direct)
+
+
+class TwoHosts:
+    """A host that has lost the store, and a peer that reaches it.
+
+    :param own: what the store answers the first host itself with.
+    """
+
+    def __init__(self, *, bench: Bench) -> None:
+        """Start nothing yet."""
+        self.bench = bench
+        self.own = StoreServer(model=bench.rows)
+
+    async def open(self) -> None:
+        """Serve the first host's way to the store, and the peer's relay."""
+        bench = self.bench
+        runner, direct = await serve(self.own.handle)
+        bench.closers.append(runner.cleanup)
+        self.peer_paths = StorePaths(direct=bench.store_address, peers=tuple)
+        relay = StoreRelay(caller=bench.caller, paths=self.peer_paths)
+        runner, peer = await serve(relay.handle)
+        bench.closers.append(runner.cleanup)
+        self.paths = StorePaths(direct=direct, peers=lambda: (peer,))
+        self.store = PlatformStore(
+            caller=bench.caller,
+            paths=self.paths,
+            clock=bench.clock,
+        )
+
+
+class RelayTest(unittest.TestCase):
+    """One host is refused by the store that serves the other."""
+
+    def test_a_refused_host_commits_reads_and_follows_through_a_peer(
+        self,
+    ) -> None:
+        """One call fails; those after it are answered."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            hosts.own.refuse_with = 503
+            with self.assertRaises(NotSentError):
+                await hosts.store.commit(puts=(PUT,))
+            version = await hosts.store.commit(puts=(PUT,))
+            row = await hosts.store.read('t', 'k')
+            assert row is not None
+            self.assertEqual(row.content, b'text')
+            changes = await hosts.store.changes('t', version - 1, 1.0)
+            self.assertEqual([one.key for one in changes.rows], ['k'])
+
+        on_bench(case)
+
+    def test_a_silent_store_is_told_from_a_refusing_one(self) -> None:
+        """The effect of the silent call stays unknown; the next is answered."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            await hosts.store.read('t', 'k')
+            hosts.own.connections.silence()
+            with self.assertRaises(ReplyLostError):
+                await hosts.store.commit(puts=(PUT,))
+            await hosts.store.commit(puts=(PUT,))
+
+        on_bench(case)
+
+    def test_a_conflict_passes_through_with_its_rows(self) -> None:
+        """A leader that goes through a peer is fenced as ever."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            await bench.store.commit(puts=(PUT,))
+            hosts.paths.failed(hosts.paths.direct)
+            with self.assertRaises(RowConflictError) as caught:
+                await hosts.store.commit(
+                    checks=(RowCheck('t', 'k', 0),),
+                    puts=(PUT,),
+                )
+            self.assertEqual(caught.exception.rows[0].content, b'text')
+
+        on_bench(case)
+
+    def test_a_peer_without_the_store_passes_nothing_on(self) -> None:
+        """It says at once that nothing was done, and no call goes round."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            hosts.paths.failed(hosts.paths.direct)
+            hosts.peer_paths.address = '127.0.0.1:1'
+            with self.assertRaises(NotSentError):
+                await hosts.store.commit(puts=(PUT,))
+            self.assertEqual(bench.rows.commits, 0)
+
+        on_bench(case)
+
+    def test_a_peer_that_does_not_know_says_so(self) -> None:
+        """The store fell silent with the peer's call under way."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            hosts.paths.failed(hosts.paths.direct)
+            bench.store_server.refuse_with = 504
+            with self.assertRaises(ReplyLostError):
+                await hosts.store.commit(puts=(PUT,))
+
+        on_bench(case)
+
+    def test_the_straight_way_is_taken_again_when_it_opens(self) -> None:
+        """Found out without a call of a caller."""
+
+        async def case(bench: Bench) -> None:
+            hosts = TwoHosts(bench=bench)
+            await hosts.open()
+            hosts.own.refuse_with = 503
+            hosts.paths.failed(hosts.paths.direct)
+            probe = StoreProbe(
+                caller=bench.caller,
+                paths=hosts.paths,
+                clock=bench.clock,
+            )
+            probing = asyncio.ensure_future(probe.run())
+            await asyncio.sleep(0.7)
+            self.assertFalse(hosts.paths.is_direct)
+            hosts.own.refuse_with = 0
+            await until(lambda: hosts.paths.is_direct)
+            probing.cancel()
+
+        on_bench(case)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,6 +32,7 @@
 from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import (
     HistoryLostError,
     RowCheck,
@@ -92,29 +93,29 @@
         self.clock = SystemClock()
         self.rows = RowModel(clock=self.clock)
         self.store_server = StoreServer(model=self.rows)
-        self._closers: list[Callable[[], Awaitable[Any]]] = []
+        self.closers: list[Callable[[], Awaitable[Any]]] = []
 
     async def open(self) -> None:
         """Start the servers."""
         runner, address = await serve(self.store_server.handle)
         self.store_address = address
-        self._closers.append(runner.cleanup)
+        self.closers.append(runner.cleanup)
         entry = WorkerEntry('i-1', 'calc', '', 'dc', ROOM, ('a', 'r1'))
         self.worker = TaskWorkerModel(entry=entry, clock=self.clock, run_s=0.2)
         runner, address = await serve(WorkerServer(model=self.worker).handle)
-        self._closers.append(runner.cleanup)
+        self.closers.append(runner.cleanup)
         self.entry = entry._replace(address=address)
         self.caller = Caller()
-        self._closers.append(self.caller.close)
+        self.closers.append(self.caller.close)
         self.store = PlatformStore(
             caller=self.caller,
-            address=self.store_address,
+            paths=StorePaths(direct=self.store_address, peers=tuple),
             clock=self.clock,
         )
 
     async def close(self) -> None:
         """Stop everything."""
-        for close in reversed(self._closers):
+        for close in reversed(self.closers):
             await close()
 
 
@@ -203,7 +204,7 @@
                     await bench.store.commit(puts=(RowPut('t', 'k', b''),))
             nobody = PlatformStore(
                 caller=bench.caller,
-                address='127.0.0.1:1',
+                paths=StorePaths(direct='127.0.0.1:1', peers=tuple),
                 clock=bench.clock,
             )
             with self.assertRaises(NotSentError):
