Calls to the store go through a peer while the straight way fails

Ruled out: waiting for workers.

Change: every host lists itself in the store and passes other hosts' calls on to it. A host whose call fails takes another way from the next call on: a peer, at most three in turn, then straight again; a probe every 0.5 s finds the straight way open. What a peer passes on is the same conditional call, so that nothing becomes less safe: an answer that did not come counts as unknown, and a peer that has lost the store itself refuses at once. Hosts that are silent for a minute are called no more, and their rows are removed after ten minutes.

--- a/tests/domain.py
+++ b/tests/domain.py
@@ -113,6 +113,7 @@
         self.rows = RowModel(clock=self.clock)
         self.workers: dict[str, TaskWorkerModel] = {}
         self.hosts: dict[str, TestHost] = {}
+        self.background: list[asyncio.Future[None]] = []
         self.advisor = KnownAdvisor(clock=self.clock)
         for number in range(workers):
             self.add_worker(f'w{number}', run_s=run_s)
@@ -190,6 +191,9 @@
         """Kill all hosts."""
         for host in list(self.hosts.values()):
             await host.kill()
+        for task in self.background:
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
 
 
 class KnownAdvisor:
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -1,15 +1,34 @@
 """Calls to the store go through another host while the straight way fails."""
 
 import asyncio
+import json
+import tempfile
 import unittest
+from pathlib import Path
+from typing import NamedTuple
 
+import aiohttp
+
+from curranthill.entry import PeerList
 from curranthill.errors import NotSentError, ReplyLostError
+from curranthill.platform import HostDaemon, read_platform_settings
 from curranthill.platform.relay import StoreProbe, StoreRelay
 from curranthill.platform.store import PlatformStore
 from curranthill.storage.paths import PEERS_IN_TURN, StorePaths
 from curranthill.storage.rows import RowCheck, RowConflictError, RowPut
-from tests.platform_standin import StoreServer, serve
-from tests.test_platform import Bench, on_bench, until
+from curranthill.tasks import tables
+from tests.domain import Domain, in_domain
+from tests.platform_standin import StoreServer, serve, worker_row
+from tests.test_platform import (
+    CONFIGURATION,
+    JOB,
+    Bench,
+    leader_of,
+    on_bench,
+    settings_of,
+    status,
+    until,
+)
 
 DIRECT = '10.0.0.1:80'
 PEERS = ('10.0.1.1:80', '10.0.1.2:80')
@@ -201,3 +220,155 @@
             probing.cancel()
 
         on_bench(case)
+
+
+class PeerListTest(unittest.TestCase):
+    """Who passes calls on."""
+
+    def test_hosts_that_start_together_know_each_other(self) -> None:
+        """After the second reading."""
+
+        async def case(domain: Domain) -> None:
+            first, second = (start_list(domain, name) for name in 'ab')
+            await domain.clock.advance(4)
+            self.assertEqual(first.addresses, ('b',))
+            self.assertEqual(second.addresses, ('a',))
+
+        in_domain(case)
+
+    def test_a_silent_host_is_left_out_and_at_last_removed(self) -> None:
+        """It was killed, and no other has its name."""
+
+        async def case(domain: Domain) -> None:
+            domain.rows.apply((), (RowPut(tables.HOSTS, 'b', b'b'),), ())
+            living = start_list(domain, 'a')
+            await domain.clock.advance(4)
+            self.assertEqual(living.addresses, ('b',))
+            await domain.clock.advance(100)
+            self.assertEqual(living.addresses, ())
+            self.assertIn((tables.HOSTS, 'b'), domain.rows.rows)
+            await domain.clock.advance(600)
+            self.assertNotIn((tables.HOSTS, 'b'), domain.rows.rows)
+
+        in_domain(case)
+
+    def test_the_list_outlives_the_store(self) -> None:
+        """Peers are needed just when it cannot be read."""
+
+        async def case(domain: Domain) -> None:
+            first = start_list(domain, 'a')
+            start_list(domain, 'b')
+            await domain.clock.advance(4)
+            domain.rows.down.add('*')
+            await domain.clock.advance(60)
+            self.assertEqual(first.addresses, ('b',))
+
+        in_domain(case)
+
+
+def start_list(domain: Domain, name: str) -> PeerList:
+    """Start a host's list of peers; it ends with the test's event loop."""
+    peers = PeerList(
+        store=domain.rows.client(name),
+        clock=domain.clock,
+        host=name,
+        address=name,
+    )
+    domain.background.append(asyncio.ensure_future(peers.run()))
+    return peers
+
+
+class HostsTest(unittest.TestCase):
+    """Real hosts, of which one has lost the store."""
+
+    def test_a_host_without_the_store_accepts_and_stays_ready(self) -> None:
+        """Its callers notice nothing; the job runs."""
+
+        async def case(bench: Bench) -> None:
+            hosts = await start_two(bench, first_leads=False)
+            await self.lose_store_and_submit(hosts, bench)
+
+        on_bench(case)
+
+    def test_a_leader_without_the_store_leads_on(self) -> None:
+        """Nobody takes over, and what it orders is stored."""
+
+        async def case(bench: Bench) -> None:
+            hosts = await start_two(bench, first_leads=True)
+            await self.lose_store_and_submit(hosts, bench)
+            self.assertEqual(leader_of(bench), 'front-1')
+
+        on_bench(case)
+
+    async def lose_store_and_submit(
+        self,
+        hosts: 'StartedHosts',
+        bench: Bench,
+    ) -> None:
+        """Refuse the first host; hand jobs in there for three seconds."""
+        hosts.own.refuse_with = 503
+        for number in range(6):
+            job = f'/quick/{number:016x}'
+            answer = await submit(hosts.first.callers_address, job)
+            self.assertEqual(answer, 200)
+            await asyncio.sleep(0.5)
+            self.assertTrue(hosts.first.is_ready)
+        await until(lambda: len(bench.worker.starts) == 18)
+
+
+class StartedHosts(NamedTuple):
+    """Two hosts of one deployment.
+
+    :param own: the store as the first host reaches it.
+    """
+
+    first: HostDaemon
+    second: HostDaemon
+    own: StoreServer
+
+
+async def start_two(bench: Bench, *, first_leads: bool) -> StartedHosts:
+    """Start two hosts that know each other, and the worker."""
+    content = json.dumps(CONFIGURATION).encode()
+    bench.rows.apply((), (RowPut('op', 'config', content),), ())
+    bench.rows.apply((), (worker_row(bench.entry),), ())
+    own = StoreServer(model=bench.rows)
+    runner, direct = await serve(own.handle)
+    bench.closers.append(runner.cleanup)
+    first = make_host(bench, 'front-1', direct)
+    second = make_host(bench, 'front-2', bench.store_address)
+    order = [first, second] if first_leads else [second, first]
+    for host in order:
+        await host.app.start()
+        bench.closers.append(host.app.stop)
+        await someone_leads(bench)
+    # The second reading of the list, after at most 1.3 times 2 s.
+    await asyncio.sleep(3)
+    return StartedHosts(first, second, own)
+
+
+async def someone_leads(bench: Bench) -> None:
+    """Wait until the leader's row names a host."""
+    await until(lambda: bool(leader_of(bench)))
+
+
+def make_host(bench: Bench, name: str, store_address: str) -> HostDaemon:
+    """Return a host that is not started."""
+    settings = settings_of(bench)
+    settings['node_name'] = name
+    settings['platform'] = {'address': store_address}
+    with tempfile.NamedTemporaryFile('w', suffix='.json') as target:
+        json.dump(settings, target)
+        target.flush()
+        decoded = read_platform_settings(Path(target.name))
+    return HostDaemon(read_settings=lambda: decoded)
+
+
+async def submit(address: str, job: str) -> int:
+    """Hand a job in; return the answer's status."""
+    headers = {'Host': 'jobs.example', 'Authorization': 'Bearer key-of-alpha'}
+    async with aiohttp.ClientSession(
+        f'http://{address}',
+        headers=headers,
+    ) as caller:
+        return await status(caller.post(job, json=JOB))
