--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -16,12 +16,14 @@
     ALL_ON,
     DOUBT,
     STALLED_MOVES,
+    WORKER_SPEEDS,
     ActiveJob,
     Placement,
     Planner,
     ReadyStep,
     Room,
     Run,
+    Speeds,
     checkpoint_of,
 )
 from curranthill.tasks import QUEUED, RUNNING, JobSpec, Revision
@@ -44,6 +46,10 @@
 #: looks at runs in 16 s of a leader with 157 workers, by its profile.
 STALLS_INTERVAL_S: Final = 0.25
 
+#: How often the speeds of workers are learnt from what runs have reported, in
+#: seconds: a worker's reports come every 1.5 s.
+SPEEDS_INTERVAL_S: Final = 0.5
+
 #: How often the gauges are set, in seconds.
 GAUGES_INTERVAL_S: Final = 1.0
 
@@ -87,6 +93,8 @@
         self._revision = revision
         self._shown_s = 0.0
         self._stalls_seen_s = 0.0
+        self._speeds = Speeds()
+        self._speeds_learnt_s = 0.0
 
     async def run(self) -> None:
         """Make a round whenever something has changed."""
@@ -106,6 +114,7 @@
             return
         self._work.empty_leaving_workers()
         began_s = self._clock.monotonic_s()
+        self._learn_speeds(began_s)
         if began_s - self._stalls_seen_s >= STALLS_INTERVAL_S:
             self._stalls_seen_s = began_s
             if STALLED_MOVES not in self._without:
@@ -132,6 +141,15 @@
         for placement in plan.placements:
             self._mark(placement)
 
+    def _learn_speeds(self, now_s: float) -> None:
+        if WORKER_SPEEDS in self._without:
+            return
+        if now_s - self._speeds_learnt_s < SPEEDS_INTERVAL_S:
+            return
+        self._speeds_learnt_s = now_s
+        self._speeds.learn(self._work.jobs.values())
+        self._speeds.forget_except(self._work.sessions)
+
     def _tickets(self, job: ActiveJob, ready: ReadyStep) -> dict[str, str]:
         """Return a step's good tickets; ask for more if they do not do."""
         good = self._office.good(ready)
@@ -166,6 +184,7 @@
                 entry=session.entry,
                 runs=session.runs.values(),
                 doubt=self._doubt(session),
+                speed_grade=self._speeds.grade_of(session.worker_id),
             )
             rooms.setdefault(session.entry.service, []).append(room)
         return rooms
@@ -213,6 +232,9 @@
             occurrence=placement.ready.occurrence,
             tasks=[f'{run.key.rank}@{run.worker_id}' for run in runs],
             attempt=shared,
+            slowest_grade=min(
+                self._speeds.grade_of(run.worker_id) for run in runs
+            ),
         )
         self._journal.note(job)
         self._spawner.spawn(self._start(job, runs))
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -405,10 +405,7 @@
         if run.state in {ORDERED, UNKNOWN}:
             run.state = RUNNING
             run.settled_s = now_s
-        if report.done_percent != run.done_percent:
-            run.percent_changed_s = now_s
-        run.done_percent = report.done_percent
-        run.age_s = now_s - run.started_s
+        run.note_progress(report.done_percent, now_s)
         if report.checkpoint:
             run.checkpoint = report.checkpoint
         if run.stop_wanted:
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -8,6 +8,7 @@
     ALL_ON,
     DOUBT,
     STALLED_MOVES,
+    WORKER_SPEEDS,
     checked,
     mechanisms,
 )
@@ -26,6 +27,7 @@
     RunState,
     kind_of,
 )
+from curranthill.placement.speeds import Speeds
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -39,6 +41,7 @@
     'SERVING',
     'STALLED_MOVES',
     'UNKNOWN',
+    'WORKER_SPEEDS',
     'ActiveJob',
     'Placement',
     'Plan',
@@ -48,6 +51,7 @@
     'Run',
     'RunKind',
     'RunState',
+    'Speeds',
     'WorkerEntry',
     'checked',
     'checkpoint_of',
--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -21,6 +21,11 @@
 #: in core-seconds: the work of an urgent task of two accelerators and 2.5 s.
 DOUBT_CORE_S: Final = 50.0
 
+#: What a worker costs an urgent task for each step of speed that it lacks, in
+#: core-seconds. A gang with a worker of four fifths of the ordinary speed is
+#: late: that is worth as much as some nine times the gang's own work.
+SLOWNESS_CORE_S: Final = 100.0
+
 
 class Eviction(NamedTuple):
     """Rooms for tasks, one each, and the runs that must end first.
@@ -106,9 +111,9 @@
 
         :param soon: what is free of the room by then.
         """
-        doubt_core_s = room.doubt * DOUBT_CORE_S
+        burden_core_s = _burden_core_s(room)
         if soon.covers(needs):
-            return _Way(doubt_core_s, ())
+            return _Way(burden_core_s, ())
         loss = 0.0
         victims: list[Run] = []
         for run in self._candidates_in(room):
@@ -118,7 +123,7 @@
             loss += self._losses.of(run)
             victims.append(run)
             if soon.covers(needs):
-                return _Way(loss + doubt_core_s, tuple(victims))
+                return _Way(loss + burden_core_s, tuple(victims))
         return None
 
     def _candidates_in(self, room: Room) -> list[Run]:
@@ -226,6 +231,12 @@
         heapq.heappush(self._queue, (way.cost, index, worker_id))
 
 
+def _burden_core_s(room: Room) -> float:
+    """Return what a worker costs an urgent task whatever is stopped there."""
+    slowness = max(0, -room.speed_grade)
+    return room.doubt * DOUBT_CORE_S + slowness * SLOWNESS_CORE_S
+
+
 def may_stop(run: Run) -> bool:
     """Return whether a run may be stopped for others."""
     if run.stop_wanted or run.lasting:
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -12,8 +12,9 @@
 from curranthill.tasks import Resources, TaskKey
 
 #: A worker's rank among those that a task fits on, the least first: doubt,
-#: accelerators left over, processor left, place in the list.
-_Rank = tuple[float, int, int, int]
+#: speed if that matters most, accelerators left over, speed if not, processor
+#: left, place in the list.
+_Rank = tuple[float, int, int, int, int, int]
 
 Fit = list[tuple[TaskKey, Room]]
 
@@ -40,29 +41,50 @@
     return groups
 
 
-def choose_group(ready: ReadyStep, groups: Sequence[Sequence[Room]]) -> Fit:
+def choose_group(
+    ready: ReadyStep,
+    groups: Sequence[Sequence[Room]],
+    *,
+    swift: bool = False,
+) -> Fit:
     """Take rooms of one group: the first without doubt, or the least doubted.
 
     A gang with one member on a worker that fails all it starts fails whole,
     each time it is put there.
+
+    :param swift: whether the group with the fastest rooms comes first.
     """
-    best: tuple[float, Sequence[Room]] | None = None
+    best: tuple[tuple[float, int], Sequence[Room]] | None = None
     for group in groups:
-        chosen = choose_rooms(ready, group)
+        chosen = choose_rooms(ready, group, swift=swift)
+        if not chosen:
+            continue
         doubt = sum(room.doubt for _, room in chosen)
-        if chosen and not doubt:
+        if not doubt and not swift:
             return chosen
         _give_back(ready, chosen)
-        if chosen and (best is None or doubt < best[0]):
-            best = (doubt, group)
-    return choose_rooms(ready, best[1]) if best else []
+        slowest = min(room.speed_grade for _, room in chosen)
+        rank = (doubt, -slowest if swift else 0)
+        if best is None or rank < best[0]:
+            best = (rank, group)
+    return choose_rooms(ready, best[1], swift=swift) if best else []
+
 
+def choose_rooms(
+    ready: ReadyStep,
+    rooms: Sequence[Room],
+    *,
+    swift: bool = False,
+) -> Fit:
+    """Take rooms for the tasks, in order; a gang takes all or none.
 
-def choose_rooms(ready: ReadyStep, rooms: Sequence[Room]) -> Fit:
-    """Take rooms for the tasks, in order; a gang takes all or none."""
+    :param swift: whether the fastest workers come first; else, of workers
+        that a task fills alike, the slowest do, and the others stay free for
+        urgent work.
+    """
     needs = room_needed(ready.step)
     queue = [
-        _rank(room, needs, index)
+        _rank(room, needs, index, swift=swift)
         for index, room in enumerate(rooms)
         if room.fits_now(needs) and room.allows(ready.tasks[0], ready.step)
     ]
@@ -76,7 +98,7 @@
         room.place(key, ready.step)
         chosen.append((key, room))
         if room.fits_now(needs) and room.allows(key, ready.step):
-            heapq.heappush(queue, _rank(room, needs, index))
+            heapq.heappush(queue, _rank(room, needs, index, swift=swift))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
         _give_back(ready, chosen)
@@ -84,9 +106,23 @@
     return chosen
 
 
-def _rank(room: Room, needs: Resources, index: int) -> _Rank:
+def _rank(
+    room: Room,
+    needs: Resources,
+    index: int,
+    *,
+    swift: bool,
+) -> _Rank:
     left_gpus = room.free.gpus - needs.gpus
-    return (room.doubt, left_gpus, room.free.cpu_millis, index)
+    grade = room.speed_grade
+    return (
+        room.doubt,
+        -grade if swift else 0,
+        left_gpus,
+        grade,
+        room.free.cpu_millis,
+        index,
+    )
 
 
 def _give_back(ready: ReadyStep, chosen: Fit) -> None:
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -124,7 +124,7 @@
         if not (urgent or advised) and shape in self._too_large:
             return
         groups = self._groups(job, ready)
-        chosen = choose_group(ready, groups)
+        chosen = choose_group(ready, groups, swift=is_urgent(job))
         if chosen:
             workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -31,6 +31,7 @@
     :param soon: what will be free once the runs being stopped have ended,
         less what waiting urgent tasks have claimed of it.
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
+    :param speed_grade: steps above or below the ordinary worker's speed.
     :param runs: what runs here, less what this round stops.
     :param version: grows with each change of this room.
     """
@@ -43,6 +44,7 @@
         'free',
         'runs',
         'soon',
+        'speed_grade',
         'version',
     )
 
@@ -52,9 +54,11 @@
         entry: WorkerEntry,
         runs: Iterable[Run],
         doubt: float,
+        speed_grade: int = 0,
     ) -> None:
         """Add up the runs that take room."""
         self.entry = entry
+        self.speed_grade = speed_grade
         self.runs = list(runs)
         self.doubt = doubt
         self.version = 0
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -33,6 +33,10 @@
 #: just under the interval of reports when nothing ends.
 SHORTEST_STALL_S: Final = 1.4
 
+#: A rate is measured over at least so long, in seconds: just under the
+#: interval of reports when nothing ends.
+RATE_INTERVAL_S: Final = 1.4
+
 #: The same, as a share of the estimated run time: far from its data and on a
 #: slow worker a task still shows one percent more in that time.
 STALL_SHARE: Final = 0.1
@@ -53,6 +57,9 @@
     :param lasting: it runs until its job is cancelled.
     :param kind: whether it answers users of its own, or fills what is left.
     :param age_s: how long it has run, as of the newest report.
+    :param rate: progress between two reports, in percent a second; 0 until
+        it is known.
+    :param rate_is_new: whether nobody has looked at the rate yet.
     """
 
     __slots__ = (
@@ -68,6 +75,10 @@
         'lasting',
         'percent_changed_s',
         'priority',
+        'rate',
+        'rate_is_new',
+        '_mark_percent',
+        '_mark_s',
         'settled_s',
         'estimate_s',
         'started_s',
@@ -108,6 +119,10 @@
         self.checkpoint = ''
         self.ticket = ''
         self.done_percent = 0.0
+        self.rate = 0.0
+        self.rate_is_new = False
+        self._mark_percent = 0.0
+        self._mark_s = 0.0
         self.started_s = now_s
         self.percent_changed_s = now_s
         self.settled_s = now_s
@@ -115,6 +130,14 @@
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
+    def note_progress(self, done_percent: float, now_s: float) -> None:
+        """Take in what a report tells of the progress."""
+        if done_percent != self.done_percent:
+            self.percent_changed_s = now_s
+        self.done_percent = done_percent
+        self.age_s = now_s - self.started_s
+        self._measure_rate(now_s)
+
     @property
     def lost_s(self) -> float:
         """Return the run time that a stop throws away."""
@@ -151,6 +174,25 @@
         """
         return self.stalled_s > max(0.0, self.lost_s - self.stalled_s)
 
+    def _measure_rate(self, now_s: float) -> None:
+        """Measure the rate over at least one interval of reports."""
+        if not self._mark_s:
+            self._mark(now_s)
+            return
+        spent_s = now_s - self._mark_s
+        if spent_s < RATE_INTERVAL_S:
+            return
+        if self.done_percent < ALL_DONE_PERCENT:
+            # No progress at all counts as half a percent.
+            progress = max(self.done_percent - self._mark_percent, 0.5)
+            self.rate = progress / spent_s
+            self.rate_is_new = True
+        self._mark(now_s)
+
+    def _mark(self, now_s: float) -> None:
+        self._mark_s = now_s
+        self._mark_percent = self.done_percent
+
     @property
     def name(self) -> tuple[TaskKey, int]:
         """Return what tells this run from all others."""
