--- a/bench/replay.py
+++ b/bench/replay.py
@@ -24,10 +24,12 @@
 
 from curranthill.placement import (
     RUNNING,
+    WORKER_SPEEDS,
     ActiveJob,
     Planner,
     Room,
     Run,
+    Speeds,
     WorkerEntry,
     checked,
 )
@@ -168,11 +170,15 @@
     :param bursts: begin, end and factor of more urgent arrivals.
     :param leaving: when and which share of the workers leaves, and how long
         before it says so, in seconds.
+    :param speeds: what workers are drawn from, against the ordinary one.
+    :param tightness: multiplies the slack of all objectives.
     """
 
     rate: float = 1.0
     bursts: tuple[tuple[float, float, float], ...] = ()
     leaving: tuple[tuple[float, float, float], ...] = ()
+    speeds: tuple[float, ...] = (1.0,)
+    tightness: float = 1.0
 
 
 LOADS: Final = {
@@ -185,6 +191,12 @@
         bursts=((5, 11, 2.2),),
         leaving=((8, 0.15, 2.0), (22, 0.1, 3.0)),
     ),
+    'uneven': Load(
+        rate=1.4,
+        bursts=((5, 11, 2.2), (20, 24, 2.1)),
+        speeds=(0.8, 1.0, 1.25),
+        tightness=0.75,
+    ),
 }
 
 
@@ -195,11 +207,12 @@
     run_s: float
     arrives_s: float
     fails_at: float
+    tightness: float
 
     def objective_s(self) -> float:
         """Return when it should be done, by what it truly takes."""
         slack_s = self.kind.slack_factor * self.run_s
-        return self.arrives_s + slack_s + self.kind.target_s
+        return self.arrives_s + self.tightness * slack_s + self.kind.target_s
 
 
 class Outcome(NamedTuple):
@@ -258,9 +271,13 @@
         }
         self._runs: dict[str, list[Run]] = {one: [] for one in self._entries}
         self._leaving: dict[str, float] = {}
-        self._memory: dict[str, Any] = {}
+        self._speeds = Speeds()
+        self._tightness = load.tightness
         self._draw_arrivals(load, workers)
         self._draw_leavings(load, workers)
+        self._true_speeds = {
+            name: self._source.choice(load.speeds) for name in self._entries
+        }
 
     def play(self) -> Outcome:
         """Play the day to its end and return what it brought."""
@@ -304,7 +321,13 @@
         fails_at = source.random()
         if source.random() > kind.fails_share:
             fails_at = math.inf
-        self._drawn[job_id] = Drawn(kind, run_s, at_s, fails_at)
+        self._drawn[job_id] = Drawn(
+            kind,
+            run_s,
+            at_s,
+            fails_at,
+            self._tightness,
+        )
         self._work[job_id] = step.width * step.needs.weight_cores * run_s
         queue = Queue(
             name=f'q{kind.priority}',
@@ -346,11 +369,14 @@
 
     def _round(self) -> None:
         self._round_due = False
-        for runs in self._runs.values():
-            for run in runs:
-                run.age_s = max(0.0, self._now_s - run.started_s)
+        self._report_progress()
         rooms = [
-            Room(entry=self._entries[name], runs=runs, doubt=0.0)
+            Room(
+                entry=self._entries[name],
+                runs=runs,
+                doubt=0.0,
+                speed_grade=self._speeds.grade_of(name),
+            )
             for name, runs in self._runs.items()
             if name not in self._leaving
         ]
@@ -371,6 +397,18 @@
         if any(not job.runs for job in self._jobs.values()):
             self._at(self._now_s + WAITING_ROUND_S, self._want_round)
 
+    def _report_progress(self) -> None:
+        for name, runs in self._runs.items():
+            for run in runs:
+                drawn = self._drawn[run.key.job_id]
+                ran_s = max(0.0, self._now_s - run.started_s)
+                left_s = self._left_s.get(run.key, drawn.run_s)
+                done_s = drawn.run_s - left_s + ran_s * self._true_speeds[name]
+                percent = min(int(100 * done_s / drawn.run_s), 100)
+                run.note_progress(percent, self._now_s)
+        if WORKER_SPEEDS not in self._without:
+            self._speeds.learn(self._jobs.values())
+
     def _start(
         self, job: ActiveJob, step: Step, workers: dict[TaskKey, str]
     ) -> None:
@@ -408,7 +446,8 @@
         self, job: ActiveJob, runs: list[Run], drawn: Drawn, factor: float
     ) -> None:
         left_s = self._left_s.get(runs[0].key, drawn.run_s)
-        takes_s = left_s * factor
+        slowest = min(self._true_speeds[run.worker_id] for run in runs)
+        takes_s = left_s * factor / slowest
         if left_s < drawn.run_s:
             takes_s += RESTORE_S
         began_s = self._now_s + START_S
@@ -452,7 +491,8 @@
         if run.checkpointable and run.stop_wanted:
             drawn = self._drawn[job.spec.job_id]
             left_s = self._left_s.get(run.key, drawn.run_s)
-            self._left_s[run.key] = max(0.05, left_s - ran_s)
+            done_s = ran_s * self._true_speeds[run.worker_id]
+            self._left_s[run.key] = max(0.05, left_s - done_s)
             ran_s = min(ran_s, 0.3)
         self._wasted_core_s += run.needs.weight_cores * ran_s
         self._free(job, run)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -65,6 +65,7 @@
     rack: str,
     *runs: Run,
     doubt: float = 0.0,
+    speed_grade: int = 0,
 ) -> Room:
     """Return a worker's room."""
     entry = WorkerEntry(
@@ -75,7 +76,12 @@
         room=ROOM,
         labels=('a', rack),
     )
-    return Room(entry=entry, runs=runs, doubt=doubt)
+    return Room(
+        entry=entry,
+        runs=runs,
+        doubt=doubt,
+        speed_grade=speed_grade,
+    )
 
 
 def plan(
