--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -6,19 +6,37 @@
 
 import heapq
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from curranthill.placement.jobs import ReadyStep
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
-#: A worker's rank among those that a task fits on, the least first: doubt,
-#: speed if that matters most, accelerators left over, speed if not, processor
-#: left, place in the list.
-_Rank = tuple[float, int, int, int, int, int]
-
 Fit = list[tuple[TaskKey, Room]]
 
 
+class _Rank(NamedTuple):
+    """A worker's place among those that a task fits on, the least first.
+
+    :param slowness: counts only for urgent work.
+    :param speed_grade: between workers that a task fills alike.
+    """
+
+    doubt: float
+    slowness: int
+    left_gpus: int
+    speed_grade: int
+    free_cpu_millis: int
+    place: int
+
+
+class _GroupRank(NamedTuple):
+    """A group's place among those that a step fits in, the least first."""
+
+    doubt: float
+    slowness: int
+
+
 def groups_of(
     ready: ReadyStep,
     rooms: ServiceRooms,
@@ -54,17 +72,15 @@
 
     :param swift: whether the group with the fastest rooms comes first.
     """
-    best: tuple[tuple[float, int], Sequence[Room]] | None = None
+    best: tuple[_GroupRank, Sequence[Room]] | None = None
     for group in groups:
         chosen = choose_rooms(ready, group, swift=swift)
         if not chosen:
             continue
-        doubt = sum(room.doubt for _, room in chosen)
-        if not doubt and not swift:
+        rank = _group_rank(chosen, swift=swift)
+        if not rank.doubt and not swift:
             return chosen
         _give_back(ready, chosen)
-        slowest = min(room.speed_grade for _, room in chosen)
-        rank = (doubt, -slowest if swift else 0)
         if best is None or rank < best[0]:
             best = (rank, group)
     return choose_rooms(ready, best[1], swift=swift) if best else []
@@ -93,7 +109,7 @@
     for key in ready.tasks:
         if not queue:
             break
-        index = heapq.heappop(queue)[-1]
+        index = heapq.heappop(queue).place
         room = rooms[index]
         room.place(key, ready.step)
         chosen.append((key, room))
@@ -113,18 +129,23 @@
     *,
     swift: bool,
 ) -> _Rank:
-    left_gpus = room.free.gpus - needs.gpus
-    grade = room.speed_grade
-    return (
-        room.doubt,
-        -grade if swift else 0,
-        left_gpus,
-        grade,
-        room.free.cpu_millis,
-        index,
+    return _Rank(
+        doubt=room.doubt,
+        slowness=-room.speed_grade if swift else 0,
+        left_gpus=room.free.gpus - needs.gpus,
+        speed_grade=room.speed_grade,
+        free_cpu_millis=room.free.cpu_millis,
+        place=index,
     )
 
 
+def _group_rank(chosen: Fit, *, swift: bool) -> _GroupRank:
+    """Rank the rooms taken of one group; a gang is as slow as its slowest."""
+    doubt = sum(room.doubt for _, room in chosen)
+    slowness = max(-room.speed_grade for _, room in chosen)
+    return _GroupRank(doubt=doubt, slowness=slowness if swift else 0)
+
+
 def _give_back(ready: ReadyStep, chosen: Fit) -> None:
     for key, room in chosen:
         room.unplace(key, ready.step)
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -187,4 +187,3 @@
         step = Step(width=1, needs=needs(8))
         decided = plan(rooms, make_spec('a', step, priority=0))
         self.assertEqual([one.worker_id for one in decided.victims], ['a2'])
-
