--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -219,7 +219,7 @@
             self._lease.read_clock(clock_s)
             run.settled_s = self._clock.monotonic_s()
             metrics.start_order_s.record(run.settled_s - sent_s)
-            run.percent_changed_s = run.settled_s
+            run.note_start(run.settled_s)
             if run.state == ORDERED:
                 run.state = RUNNING
             self._urgent.set()
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -33,9 +33,9 @@
 #: just under the interval of reports when nothing ends.
 SHORTEST_STALL_S: Final = 1.4
 
-#: A rate is measured over at least so long, in seconds: just under the
-#: interval of reports when nothing ends.
-RATE_INTERVAL_S: Final = 1.4
+#: A rate is measured over at least so long, in seconds: a run of 10 s shows
+#: ten percent in it, and percentages are whole.
+RATE_INTERVAL_S: Final = 1.0
 
 #: The same, as a share of the estimated run time: far from its data and on a
 #: slow worker a task still shows one percent more in that time.
@@ -130,6 +130,16 @@
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
+    def note_start(self, now_s: float) -> None:
+        """Take in that the worker has started it.
+
+        One that resumes from a checkpoint has done some of its work already,
+        so that its rate shows from its first report on only.
+        """
+        self.percent_changed_s = now_s
+        if not self.checkpoint:
+            self._mark(now_s)
+
     def note_progress(self, done_percent: float, now_s: float) -> None:
         """Take in what a report tells of the progress."""
         if done_percent != self.done_percent:
