--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -29,9 +29,9 @@
 JITTER_S: Final = 0.3
 
 #: How much later a host takes over that is weaker than the last leader, in
-#: seconds: one reading of every other host, so that a stronger one that lives
-#: comes first.
-WEAKER_DELAY_S: Final = POLL_S * 1.2
+#: seconds: the longest that a stronger one takes to see what this one sees and
+#: to win the row.
+WEAKER_DELAY_S: Final = POLL_S * 1.2 + JITTER_S
 
 #: A host counts as weaker below this share of the last leader's strength.
 WEAKER_SHARE: Final = 0.75
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -141,9 +141,18 @@
         """Remove a worker's entry."""
         self.rows.apply((), (), (RowRemoval(WORKER_TABLE, name),))
 
-    def start_host(self, name: str) -> 'TestHost':
+    def start_host(
+        self,
+        name: str,
+        *,
+        strength_cores: float = 1.0,
+    ) -> 'TestHost':
         """Start one host."""
-        host = TestHost(domain=self, name=name)
+        host = TestHost(
+            domain=self,
+            name=name,
+            strength_cores=strength_cores,
+        )
         self.hosts[name] = host
         return host
 
@@ -273,7 +282,13 @@
 
     __test__ = False
 
-    def __init__(self, *, domain: Domain, name: str) -> None:
+    def __init__(
+        self,
+        *,
+        domain: Domain,
+        name: str,
+        strength_cores: float,
+    ) -> None:
         """Start the host's tasks."""
         self.name = name
         self.leader: Leader | None = None
@@ -293,6 +308,7 @@
             holder=name,
             lead=self._lead,
             health=self.health,
+            strength_cores=strength_cores,
         )
         self._task = asyncio.ensure_future(self.election.run())
 
