A host that starts without the store serves once it has it

Cause: the way to the store asks who the peers are when a call fails, and the host built its list of peers only after the first tasks had begun. If the first call failed at once, the task that reads the configuration ended by an error, and the host never became ready.

Ruled out: the balancer and the store; the test shows the host not ready 5 s after the store answers.

Change: the list and the relay come before all tasks that use the store.

Measured: test_a_host_starts_while_no_call_is_sent fails before (not ready within 5 s) and passes after; tests of paths and of the platform pass.

--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -96,6 +96,8 @@
             paths=self._paths,
             clock=clock,
         )
+        # First: a call that fails asks who the peers are.
+        await self._start_relay()
         self._connector = PlatformConnector(caller=self._caller)
         self._revisions = RevisionFollower(
             store=self._store,
@@ -130,7 +132,6 @@
             signal.SIGHUP,
             self._reload,
         )
-        await self._start_relay()
         self._callers = await _serve(self._front.handle, settings.callers)
         self._readiness = await _serve(self._ready, settings.readiness)
         self._metrics = await _serve(_show_metrics, settings.metrics)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -5,13 +5,15 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
+from unittest.mock import patch
 
 import aiohttp
 
 from curranthill.entry import PeerList
 from curranthill.errors import NotSentError, ReplyLostError
 from curranthill.platform import HostDaemon, read_platform_settings
+from curranthill.platform.calls import Caller, CallNotSentError
 from curranthill.platform.relay import StoreProbe, StoreRelay
 from curranthill.platform.store import PlatformStore
 from curranthill.storage.paths import PEERS_IN_TURN, StorePaths
@@ -372,3 +374,26 @@
         headers=headers,
     ) as caller:
         return await status(caller.post(job, json=JOB))
+
+
+class StartTest(unittest.TestCase):
+    """A host that starts without the store."""
+
+    def test_a_host_starts_while_no_call_is_sent(self) -> None:
+        """Its first calls fail at once, before it knows of any peer."""
+
+        async def case(bench: Bench) -> None:
+            content = json.dumps(CONFIGURATION).encode()
+            bench.rows.apply((), (RowPut('op', 'config', content),), ())
+            host = make_host(bench, 'front-1', bench.store_address)
+            bench.closers.append(host.app.stop)
+            with patch.object(Caller, 'call', side_effect=not_sent):
+                await host.app.start()
+            await until(lambda: bool(host.is_ready))
+
+        on_bench(case)
+
+
+async def not_sent(*args: Any, **options: Any) -> None:
+    """Fail as a call to a closed port does."""
+    raise CallNotSentError('nobody listens')
