A leader's row won while the host is told to stop is given back

Cause: a host that is told to stop between the store's write of the row and its reply neither leads nor steps down, as it does not know yet that it has won; it dropped the win, and the row named it for a leader that renews. The successor then waits for the silence and for leases that nobody renews.

Ruled out: the way through peers; the host of that test has none.

Change: a win that comes while stopping is vacated at once.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -10,6 +10,7 @@
 from curranthill.dispatch.leadership import (
     LeaderRow,
     Leadership,
+    LeadershipLostError,
     take_over,
 )
 from curranthill.errors import StorageError
@@ -119,7 +120,10 @@
         except StorageError as error:
             events.log('takeover_failed', error=str(error))
             return
-        if leadership is None or self._resigned:
+        if leadership is None:
+            return
+        if self._resigned:
+            await _give_back(leadership)
             return
         await self._run_term(leadership)
 
@@ -136,6 +140,18 @@
             await _end(term)
 
 
+async def _give_back(leadership: Leadership) -> None:
+    """Vacate a row that was won while this host was told to stop.
+
+    Kept, it would hold up its successor for the silence and for as long as a
+    leader might have gone on renewing leases.
+    """
+    try:
+        await leadership.resign()
+    except LeadershipLostError as lost:
+        events.log('step_down_needless', reason=str(lost))
+
+
 async def _end(term: asyncio.Future[None]) -> None:
     """Wait for a term's end; tell of an error in it."""
     await asyncio.gather(term, return_exceptions=True)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,12 +1,18 @@
 """Tasks run as often as they may, whatever the leader, store or worker does."""
 
 import unittest
+from typing import Any
 from unittest.mock import patch
 
+from curranthill.dispatch.leadership import (
+    LeaderRow,
+    Leadership,
+    take_over,
+)
 from curranthill.dispatch.rounds import ROUND_INTERVAL_S
 from curranthill.placement import Plan, Planner
 from curranthill.standin.tasks import TaskWorkerModel
-from curranthill.tasks import Resources, Step, TaskKey
+from curranthill.tasks import Resources, Step, TaskKey, decode, tables
 from curranthill.telemetry.events import events
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 
@@ -320,6 +326,27 @@
 
         in_domain(case)
 
+    def test_a_row_won_while_stopping_is_given_back(self) -> None:
+        """The host is told to stop before it hears that it has won."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+
+            async def win_while_stopping(**options: Any) -> Leadership | None:
+                leadership = await take_over(**options)
+                host.election.resign()
+                return leadership
+
+            with patch(
+                'curranthill.dispatch.election.take_over',
+                win_while_stopping,
+            ):
+                await domain.clock.advance(2)
+            row = domain.rows.rows[(tables.LEADER, tables.LEADER_KEY)]
+            self.assertEqual(decode(row.content, LeaderRow).holder, '')
+
+        in_domain(case)
+
     def test_a_hand_over_adds_no_wait_for_a_lost_worker(self) -> None:
         """A leader that stepped down renews nothing: one lease is enough."""
 
