The log tells of ends that pass for known

Cause: a task's end can be listed by its worker and leave no line at all, so the log could not tell a known number of another incarnation from an end that came too late to count.

Change: end_passed_over names an end whose number is known while its run is not over, with the highest noted number; run_ended says whether the end counts; worker_clock_back shows a worker whose clock runs behind its last reading. No decision changes.

Ruled out: a line for each known number in a list: the same ends are listed in each renewal until they are acknowledged.

--- a/src/curranthill/dispatch/lease.py
+++ b/src/curranthill/dispatch/lease.py
@@ -46,6 +46,10 @@
         since_s = self._clock.monotonic_s() - self._read_s
         return self._worker_clock_s + since_s + self._length_s
 
+    def is_before(self, clock_s: float) -> bool:
+        """Return whether a reading lies before the newest one."""
+        return clock_s < self._worker_clock_s
+
     def read_clock(self, clock_s: float) -> None:
         """Take note of the worker's clock."""
         self._worker_clock_s = clock_s
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -376,6 +376,12 @@
         sent_s: float,
     ) -> None:
         accepted_work = self.accepts_work
+        if self._lease.is_before(report.clock_s):
+            events.log(
+                'worker_clock_back',
+                worker=self.worker_id,
+                clock_s=report.clock_s,
+            )
         self._lease.read_clock(report.clock_s)
         if not self.reachable:
             self.reachable = True
@@ -387,6 +393,7 @@
             self._lease.bound()
         seen = {(one.task, one.attempt) for one in report.runs}
         new_ends = self._ends.new_of(report.ends)
+        self._look_at_known(report.ends)
         seen.update((end.task, end.attempt) for end in new_ends)
         for one in report.runs:
             self._take_run(one)
@@ -448,6 +455,21 @@
         elif run.state == RUNNING and run.settled_s < sent_s:
             self._vanish(run, 'not listed')
 
+    def _look_at_known(self, ends: tuple[EndReport, ...]) -> None:
+        """Tell of an end that passes for known though its run is not over."""
+        for end in ends:
+            known = end.number <= self._ends.noted
+            if known and (end.task, end.attempt) in self.runs:
+                events.log(
+                    'end_passed_over',
+                    task=str(end.task),
+                    attempt=end.attempt,
+                    how=end.kind,
+                    worker=self.worker_id,
+                    number=end.number,
+                    noted=self._ends.noted,
+                )
+
     def _take_ends(self, ends: list[EndReport]) -> None:
         """Note the ends."""
         if not ends:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -110,6 +110,8 @@
 
     def run_ended(self, session: WorkerSession, end: EndReport) -> None:
         """Note an end in its job's progress, if it is the newest run's."""
+        job = self.jobs.get(end.task.job_id)
+        counts = job is not None and self._counts(job, end, session.worker_id)
         events.log(
             'run_ended',
             task=str(end.task),
@@ -117,19 +119,19 @@
             how=end.kind,
             worker=session.worker_id,
             number=end.number,
+            counts=counts,
         )
         metrics.runs_ended.add(1, {'how': end.kind})
         if end.kind == RUN_FAILED:
             session.troubles_s.append(self._clock.monotonic_s())
         elif end.kind == DONE:
             session.troubles_s.clear()
-        job = self.jobs.get(end.task.job_id)
         if job is None:
             return
         run = job.runs.get(end.task)
         if run is not None and run.attempt == end.attempt:
             job.runs.pop(end.task)
-        if self._counts(job, end, session.worker_id):
+        if counts:
             self._note_end(job, end)
             self._journal.note(job)
             self.changed.set()
