--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,76 @@
+"""What the CI script makes of a test run with known red tests."""
+
+import unittest
+from importlib import util
+from pathlib import Path
+from types import ModuleType
+
+#: The script stands beside the sources and is no part of the package.
+SCRIPT = Path(__file__).parent.parent / '.ci' / 'count_tests.py'
+
+LOG = """\
+======================================================================
+FAIL: test_one (tests.test_a.ATest.test_one)
+What it is for.
+======================================================================
+ERROR: test_two (tests.test_a.ATest.test_two)
+----------------------------------------------------------------------
+Ran 10 tests in 1.000s
+
+FAILED (failures=1, errors=1)
+"""
+
+
+def load() -> ModuleType:
+    """Return the script as a module."""
+    spec = util.spec_from_file_location('count_tests', SCRIPT)
+    assert spec is not None
+    assert spec.loader is not None
+    module = util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+class KnownRedTest(unittest.TestCase):
+    """Only what is listed is passed over."""
+
+    def setUp(self) -> None:
+        """Load the script."""
+        self.script = load()
+
+    def judge(self, listing: str, log: str = LOG, code: int = 1) -> object:
+        """Return passed, failed and mended of a run."""
+        known = self.script.known_tests(listing)
+        return tuple(self.script.judge(log, known, code))
+
+    def test_without_a_list_every_failure_counts(self) -> None:
+        """Both count."""
+        self.assertEqual(self.judge(''), (8, 2, ()))
+
+    def test_a_listed_failure_is_passed_over(self) -> None:
+        """The other one still counts."""
+        listing = 'tests.test_a.ATest.test_one | cause | issue 1\n'
+        self.assertEqual(self.judge(listing), (8, 1, ()))
+
+    def test_a_listed_test_that_passes_fails_the_run(self) -> None:
+        """Its line must go with the repair."""
+        name = 'tests.test_a.ATest.test_three'
+        self.assertEqual(self.judge(f'{name} | cause'), (8, 3, (name,)))
+
+    def test_a_listed_test_of_a_run_that_passes_fails_it(self) -> None:
+        """Also where nothing failed at all."""
+        log = 'Ran 3 tests in 0.1s\n\nOK\n'
+        name = 'tests.test_a.ATest.test_one'
+        self.assertEqual(self.judge(name, log, 0), (3, 1, (name,)))
+
+    def test_a_run_that_breaks_off_fails(self) -> None:
+        """Without a summary nothing has passed."""
+        self.assertEqual(self.judge('', 'killed\n', 2), (0, 1, ()))
+
+    def test_comments_are_no_tests(self) -> None:
+        """Neither are empty lines."""
+        self.assertEqual(self.script.known_tests('# text\n\n'), {})
+
+
+if __name__ == '__main__':
+    unittest.main()
