A worker that starts again under its id counts anew

Cause: the leader took a worker's id for one life of it. A worker that crashes may start again under its id, with its ends counted from 1, a clock of its own and no token seen. Ends up to the highest number noted of the former incarnation passed for known: the run vanished as not listed and was started again, though it was done, or its failure was not counted; and the next renewal acknowledged the number unread. Class: an identity that outlives what is known under it.

Change: entries and lists carry the worker's incarnation. Another one in a list begins the numbers, failures and doubts anew; a clock that runs back in the answer to an order, or another incarnation in an entry, makes the session ask before it orders or acknowledges. A number is acknowledged once, in a renewal after which no start is unanswered. The same cause elsewhere: starts placed by the room of a former incarnation are placed anew, no work goes to an incarnation whose entry is not known, tickets of the former one are dropped, an entry with another address is reached there, and a worker that was given up and comes back is ordered with a token above all that it may have seen (its rejection ended the leader's term before). The lists' part of the session is a module of its own.

--- a/src/curranthill/dispatch/advice.py
+++ b/src/curranthill/dispatch/advice.py
@@ -4,6 +4,7 @@
 workers at once and one call after the other, since it takes one at a time.
 """
 
+from collections.abc import Mapping
 from typing import Final, NamedTuple, Protocol
 
 from curranthill.clock import Clock
@@ -51,10 +52,12 @@
     """A worker's permission to run a step.
 
     :param until_s: on the leader's monotonic clock.
+    :param incarnation: that of the worker; no other one takes the ticket.
     """
 
     text: str
     until_s: float
+    incarnation: int
 
 
 class TicketOffice:
@@ -65,35 +68,53 @@
         self._advisor = advisor
         self._clock = clock
         self._tickets: dict[str, dict[str, Ticket]] = {}
-        self._asked: dict[str, set[str]] = {}
+        self._asked: dict[str, set[tuple[str, int]]] = {}
 
-    def good(self, ready: ReadyStep) -> dict[str, str]:
-        """Return the good tickets of a step by worker."""
+    def good(
+        self,
+        ready: ReadyStep,
+        incarnations: Mapping[str, int],
+    ) -> dict[str, str]:
+        """Return the good tickets of a step by worker.
+
+        :param incarnations: of the workers that may be used now, by their ids.
+        """
         now_s = self._clock.monotonic_s() + TICKET_MARGIN_S
         kept = self._tickets.get(ready.name, {})
+        usable = incarnations.items()
         return {
             worker_id: ticket.text
             for worker_id, ticket in kept.items()
             if ticket.until_s > now_s
+            and (worker_id, ticket.incarnation) in usable
         }
 
-    def unasked(self, ready: ReadyStep, workers: list[str]) -> tuple[str, ...]:
+    def unasked(
+        self,
+        ready: ReadyStep,
+        workers: Mapping[str, int],
+    ) -> tuple[str, ...]:
         """Return the workers to ask for next.
 
-        Each worker is asked for once; when all have been and no ticket is
-        good any more, those that had tickets are asked for again.
+        Each incarnation of a worker is asked for once; when all have been and
+        no ticket is good any more, those that had tickets are asked again.
         """
         asked = self._asked.setdefault(ready.name, set())
-        fresh = [one for one in workers if one not in asked]
+        fresh = [
+            name for name, one in workers.items() if (name, one) not in asked
+        ]
         if not fresh:
             had = self._tickets.get(ready.name, {})
             fresh = [one for one in workers if one in had]
         return tuple(fresh[:WORKERS_PER_QUESTION])
 
-    async def ask(self, ready: ReadyStep, workers: tuple[str, ...]) -> None:
-        """Ask for some workers; the answer is kept."""
+    async def ask(self, ready: ReadyStep, workers: Mapping[str, int]) -> None:
+        """Ask for some workers; the answer is kept.
+
+        :param workers: the incarnations of the workers by their ids.
+        """
         try:
-            advice = await self._advisor.ask(ready.name, workers)
+            advice = await self._advisor.ask(ready.name, tuple(workers))
         except AdvisorError as error:
             events.log('advice_failed', step=ready.name, error=str(error))
             await self._clock.sleep(RETRY_S)
@@ -106,10 +127,12 @@
             good=len(advice.tickets),
             validity_s=advice.validity_s,
         )
-        self._asked.setdefault(ready.name, set()).update(workers)
+        self._asked.setdefault(ready.name, set()).update(workers.items())
         kept = self._tickets.setdefault(ready.name, {})
-        for worker_id, text in advice.tickets.items():
-            kept[worker_id] = Ticket(text, until_s)
+        for worker_id, incarnation in workers.items():
+            text = advice.tickets.get(worker_id)
+            if text is not None:
+                kept[worker_id] = Ticket(text, until_s, incarnation)
 
     def forget_except(self, job_ids: set[str]) -> None:
         """Drop what is kept of jobs that are over."""
--- a/src/curranthill/dispatch/ends.py
+++ b/src/curranthill/dispatch/ends.py
@@ -13,7 +13,7 @@
 
 
 class EndLog:
-    """The numbers of one worker's ends, as far as each has come.
+    """The numbers of one incarnation's ends, as far as each has come.
 
     :param noted: ends up to this number were taken note of.
     :param acknowledged: ends up to this number are stored; the worker may
@@ -44,6 +44,11 @@
         """Return whether all ends that were noted are stored."""
         return self.acknowledged == self.noted
 
+    @property
+    def untold(self) -> int:
+        """Return the number to acknowledge, or 0 if the worker knows it."""
+        return self.acknowledged if self.acknowledged > self.told else 0
+
     @property
     def settled(self) -> bool:
         """Return whether the worker has heard that all its ends are stored."""
@@ -77,6 +82,9 @@
             timeout_s=UNSAVED_PAUSE_S,
             clock=self._clock,
         ):
+            if self._saving.cancelled():
+                # Closed meanwhile: nobody asks for these numbers any more.
+                return
             self._saving.result()
             self.acknowledged = self._saving_upto
             self._saving = None
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -6,7 +6,7 @@
 
 from curranthill.clock import Clock
 from curranthill.dispatch.leadership import Leadership
-from curranthill.dispatch.session import WorkerSession
+from curranthill.dispatch.session import RAISES_PER_EPOCH, WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
 from curranthill.dispatch.workers import WorkerConnector
@@ -158,21 +158,26 @@
         session = self._work.sessions.get(entry.worker_id)
         if session is None or session.gone:
             session = self._open_session(entry)
-        elif not session.connected:
+        elif entry.address != session.entry.address:
             session.connect(self._connector.connect(entry))
         if entry.leaving and not session.entry.leaving:
             events.log('worker_leaving', worker=entry.worker_id)
-        session.entry = entry
-        session.listed = True
+        session.relist(entry)
 
     def _open_session(self, entry: WorkerEntry) -> WorkerSession:
+        token = self._leadership.epoch * RAISES_PER_EPOCH
+        former = self._work.sessions.get(entry.worker_id)
+        if former is not None:
+            # A worker that was given up may have seen all of its tokens; one
+            # that it rejects would be taken for another leader's.
+            token = former.token + 1
         session = WorkerSession(
             entry=entry,
             worker=self._connector.connect(entry) if entry.address else None,
             owner=self._work,
             clock=self._clock,
             timing=self._timing,
-            epoch=self._leadership.epoch,
+            token=token,
             former_s=self._leadership.former_s,
         )
         self._work.sessions[entry.worker_id] = session
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -87,6 +87,11 @@
             without=without,
         )
 
+    @property
+    def work(self) -> Work:
+        """Return the jobs, runs and workers of this term."""
+        return self._work
+
     async def run(self) -> None:
         """Lead until the term is over or the task is cancelled."""
         metrics.takeovers.add(1)
--- a/src/curranthill/dispatch/lease.py
+++ b/src/curranthill/dispatch/lease.py
@@ -13,11 +13,12 @@
 
 
 class Lease:
-    """When the lease of one life of one worker ends at the latest.
+    """When the lease of one worker ends at the latest.
 
     :param length_s: the longest lease that the worker grants.
     :param clock_s: the worker's steady clock when it was listed.
     :param former_s: how long another leader may have gone on renewing.
+    :param worker_clock_s: the newest reading of the worker's clock.
     """
 
     def __init__(
@@ -31,7 +32,7 @@
         """Reckon with all that a former leader may have granted."""
         self._clock = clock
         self._length_s = length_s
-        self._worker_clock_s = clock_s
+        self.worker_clock_s = clock_s
         self._read_s = clock.monotonic_s()
         self._end_s = self._end_if_granted_now_s() + former_s
 
@@ -44,15 +45,11 @@
         """Return the end of a new lease on the worker's clock."""
         self._end_s = max(self._end_s, self._end_if_granted_now_s())
         since_s = self._clock.monotonic_s() - self._read_s
-        return self._worker_clock_s + since_s + self._length_s
-
-    def is_before(self, clock_s: float) -> bool:
-        """Return whether a reading lies before the newest one."""
-        return clock_s < self._worker_clock_s
+        return self.worker_clock_s + since_s + self._length_s
 
     def read_clock(self, clock_s: float) -> None:
         """Take note of the worker's clock."""
-        self._worker_clock_s = clock_s
+        self.worker_clock_s = clock_s
         self._read_s = self._clock.monotonic_s()
 
     def bound(self) -> None:
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -1,6 +1,7 @@
 """Rounds of placement: a snapshot, decisions, stored starts, orders."""
 
 import asyncio
+from collections.abc import Mapping
 from typing import Final, Protocol
 
 import msgspec
@@ -134,22 +135,27 @@
 
     def _tickets(self, job: ActiveJob, ready: ReadyStep) -> dict[str, str]:
         """Return a step's good tickets; ask for more if they do not do."""
-        good = self._office.good(ready)
+        usable = {
+            session.worker_id: session.incarnation
+            for session in self._work.sessions.values()
+            if session.accepts_work
+            and session.entry.service == job.spec.queue.service
+        }
+        good = self._office.good(ready, usable)
         if not self._asking and len(good) < len(ready.tasks):
-            workers = [
-                session.worker_id
-                for session in self._work.sessions.values()
-                if session.accepts_work
-                and session.entry.service == job.spec.queue.service
-                and session.worker_id not in good
-            ]
-            unasked = self._office.unasked(ready, workers)
+            without = {
+                worker_id: incarnation
+                for worker_id, incarnation in usable.items()
+                if worker_id not in good
+            }
+            unasked = self._office.unasked(ready, without)
             if unasked:
                 self._asking = True
-                self._spawner.spawn(self._ask(ready, unasked))
+                asked = {one: usable[one] for one in unasked}
+                self._spawner.spawn(self._ask(ready, asked))
         return good
 
-    async def _ask(self, ready: ReadyStep, workers: tuple[str, ...]) -> None:
+    async def _ask(self, ready: ReadyStep, workers: Mapping[str, int]) -> None:
         try:
             await self._office.ask(ready, workers)
         finally:
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -1,4 +1,4 @@
-"""The leader's dealings with one life of one worker, straight down.
+"""The leader's dealings with one worker, straight down.
 
 The session renews the worker's lease while anything may run there, reads
 what runs and what ended, and raises the fencing token after every order
@@ -10,16 +10,14 @@
 from typing import Final
 
 from curranthill.clock import Clock
-from curranthill.dispatch.ends import EndLog
 from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.owner import SessionOwner
+from curranthill.dispatch.runlist import RunList
 from curranthill.dispatch.workers import (
     FENCE,
-    EndReport,
     LeaseOrder,
     LeaseReport,
     RejectedError,
-    RunReport,
     StartOrder,
     TaskWorker,
     WorkerGoneError,
@@ -33,7 +31,7 @@
     Run,
     WorkerEntry,
 )
-from curranthill.tasks import TaskKey, Timing
+from curranthill.tasks import Timing
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
@@ -52,14 +50,12 @@
 #: the same start would be rejected again some hundred times a second.
 REJECTION_PAUSE_S: Final = 0.5
 
-#: How soon an unanswered stop is sent again, in seconds.
-STOP_REPEAT_S: Final = 0.5
-
 
 class WorkerSession:
-    """One life of one worker.
+    """One worker under one id, through all its incarnations.
 
     :param entry: the worker as listed last.
+    :param incarnation: the one that answered last, 0 as long as none told.
     :param runs: all runs that may exist there, by task and attempt.
     :param troubles_s: when runs failed or stood still here since the last one
         that was done.
@@ -74,12 +70,17 @@
         owner: SessionOwner,
         clock: Clock,
         timing: Timing,
-        epoch: int,
+        token: int,
         former_s: float,
     ) -> None:
-        """Start with nothing known of the worker."""
+        """Start with nothing known of the worker.
+
+        :param token: the fencing token of the first order.
+        """
         self.entry = entry
-        self.runs: dict[tuple[TaskKey, int], Run] = {}
+        self.incarnation = entry.incarnation
+        self._list = RunList(session=self, owner=owner, clock=clock)
+        self.runs = self._list.runs
         self.listed = worker is not None
         self.gone = False
         self.reachable = False
@@ -90,8 +91,7 @@
         self._worker = worker
         self._owner = owner
         self._clock = clock
-        self._token = epoch * RAISES_PER_EPOCH
-        self._ends = EndLog(saved=owner.ends_saved, clock=clock)
+        self._token = token
         self._lease = Lease(
             clock=clock,
             length_s=timing.lease_s,
@@ -103,7 +103,7 @@
 
     @property
     def worker_id(self) -> str:
-        """Return the id of this life of the worker."""
+        """Return the id of the worker."""
         return self.entry.worker_id
 
     @property
@@ -113,6 +113,8 @@
             return False
         if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
             return False
+        if not self._is_listed_as_it_is():
+            return False
         return self.listed and self.reachable and self.synced
 
     @property
@@ -120,27 +122,34 @@
         """Return the fencing token of the next order."""
         return self._token
 
-    @property
-    def connected(self) -> bool:
-        """Return whether the worker's address is known."""
-        return self._worker is not None
-
     def connect(self, worker: TaskWorker) -> None:
-        """Take a client of a worker whose address was not known."""
+        """Take a client of the worker at its present address."""
         self._worker = worker
         self.wake()
 
+    def relist(self, entry: WorkerEntry) -> None:
+        """Take the worker's newest entry.
+
+        The entry of another incarnation ends nothing by itself, since it may
+        be older than what the worker has said: the worker is asked.
+        """
+        news = entry.incarnation != self.entry.incarnation
+        self.entry = entry
+        self.listed = True
+        if news and not self._is_listed_as_it_is():
+            self._raise_token()
+
     def wake(self) -> None:
         """Look at the worker at once."""
         self._urgent.set()
 
     async def run(self) -> None:
-        """Renew the lease while anything may run; end with this life."""
+        """Renew the lease while anything may run, until the worker is gone."""
         try:
             while not self.gone:
                 await self._run_once()
         finally:
-            self._ends.close()
+            self._list.ends.close()
 
     async def _run_once(self) -> None:
         if self._is_idle():
@@ -153,8 +162,12 @@
         async with self._order_turn:
             if run.state != MARKED or self.runs.get(run.name) is not run:
                 return
+            if run.incarnation != self.incarnation:
+                # Placed by the room of a former incarnation.
+                self._list.vanish(run, 'worker restarted')
+                return
             if not self._owner.may_order() or self._worker is None:
-                self._vanish(run, 'not ordered')
+                self._list.vanish(run, 'not ordered')
                 return
             run.state = ORDERED
             run.ordered_token = self._token
@@ -175,13 +188,18 @@
             if self.runs.get(run.name) is not run or self._worker is None:
                 return
             if run.state == MARKED:
-                self._vanish(run, 'stopped before its start')
+                self._list.vanish(run, 'stopped before its start')
                 return
             run.stop_sent_s = self._clock.monotonic_s()
             if not self._owner.may_order():
                 return
+            known_clock_s = self._lease.worker_clock_s
             try:
-                await self._worker.stop(run.key, run.attempt, self._token)
+                clock_s = await self._worker.stop(
+                    run.key,
+                    run.attempt,
+                    self._token,
+                )
             except WorkerError as error:
                 events.log(
                     'stop_unanswered',
@@ -192,11 +210,14 @@
                 )
                 metrics.orders_unanswered.add(1, {'order': 'stop'})
                 self._raise_token()
+            else:
+                self._read_clock(clock_s, known_clock_s)
             self._urgent.set()
 
     async def _order_start(self, run: Run, order: StartOrder) -> None:
         assert self._worker is not None  # noqa: S101
         sent_s = self._clock.monotonic_s()
+        known_clock_s = self._lease.worker_clock_s
         try:
             clock_s = await self._worker.start(order)
         except RejectedError as rejected:
@@ -216,7 +237,7 @@
                 run.state = UNKNOWN
             self._raise_token()
         else:
-            self._lease.read_clock(clock_s)
+            self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
             metrics.start_order_s.record(run.settled_s - sent_s)
             run.percent_changed_s = run.settled_s
@@ -238,32 +259,33 @@
             self._urgent.set()
             return
         self.rejected_s = self._clock.monotonic_s()
-        self._vanish(run, f'rejected: {rejected.reason}')
+        self._list.vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
         return (
             self.synced
             and not self.runs
-            and self._ends.settled
+            and self._list.ends.settled
             and not self._urgent.is_set()
         )
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
-        await self._ends.acknowledge()
+        await self._list.ends.acknowledge()
         if self._worker is None or not self._owner.may_renew():
             await self._clock.sleep(MISSED_DELAY_S)
             self._check_lapse()
             return
         order = LeaseOrder(
             token=self._token,
-            acknowledged=self._ends.acknowledged,
+            acknowledged=self._number_to_acknowledge(),
             # A worker that does not answer is only looked at: were its lease
             # extended by calls that may yet arrive, it would never lapse.
             deadline_s=self._lease.grant() if self.reachable else 0.0,
             wait_s=self._renewal_wait_s(),
         )
         sent_s = self._clock.monotonic_s()
+        known_clock_s = self._lease.worker_clock_s
         try:
             report = await self._call(order)
         except RejectedError as rejected:
@@ -275,7 +297,9 @@
             await self._missed(error)
         else:
             if report is not None:
-                await self._take(report, order, sent_s)
+                self._list.ends.tell(order.acknowledged)
+                self._check_incarnation(report, known_clock_s)
+                self._take(report, order, sent_s)
 
     async def _call(self, order: LeaseOrder) -> LeaseReport | None:
         """Return the report, or nothing if the token was raised meanwhile."""
@@ -307,10 +331,20 @@
         One that tells of stored ends waits like any other: told apart, eight
         ends cost sixteen renewals.
         """
-        if not self.synced or not self._ends.all_stored:
+        if not self.synced or not self._list.ends.all_stored:
             return 0.0
         return RENEWAL_WAIT_S if self.runs else 0.0
 
+    def _number_to_acknowledge(self) -> int:
+        """Return the number of an end that this incarnation has listed, or 0.
+
+        After a start whose answer is not known a new incarnation may have
+        ended a run under that number, which would then be forgotten unread.
+        """
+        if not self.synced or self._list.any_ordered:
+            return 0
+        return self._list.ends.untold
+
     def _renewal_rejected(
         self,
         order: LeaseOrder,
@@ -345,146 +379,95 @@
         """Give up all runs once no lease can reach this far."""
         if not self._lease.lapsed:
             return
-        for run in list(self.runs.values()):
-            self._vanish(run, 'lease lapsed')
+        self._list.vanish_all('lease lapsed')
         if not self.listed:
             self.end_life()
 
     def _raise_token(self) -> None:
         self._token += 1
         self.synced = False
-        for run in self.runs.values():
-            if run.state == ORDERED:
-                run.state = UNKNOWN
+        self._list.doubt_ordered()
         self._urgent.set()
 
+    def _is_listed_as_it_is(self) -> bool:
+        """Return whether the entry is of the incarnation that answered.
+
+        Another one may be of another kind, with other room and labels.
+        """
+        told = self.entry.incarnation and self.incarnation
+        return not told or self.entry.incarnation == self.incarnation
+
+    def _read_clock(self, clock_s: float, known_s: float) -> None:
+        """Take the clock of an answer to an order.
+
+        :param known_s: the clock as it was known when the order was sent. An
+            earlier one is that of another incarnation: the worker is asked
+            which one it is.
+        """
+        self._lease.read_clock(clock_s)
+        if clock_s >= known_s:
+            return
+        events.log(
+            'worker_clock_back',
+            worker=self.worker_id,
+            known_s=known_s,
+            clock_s=clock_s,
+        )
+        self._list.begin_anew()
+        self._raise_token()
+
+    def _check_incarnation(self, report: LeaseReport, known_s: float) -> None:
+        """Begin anew with a worker that has started again under its id.
+
+        Renewals are answered in the order in which they are sent, so another
+        incarnation than before is a newer one.
+        """
+        restarted = report.incarnation != self.incarnation
+        if not report.incarnation:
+            restarted = report.clock_s < known_s
+        if not restarted:
+            return
+        events.log(
+            'worker_restarted',
+            worker=self.worker_id,
+            before=self.incarnation,
+            now=report.incarnation,
+            runs=len(self.runs),
+        )
+        metrics.workers_restarted.add(1)
+        self.incarnation = report.incarnation or self.incarnation
+        self.troubles_s.clear()
+        self.stalled_runs = 0
+        self._list.begin_anew()
+
     def end_life(self) -> None:
-        """Take this life of the worker as over."""
+        """Take the worker as gone for good."""
         if self.gone:
             return
         self.gone = True
         events.log('worker_gone', worker=self.worker_id, runs=len(self.runs))
-        for run in list(self.runs.values()):
-            self._vanish(run, 'worker gone')
+        self._list.vanish_all('worker gone')
         self._urgent.set()
         self._owner.session_changed(self)
 
-    async def _take(
+    def _take(
         self,
         report: LeaseReport,
         order: LeaseOrder,
         sent_s: float,
     ) -> None:
         accepted_work = self.accepts_work
-        if self._lease.is_before(report.clock_s):
-            events.log(
-                'worker_clock_back',
-                worker=self.worker_id,
-                clock_s=report.clock_s,
-            )
         self._lease.read_clock(report.clock_s)
         if not self.reachable:
             self.reachable = True
             events.log('worker_reachable', worker=self.worker_id)
-        self._ends.tell(order.acknowledged)
         if order.token == self._token:
             self.synced = True
             # Orders of lower tokens are shut out, so no lease is longer.
             self._lease.bound()
-        seen = {(one.task, one.attempt) for one in report.runs}
-        new_ends = self._ends.new_of(report.ends)
-        self._look_at_known(report.ends)
-        seen.update((end.task, end.attempt) for end in new_ends)
-        for one in report.runs:
-            self._take_run(one)
-        for run in list(self.runs.values()):
-            if run.name not in seen:
-                self._check_absent(run, order, sent_s)
-        self._take_ends(new_ends)
+        self._list.take(report, order, sent_s)
         if self.accepts_work != accepted_work:
             self._owner.session_changed(self)
 
-    def _take_run(self, report: RunReport) -> None:
-        run = self.runs.get((report.task, report.attempt))
-        now_s = self._clock.monotonic_s()
-        if run is None:
-            run = self._adopt_stray(report, now_s)
-        if run.state in {ORDERED, UNKNOWN}:
-            run.state = RUNNING
-            run.settled_s = now_s
-        if report.done_percent != run.done_percent:
-            run.percent_changed_s = now_s
-        run.done_percent = report.done_percent
-        run.age_s = now_s - run.started_s
-        if report.checkpoint:
-            run.checkpoint = report.checkpoint
-        if run.stop_wanted:
-            if now_s - run.stop_sent_s > STOP_REPEAT_S:
-                run.stop_sent_s = now_s
-                self._owner.stop_again(self, run)
-            return
-        self._owner.run_reported(self, run)
-
-    def _adopt_stray(self, report: RunReport, now_s: float) -> Run:
-        """Take in a run that no row names; it is stopped."""
-        events.log(
-            'stray_run',
-            task=str(report.task),
-            attempt=report.attempt,
-            worker=self.worker_id,
-        )
-        run = Run(
-            key=report.task,
-            attempt=report.attempt,
-            worker_id=self.worker_id,
-            needs=self._owner.needs_of(report.task),
-            priority=0,
-            checkpointable=False,
-            state=RUNNING,
-            now_s=now_s,
-        )
-        run.stop_wanted = True
-        self.runs[run.name] = run
-        return run
-
-    def _check_absent(self, run: Run, order: LeaseOrder, sent_s: float) -> None:
-        """Give up a run that an answer should have listed and did not."""
-        if run.state == UNKNOWN:
-            if run.ordered_token < order.token:
-                self._vanish(run, 'never started')
-        elif run.state == RUNNING and run.settled_s < sent_s:
-            self._vanish(run, 'not listed')
-
-    def _look_at_known(self, ends: tuple[EndReport, ...]) -> None:
-        """Tell of an end that passes for known though its run is not over."""
-        for end in ends:
-            known = end.number <= self._ends.noted
-            if known and (end.task, end.attempt) in self.runs:
-                events.log(
-                    'end_passed_over',
-                    task=str(end.task),
-                    attempt=end.attempt,
-                    how=end.kind,
-                    worker=self.worker_id,
-                    number=end.number,
-                    noted=self._ends.noted,
-                )
-
-    def _take_ends(self, ends: list[EndReport]) -> None:
-        """Note the ends."""
-        if not ends:
-            return
-        for end in ends:
-            self._owner.run_ended(self, end)
-            self.runs.pop((end.task, end.attempt), None)
-            self._ends.note(end)
-        self._owner.session_changed(self)
-
-    def _vanish(self, run: Run, reason: str) -> None:
-        if self.runs.get(run.name) is not run:
-            return
-        self.runs.pop(run.name)
-        self._owner.run_vanished(self, run, reason)
-
 
 __all__ = ('WorkerSession',)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -260,6 +260,7 @@
             estimate_s=step.run_s,
             lasting=step.perpetual,
             kind=kind_of(step),
+            incarnation=session.incarnation,
         )
         session.runs[run.name] = run
         job.runs[key] = run
--- a/src/curranthill/dispatch/workers.py
+++ b/src/curranthill/dispatch/workers.py
@@ -38,7 +38,7 @@
 class EndReport(NamedTuple):
     """One run that ended.
 
-    :param number: grows by one with each end in a worker's life.
+    :param number: grows by one with each end in a worker's incarnation.
     """
 
     number: int
@@ -49,11 +49,15 @@
 
 
 class LeaseReport(NamedTuple):
-    """All that a worker has, at one reading of its clock."""
+    """All that a worker has, at one reading of its clock.
+
+    :param incarnation: which start of the worker answers, 0 if not told.
+    """
 
     clock_s: float
     runs: tuple[RunReport, ...]
     ends: tuple[EndReport, ...]
+    incarnation: int = 0
 
 
 class StartOrder(NamedTuple):
@@ -106,16 +110,16 @@
 
 
 class WorkerGoneError(WorkerError):
-    """Another life of the machine answered; this one runs nothing more."""
+    """A worker of another id answered; this one runs nothing more."""
 
 
 class TaskWorker(Protocol):
-    """One life of one worker.
+    """One worker.
 
     Each method raises :class:`RejectedError` if nothing was done,
-    :class:`WorkerGoneError` if this life is over, ``WorkerUnreachableError``
-    if the call was not sent and ``WorkerReplyLostError`` if its effect is
-    unknown, now or seconds on.
+    :class:`WorkerGoneError` if a worker of another id answered,
+    ``WorkerUnreachableError`` if the call was not sent and
+    ``WorkerReplyLostError`` if its effect is unknown, now or seconds on.
     """
 
     async def start(self, order: StartOrder) -> float:
@@ -132,7 +136,7 @@
     """Makes clients of workers."""
 
     def connect(self, entry: WorkerEntry) -> TaskWorker:
-        """Return a client of one life of one worker."""
+        """Return a client of a worker."""
 
 
 __all__ = (
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -52,6 +52,7 @@
     :param estimate_s: how long it may take; 0 for a task that lasts.
     :param lasting: it runs until its job is cancelled.
     :param kind: whether it answers users of its own, or fills what is left.
+    :param incarnation: that of the worker when it was placed there.
     :param age_s: how long it has run, as of the newest report.
     """
 
@@ -61,6 +62,7 @@
         'checkpoint',
         'checkpointable',
         'done_percent',
+        'incarnation',
         'key',
         'needs',
         'ordered_token',
@@ -92,6 +94,7 @@
         estimate_s: float = 0.0,
         lasting: bool = False,
         kind: RunKind = PLAIN,
+        incarnation: int = 0,
     ) -> None:
         """Make a run that takes its room from now on."""
         self.estimate_s = estimate_s
@@ -100,6 +103,7 @@
         self.key = key
         self.attempt = attempt
         self.worker_id = worker_id
+        self.incarnation = incarnation
         self.needs = needs
         self.priority = priority
         self.checkpointable = checkpointable
--- a/src/curranthill/placement/workers.py
+++ b/src/curranthill/placement/workers.py
@@ -6,12 +6,14 @@
 
 
 class WorkerEntry(NamedTuple):
-    """One worker as the platform lists it; one life of one machine.
+    """One worker as the platform lists it.
 
     :param room: all that the worker has, used or not.
     :param labels: the worker's kind and its rack.
     :param clock_s: the worker's steady clock when it wrote the entry.
     :param remaining_s: the least time left while it is leaving.
+    :param incarnation: tells a start of the worker from those before under
+        the same id; 0 if not told.
     """
 
     worker_id: str
@@ -23,6 +25,7 @@
     leaving: bool = False
     clock_s: float = 0.0
     remaining_s: float = 0.0
+    incarnation: int = 0
 
     @property
     def rack(self) -> str:
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -33,7 +33,7 @@
 
 _OK: Final = 200
 _CONFLICT: Final = 409
-_OTHER_LIFE: Final = 421
+_OTHER_WORKER: Final = 421
 
 
 class RegisteredWorkers:
@@ -58,6 +58,7 @@
             leaving=fields.get('state') == 'draining',
             clock_s=fields.get('clock_ms', 0) / 1000,
             remaining_s=fields.get('remaining_ms', 0) / 1000,
+            incarnation=fields.get('born', 0),
         )
 
 
@@ -69,7 +70,7 @@
         self._caller = caller
 
     def connect(self, entry: WorkerEntry) -> 'PlatformWorker':
-        """Return a client of one life of one worker."""
+        """Return a client of a worker."""
         return PlatformWorker(
             caller=self._caller,
             address=entry.address,
@@ -78,7 +79,7 @@
 
 
 class PlatformWorker:
-    """One life of one worker over HTTP."""
+    """One worker over HTTP."""
 
     def __init__(
         self,
@@ -87,7 +88,7 @@
         address: str,
         worker_id: str,
     ) -> None:
-        """Name the life that every call is meant for."""
+        """Name the worker that every call is meant for."""
         self._caller = caller
         self._address = address
         self._headers = {'Target-Instance': worker_id}
@@ -138,6 +139,7 @@
             clock_s=_clock_s(report),
             runs=tuple(_run(row) for row in report.get('running', ())),
             ends=tuple(_end(row) for row in report.get('ended', ())),
+            incarnation=report.get('born', 0),
         )
 
     async def _call(
@@ -171,9 +173,9 @@
         raise self._error_of(answer, path)
 
     def _error_of(self, answer: Answer, path: str) -> Exception:
-        if answer.status == _OTHER_LIFE:
+        if answer.status == _OTHER_WORKER:
             return WorkerGoneError(
-                'Another life of the worker answered.',
+                'Another worker answered.',
                 step=path,
                 peer=self._address,
             )
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -156,6 +156,7 @@
             clock_s=self._clock_s(),
             runs=tuple(self._report(run) for run in self.runs.values()),
             ends=tuple(self.ends),
+            incarnation=self.incarnation,
         )
 
     def tick(self) -> None:
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -61,6 +61,7 @@
         self.waiting_jobs = meter.create_gauge('waiting_jobs')
         self.oldest_waiting_s = meter.create_gauge('oldest_waiting_s')
         self.workers_unreachable = meter.create_gauge('workers_unreachable')
+        self.workers_restarted = meter.create_counter('workers_restarted')
         self.calls_relayed = meter.create_counter('store_calls_relayed')
         self.lines_left_out = meter.create_counter('log_lines_left_out')
 
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -16,6 +16,7 @@
     StartOrder,
     TaskWorker,
 )
+from curranthill.dispatch.session import WorkerSession
 from curranthill.entry import Desk
 from curranthill.errors import WorkerReplyLostError
 from curranthill.placement import WorkerEntry
@@ -113,6 +114,7 @@
         self.rows = RowModel(clock=self.clock)
         self.workers: dict[str, TaskWorkerModel] = {}
         self.hosts: dict[str, TestHost] = {}
+        self.connected: list[str] = []
         self.background: list[asyncio.Future[None]] = []
         self.advisor = KnownAdvisor(clock=self.clock)
         for number in range(workers):
@@ -127,16 +129,24 @@
             data_centre='dc',
             room=ROOM,
             labels=('a', 'r1'),
+            incarnation=1,
         )
         model = TaskWorkerModel(entry=entry, clock=self.clock, run_s=run_s)
         self.workers[name] = model
         self.list_worker(entry)
         return model
 
+    def session(self, name: str) -> WorkerSession:
+        """Return the leader's session of a worker."""
+        leader = self.leading()[0].leader
+        assert leader is not None
+        return leader.work.sessions[name]
+
     def restart_worker(self, name: str) -> None:
         """Let a worker start again under its id, and list it anew."""
         worker = self.workers[name]
         worker.restart()
+        worker.entry = worker.entry._replace(incarnation=worker.incarnation)
         self.list_worker(worker.entry)
 
     def list_worker(self, entry: WorkerEntry) -> None:
@@ -240,6 +250,7 @@
 
     def connect(self, entry: WorkerEntry) -> TaskWorker:
         """Return a client of a worker."""
+        self._domain.connected.append(entry.address)
         return HostWorker(
             model=self._domain.workers[entry.worker_id],
             cut_off=self._host.cut_off,
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -11,10 +11,23 @@
 done ran again, and failed runs were not counted against their limit.
 """
 
+import asyncio
 import unittest
 
+from curranthill.dispatch import EndReport, LeaseOrder, LeaseReport
+from curranthill.dispatch.session import WorkerSession
+from curranthill.placement import Run, WorkerEntry
+from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.tasks import TaskKey
-from tests.domain import Domain, in_domain, make_spec
+from tests.domain import ROOM, Domain, in_domain, make_spec
+from tests.support import ManualClock
+from tests.support import run as run_to_end
+from tests.test_session import (
+    CrossingWorker,
+    Owner,
+    marked_run,
+    open_session,
+)
 
 FIRST = TaskKey('a1', 0, 0, 0)
 SECOND = TaskKey('b2', 0, 0, 0)
@@ -45,6 +58,18 @@
 
         in_domain(case, workers=1)
 
+    def test_a_task_done_after_a_seen_restart_runs_once(self) -> None:
+        """The leader hears of the restart before it places the task."""
+
+        async def case(domain: Domain) -> None:
+            await restarted(domain)
+            await domain.clock.advance(3)
+            await domain.hosts['h1'].accept(make_spec('b2'))
+            self.assertEqual(await domain.ended('b2'), 'completed')
+            self.assertEqual(domain.starts(SECOND), [1])
+
+        in_domain(case, workers=1)
+
     def test_failures_on_restarted_workers_are_counted(self) -> None:
         """No start follows the last failure that the queue allows."""
 
@@ -76,6 +101,393 @@
 
         in_domain(case, workers=1)
 
+    def test_a_worker_that_restarts_behind_a_cut_loses_its_tasks(self) -> None:
+        """It runs the task again once, and that end is heard."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.ended('a1')
+            await host.accept(make_spec('b2'))
+            await domain.clock.until(lambda: bool(domain.starts(SECOND)))
+            worker = domain.workers['w0']
+            worker.cut = True
+            await domain.clock.advance(0.7)
+            domain.restart_worker('w0')
+            worker.cut = False
+            self.assertEqual(await domain.ended('b2'), 'completed')
+            await domain.clock.advance(5)
+            self.assertEqual(domain.starts(SECOND), [1, 2])
+
+        in_domain(case, workers=1, run_s=2)
+
+
+class IncarnationTest(unittest.TestCase):
+    """What is known of one incarnation is not taken for another's."""
+
+    def test_nothing_starts_by_the_room_of_a_former_incarnation(self) -> None:
+        """The new one has no accelerators; its entry comes later."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.restart()
+            await host.accept(make_spec('a1'))
+            await domain.clock.advance(3)
+            seen = len(worker.starts)
+            await host.accept(make_spec('b2'))
+            await domain.clock.advance(3)
+            self.assertEqual(len(worker.starts), seen)
+
+        in_domain(case, workers=1, run_s=60)
+
+    def test_a_start_that_waited_for_its_turn_is_placed_anew(self) -> None:
+        """The worker restarts between the stored mark and the order."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.late_next = 1
+            worker.late_s = 60
+            await host.accept(make_spec('a1', priority=0))
+            await domain.clock.advance(0.2)
+            await host.accept(make_spec('b2'))
+            await domain.clock.advance(0.2)
+            none = worker.entry.room._replace(gpus=0)
+            worker.entry = worker.entry._replace(room=none)
+            domain.restart_worker('w0')
+            await domain.clock.advance(5)
+            self.assertEqual(worker.starts, [])
+
+        in_domain(case, workers=1)
+
+    def test_a_ticket_of_a_former_incarnation_is_not_used(self) -> None:
+        """The advisor is asked again for the new one."""
+
+        async def case(domain: Domain) -> None:
+            domain.advisor.good = {'w0'}
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', advisor=True))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            asked = domain.advisor.questions
+            domain.restart_worker('w0')
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) == 2)
+            self.assertGreater(domain.advisor.questions, asked)
+
+        in_domain(case, workers=1, run_s=60)
+
+    def test_a_worker_that_moves_is_reached_at_its_new_address(self) -> None:
+        """It starts again under its id elsewhere."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.entry = worker.entry._replace(address='10.0.0.99:80')
+            domain.restart_worker('w0')
+            await host.accept(make_spec('a1'))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.connected, ['10.0.0.0:80', '10.0.0.99:80'])
+
+        in_domain(case, workers=1)
+
+    def test_failures_elsewhere_are_forgotten_with_the_incarnation(
+        self,
+    ) -> None:
+        """A worker that failed tasks and restarted is used like any other."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.failing = True
+            await host.accept(make_spec('a1', attempts=2))
+            await domain.ended('a1')
+            worker.failing = False
+            session = domain.session('w0')
+            self.assertEqual(len(session.troubles_s), 2)
+            domain.restart_worker('w0')
+            await domain.clock.advance(1)
+            self.assertEqual(session.troubles_s, [])
+
+        in_domain(case, workers=1)
+
+
+class TakeoverTest(unittest.TestCase):
+    """A restart while nobody leads."""
+
+    def test_a_restart_between_two_leaders_loses_only_what_ran(self) -> None:
+        """The new leader finds the marked run gone and starts it once."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await host.kill()
+            domain.restart_worker('w0')
+            domain.start_host('h2')
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            await domain.clock.advance(5)
+            self.assertEqual(domain.starts(FIRST), [1, 2])
+
+        in_domain(case, workers=1, run_s=2)
+
+
+class SilentWorker(TaskWorkerModel):
+    """Does not tell which of its incarnations answers."""
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Leave the incarnation out."""
+        report = await super().renew(order)
+        return report._replace(incarnation=0)
+
+
+class CountingWorker(TaskWorkerModel):
+    """Keeps every renewal that it was asked for.
+
+    :param orders: the renewals, in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        clock: ManualClock,
+        run_s: float,
+    ) -> None:
+        """Start with none."""
+        super().__init__(entry=entry, clock=clock, run_s=run_s)
+        self.orders: list[LeaseOrder] = []
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Keep the order."""
+        self.orders.append(order)
+        return await super().renew(order)
+
+
+class SlowlySavedOwner(Owner):
+    """Stores ends when it is told to.
+
+    :param ended: the tasks whose ends were noted.
+    """
+
+    def __init__(self) -> None:
+        """Start with a store that is away."""
+        super().__init__(CrossingWorker())
+        self.ended: list[TaskKey] = []
+        self.stored = asyncio.Event()
+
+    def run_ended(self, session: WorkerSession, end: EndReport) -> None:
+        """Keep the task."""
+        self.ended.append(end.task)
+
+    def run_vanished(
+        self,
+        session: WorkerSession,
+        run: Run,
+        reason: str,
+    ) -> None:
+        """Pass over a run that was given up."""
+
+    async def ends_saved(self) -> None:
+        """Wait for the store."""
+        await self.stored.wait()
+
+
+class UnseenRestartTest(unittest.TestCase):
+    """No entry and no broken call has told of the restart."""
+
+    def test_a_start_tells_of_the_restart_before_an_acknowledgement(
+        self,
+    ) -> None:
+        """The end to acknowledge is stored just after the restart."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, TaskWorkerModel)
+            owner = SlowlySavedOwner()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.until(lambda: FIRST in owner.ended)
+            model.restart()
+            await run_task(session, clock, SECOND)
+            await clock.advance(0.05)
+            owner.stored.set()
+            await clock.advance(2)
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+    def test_nothing_is_acknowledged_while_a_start_is_unanswered(self) -> None:
+        """It may have reached another incarnation, and ended there."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, TaskWorkerModel)
+            owner = SlowlySavedOwner()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.until(lambda: FIRST in owner.ended)
+            model.restart()
+            model.late_next = 1
+            model.late_s = 0.0
+            order = order_start(session, clock, SECOND)
+            await clock.advance(0.1)
+            owner.stored.set()
+            await clock.advance(2)
+            await order
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+    def test_an_idle_worker_is_told_no_number_twice(self) -> None:
+        """Its clock has passed the last reading by the next start."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, TaskWorkerModel)
+            owner = SlowlySavedOwner()
+            owner.stored.set()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.advance(0.2)
+            model.restart()
+            model.run_s = 0.0
+            await clock.advance(1 + clock.monotonic_s())
+            await run_task(session, clock, SECOND)
+            await clock.advance(2)
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+    def test_a_renewal_after_a_lost_answer_acknowledges_nothing(self) -> None:
+        """Whoever answers it may have started again meanwhile."""
+
+        async def case(clock: ManualClock) -> None:
+            model = CountingWorker(
+                entry=WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM),
+                clock=clock,
+                run_s=0.01,
+            )
+            owner = SlowlySavedOwner()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.until(lambda: FIRST in owner.ended)
+            model.late_next = 1
+            order = order_start(session, clock, SECOND)
+            await clock.until(order.done)
+            owner.stored.set()
+            asked = len(model.orders)
+            await clock.advance(1)
+            numbers = [one.acknowledged for one in model.orders[asked:]]
+            self.assertEqual(numbers[:2], [0, 1])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+    def test_a_clock_that_starts_anew_tells_of_a_restart(self) -> None:
+        """Where workers do not tell their incarnations."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, SilentWorker)
+            owner = SlowlySavedOwner()
+            owner.stored.set()
+            session = open_session(model, owner, clock)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.advance(2)
+            model.restart()
+            await run_task(session, clock, SECOND)
+            await clock.advance(2)
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            self.assertTrue(session.accepts_work)
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+
+def make_model(
+    clock: ManualClock,
+    kind: type[TaskWorkerModel],
+) -> TaskWorkerModel:
+    """Return a worker whose tasks take hardly any time."""
+    entry = WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM)
+    return kind(entry=entry, clock=clock, run_s=0.01)
+
+
+def order_start(
+    session: WorkerSession,
+    clock: ManualClock,
+    key: TaskKey,
+) -> asyncio.Future[None]:
+    """Order a start, as a round does after it was stored."""
+    one = marked_run(clock, key, session.incarnation)
+    session.runs[one.name] = one
+    return asyncio.ensure_future(session.start(one, 'text'))
+
+
+async def run_task(
+    session: WorkerSession,
+    clock: ManualClock,
+    key: TaskKey,
+) -> None:
+    """Order a start and wait for its answer."""
+    order = order_start(session, clock, key)
+    await clock.until(order.done)
+
+
+class ReturnTest(unittest.TestCase):
+    """The same incarnation comes back after it was given up."""
+
+    def test_a_worker_that_was_given_up_does_not_end_the_term(self) -> None:
+        """It has seen tokens that a fresh count would fall below."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            leader = host.leader
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            worker = domain.workers['w0']
+            # Lost answers raise the token a few times.
+            worker.cut = True
+            await domain.clock.advance(1.5)
+            worker.cut = False
+            await domain.clock.advance(1)
+            worker.cut = True
+            domain.delist_worker('w0')
+            await domain.clock.advance(20)
+            worker.cut = False
+            domain.list_worker(worker.entry)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertIs(host.leader, leader)
+
+        in_domain(case, workers=1, run_s=30)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -4,12 +4,14 @@
 import unittest
 
 from curranthill.clock import Clock
+from curranthill.dispatch.owner import SessionOwner
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.workers import (
     EndReport,
     LeaseOrder,
     LeaseReport,
     StartOrder,
+    TaskWorker,
 )
 from curranthill.errors import WorkerReplyLostError
 from curranthill.placement import MARKED, UNKNOWN, Run, WorkerEntry
@@ -106,26 +108,38 @@
 
 
 def open_session(
-    worker: CrossingWorker,
-    owner: Owner,
+    worker: TaskWorker,
+    owner: SessionOwner,
     clock: Clock,
+    incarnation: int = 0,
 ) -> WorkerSession:
     """Return a session of a worker that a leader has just won."""
     return WorkerSession(
-        entry=WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM),
+        entry=WorkerEntry(
+            worker_id='w1',
+            service='calc',
+            address='10.0.0.1:80',
+            data_centre='dc',
+            room=ROOM,
+            incarnation=incarnation,
+        ),
         worker=worker,
         owner=owner,
         clock=clock,
         timing=Timing(),
-        epoch=1,
+        token=1,
         former_s=0.0,
     )
 
 
-def marked_run(clock: Clock) -> Run:
+def marked_run(
+    clock: Clock,
+    key: TaskKey = TASK,
+    incarnation: int = 0,
+) -> Run:
     """Return a run that is stored and not ordered yet."""
     return Run(
-        key=TASK,
+        key=key,
         attempt=1,
         worker_id='w1',
         needs=ONE_GPU,
@@ -133,6 +147,7 @@
         checkpointable=False,
         state=MARKED,
         now_s=clock.monotonic_s(),
+        incarnation=incarnation,
     )
 
 
