--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -9,6 +10,7 @@
 from hypothesis import strategies as st
 
 from curranthill.errors import RefusedError
+from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.tasks import Step, TaskKey
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 
@@ -17,6 +19,9 @@
 JOBS: Final = 4
 WORKERS: Final = 3
 
+#: Runs of one task that may fail, by the queues of these jobs.
+ATTEMPTS: Final = 2
+
 #: Twice the store's longest outage that work survives, and a lease.
 HEALING_S: Final = 80.0
 
@@ -31,6 +36,7 @@
         self.submitted: list[str] = []
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        self.failed = False
         self._hosts = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -127,6 +133,31 @@
             f'x{len(domain.workers)}', run_s=domain.workers[name].run_s
         )
 
+    async def restart_worker(self, domain: Domain, pick: int) -> None:
+        """Let some worker start again under its id, listed at once or not."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        if worker.gone:
+            return
+        worker.restart()
+        if pick % 2:
+            self._relist(domain, worker)
+
+    async def fail_tasks(self, domain: Domain, pick: int) -> None:
+        """Have some worker fail all that it runs, or no longer."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        worker.failing = not worker.failing
+        self.failed = True
+
+    def relist_all(self, domain: Domain) -> None:
+        """Have every worker that lives write its entry."""
+        for worker in domain.workers.values():
+            if not worker.gone:
+                self._relist(domain, worker)
+
+    def _relist(self, domain: Domain, worker: TaskWorkerModel) -> None:
+        worker.entry = worker.entry._replace(incarnation=worker.incarnation)
+        domain.list_worker(worker.entry)
+
     async def late_starts(self, domain: Domain, pick: int) -> None:
         """Carry out the next starts at a worker late and unanswered."""
         worker = domain.workers[f'w{pick % WORKERS}']
@@ -157,6 +188,9 @@
     'drop_history',
     'cut_worker',
     'lose_worker',
+    'restart_worker',
+    'restart_worker',
+    'fail_tasks',
     'late_starts',
 )
 
@@ -178,7 +212,7 @@
         """Watch every start."""
         self.faults: list[str] = []
         self._domain = domain
-        self._counted: dict[str, int] = {}
+        self._spent: dict[TaskKey, int] = {}
 
     def look(self) -> None:
         """Check the runs of this moment and the starts since the last."""
@@ -190,19 +224,38 @@
             gpus = len(worker.runs)
             if gpus > worker.entry.room.gpus:
                 self.faults.append(f'{worker.entry.worker_id} is too full')
+        noted = self._noted('done')
         for task, count in live.items():
             if count > 1:
                 self.faults.append(f'{task} runs {count} times')
-            if task in self._noted():
+            if task in noted:
                 self.faults.append(f'{task} runs after its end')
+        self._count_failures()
+
+    def _count_failures(self) -> None:
+        """Check that nothing starts after its last allowed failure."""
+        starts = self._started()
+        for task in self._spent:
+            if starts[task] > self._spent[task]:
+                self.faults.append(f'{task} starts after its last failure')
+        for task, failures in self._noted('failed').items():
+            if failures >= ATTEMPTS:
+                self._spent[task] = starts[task]
+
+    def _started(self) -> Counter[TaskKey]:
+        return Counter(
+            order.task
+            for worker in self._domain.workers.values()
+            for order in worker.starts
+        )
 
-    def _noted(self) -> set[TaskKey]:
-        return {
+    def _noted(self, kind: str) -> Counter[TaskKey]:
+        return Counter(
             end.task
             for worker in self._domain.workers.values()
             for end in worker.acknowledged
-            if end.kind == 'done' and end not in worker.voided
-        }
+            if end.kind == kind and end not in worker.voided
+        )
 
 
 class AnyFaultTest(unittest.TestCase):
@@ -266,6 +319,8 @@
                 wanted = {'completed'}
                 if job_id in faults.cancelled:
                     wanted.add('cancelled')
+                if faults.failed:
+                    wanted.add('failed')
                 self.assertIn(domain.state(job_id), wanted, job_id)
 
 
@@ -286,5 +341,7 @@
     domain.rows.late_next = 0
     for worker in domain.workers.values():
         worker.cut = False
+        worker.failing = False
         worker.late_next = 0
+    faults.relist_all(domain)
     faults.start_host(domain)
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -429,6 +429,30 @@
         clock = ManualClock()
         run_to_end(case(clock))
 
+    def test_a_list_with_an_earlier_clock_tells_of_a_restart(self) -> None:
+        """No order was answered since, and the incarnation is not told."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, SilentWorker)
+            owner = SlowlySavedOwner()
+            owner.stored.set()
+            session = open_session(model, owner, clock)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.advance(2)
+            model.restart()
+            model.late_next = 1
+            model.late_s = 0.0
+            await run_task(session, clock, SECOND)
+            await clock.advance(2)
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
 
 def make_model(
     clock: ManualClock,
