--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -8,15 +8,15 @@
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.journal import HEARTBEAT_S
 from curranthill.dispatch.leadership import (
-    LeaderRow,
     Leadership,
     LeadershipLostError,
+    leader_row_of,
     take_over,
 )
 from curranthill.errors import StorageError
 from curranthill.storage.health import UNREACHABLE_S, StoreHealth
 from curranthill.storage.rows import RowStore, StoredRow
-from curranthill.tasks import decode, tables
+from curranthill.tasks import tables
 from curranthill.telemetry.events import events
 
 #: How often a standby reads the leader's row, in seconds.
@@ -100,7 +100,11 @@
     async def _consider(self, row: StoredRow | None) -> None:
         if self._resigned:
             return
-        holder = decode(row.content, LeaderRow).holder if row else ''
+        try:
+            holder = leader_row_of(row).holder if row else ''
+        except StorageError as error:
+            events.log('takeover_failed', error=str(error))
+            return
         # A row of this host's own name is that of an earlier process, or was
         # won without a reply: nobody else waits for it.
         held = holder not in {'', self._holder}
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -1,8 +1,6 @@
 """Takes in what the store holds: jobs, cancellations and workers."""
 
-from typing import Final, Protocol
-
-import msgspec
+from typing import Protocol
 
 from curranthill.clock import Clock
 from curranthill.dispatch.leadership import Leadership
@@ -12,7 +10,7 @@
 from curranthill.dispatch.workers import WorkerConnector
 from curranthill.placement import ActiveJob, WorkerEntry
 from curranthill.storage.follower import RowsTaker, TableFollower
-from curranthill.storage.rows import RowStore, StoredRow
+from curranthill.storage.rows import MalformedRecordError, RowStore, StoredRow
 from curranthill.tasks import (
     JobProgress,
     JobSpec,
@@ -22,11 +20,9 @@
     decode,
     tables,
 )
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
-#: What a malformed row may raise when it is decoded.
-_MALFORMED: Final = (KeyError, ValueError, TypeError, msgspec.MsgspecError)
-
 
 class WorkerFeed(Protocol):
     """What the leader needs to follow the platform's list of workers."""
@@ -36,7 +32,10 @@
         """Return the table that workers register in."""
 
     def decode(self, row: StoredRow) -> WorkerEntry:
-        """Return a worker's entry."""
+        """Return a worker's entry.
+
+        :raises MalformedRecordError: if it is not as workers write them.
+        """
 
 
 class Feeds:
@@ -67,6 +66,7 @@
         self._timing = timing
         self._leadership = leadership
         self._progress: dict[str, bytes] = {}
+        self._bad: dict[tuple[str, str], int] = {}
 
     async def start(self) -> None:
         """Read everything once, then follow what changes."""
@@ -77,7 +77,7 @@
         # Of the rest only the state is kept.
         for job_id, content in self._progress.items():
             if job_id not in self._work.jobs:
-                self._note_ended(job_id, decode(content, JobProgress))
+                self._note_ended(job_id, content)
         self._progress.clear()
         workers = self._follower(
             self._worker_feed.table,
@@ -115,7 +115,13 @@
         )
         await progress.read()
 
-    def _note_ended(self, job_id: str, progress: JobProgress) -> None:
+    def _note_ended(self, job_id: str, content: bytes) -> None:
+        try:
+            progress = decode(content, JobProgress)
+        except MalformedRecordError as error:
+            events.log('progress_bad', job=job_id, error=error.message)
+            metrics.records_bad.add(1, {'kind': 'progress'})
+            return
         if progress.ended_at_s:
             self._work.ended_at_s[job_id] = progress.ended_at_s
 
@@ -124,9 +130,32 @@
 
     def _take_jobs(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            self._take_intake(row)
+            try:
+                self._take_intake(row)
+            except MalformedRecordError as error:
+                # Of a job whose progress is unknown nothing may start.
+                self._tell_bad(row, 'job', error)
         self._work.changed.set()
 
+    def _tell_bad(
+        self,
+        row: StoredRow,
+        kind: str,
+        error: MalformedRecordError,
+    ) -> None:
+        """Tell once of a version of a row that can't be read."""
+        name = (row.table, row.key)
+        if self._bad.get(name) == row.version:
+            return
+        self._bad[name] = row.version
+        events.log(
+            f'{kind}_row_bad',
+            key=row.key,
+            version=row.version,
+            error=error.message,
+        )
+        metrics.records_bad.add(1, {'kind': kind})
+
     def _take_workers_anew(self, rows: tuple[StoredRow, ...]) -> None:
         present = {row.key for row in rows}
         for worker_id in list(self._work.sessions):
@@ -152,8 +181,9 @@
     def _take_worker(self, row: StoredRow) -> None:
         try:
             entry = self._worker_feed.decode(row)
-        except _MALFORMED as error:
-            events.log('worker_entry_bad', worker=row.key, error=repr(error))
+        except MalformedRecordError as error:
+            self._tell_bad(row, 'worker', error)
+            self._unlist(row.key)
             return
         session = self._work.sessions.get(entry.worker_id)
         if session is None or session.gone:
@@ -164,6 +194,16 @@
             events.log('worker_leaving', worker=entry.worker_id)
         session.relist(entry)
 
+    def _unlist(self, worker_id: str) -> None:
+        """Place nothing at a worker whose entry can't be read.
+
+        It may live and be what it was: what runs there goes on, its lease is
+        renewed at the address known before, and a good entry makes it usable.
+        """
+        session = self._work.sessions.get(worker_id)
+        if session is not None:
+            session.readable = False
+
     def _open_session(self, entry: WorkerEntry) -> WorkerSession:
         token = self._leadership.epoch * RAISES_PER_EPOCH
         former = self._work.sessions.get(entry.worker_id)
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -12,8 +12,13 @@
 import msgspec
 
 from curranthill.clock import Clock
-from curranthill.errors import CurranthillError, ReplyLostError, StorageError
+from curranthill.errors import (
+    CurranthillError,
+    ReplyLostError,
+    StorageError,
+)
 from curranthill.storage.rows import (
+    MalformedRecordError,
     RowCheck,
     RowConflictError,
     RowPut,
@@ -66,6 +71,21 @@
         return max(0.0, most_s - seen_for_s)
 
 
+def leader_row_of(stored: StoredRow) -> LeaderRow:
+    """Return the leader's row.
+
+    :raises StorageError: if it can't be read; a fresh one in its place would
+        begin with an epoch that workers reject.
+    """
+    try:
+        return decode(stored.content, LeaderRow)
+    except MalformedRecordError as error:
+        raise StorageError(
+            f"The leader's row is unreadable: {error.message}",
+            step='leader',
+        ) from error
+
+
 class LeadershipLostError(CurranthillError):
     """Another process leads, or this one stepped down."""
 
@@ -194,7 +214,7 @@
     def _settle(self, rows: tuple[StoredRow, ...], operation: str) -> int:
         """Tell this write's own earlier try from another leader's write."""
         for stored in rows:
-            row = decode(stored.content, LeaderRow)
+            row = leader_row_of(stored)
             if row.operation == operation:
                 return stored.version
         self._lost = True
@@ -215,7 +235,7 @@
     :param seen_for_s: for how long the row has been seen so, in seconds.
     :raises StorageError: if the store did not say.
     """
-    former = LeaderRow() if seen is None else decode(seen.content, LeaderRow)
+    former = LeaderRow() if seen is None else leader_row_of(seen)
     row = LeaderRow(
         holder=holder,
         epoch=former.epoch + 1,
@@ -250,7 +270,7 @@
 async def _version_if_won(store: RowStore, row: LeaderRow) -> int:
     """Return the version of the leader's row if it is this one, else 0."""
     stored = await store.read(tables.LEADER, tables.LEADER_KEY)
-    if stored is None or decode(stored.content, LeaderRow) != row:
+    if stored is None or leader_row_of(stored) != row:
         return 0
     return stored.version
 
@@ -260,5 +280,6 @@
     'LeaderRow',
     'Leadership',
     'LeadershipLostError',
+    'leader_row_of',
     'take_over',
 )
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -57,6 +57,7 @@
     :param entry: the worker as listed last.
     :param incarnation: the one that answered last, 0 as long as none told.
     :param runs: all runs that may exist there, by task and attempt.
+    :param readable: whether the newest entry could be read.
     :param troubles_s: when runs failed or stood still here since the last one
         that was done.
     :param stalled_runs: how many runs stood still when last looked at.
@@ -82,6 +83,7 @@
         self._list = RunList(session=self, owner=owner, clock=clock)
         self.runs = self._list.runs
         self.listed = worker is not None
+        self.readable = True
         self.gone = False
         self.reachable = False
         self.synced = False
@@ -109,7 +111,7 @@
     @property
     def accepts_work(self) -> bool:
         """Return whether new tasks may be placed here."""
-        if self.gone or self.entry.leaving:
+        if self.gone or self.entry.leaving or not self.readable:
             return False
         if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
             return False
@@ -136,6 +138,7 @@
         news = entry.incarnation != self.entry.incarnation
         self.entry = entry
         self.listed = True
+        self.readable = True
         if news and not self._is_listed_as_it_is():
             self._raise_token()
 
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import Any, Final
 
-import msgspec
-
 from curranthill.clock import Clock, wait_at_most
 from curranthill.errors import (
     FAILED,
@@ -16,6 +14,7 @@
 )
 from curranthill.storage.health import StoreHealth
 from curranthill.storage.rows import (
+    MalformedRecordError,
     RowCheck,
     RowConflictError,
     RowPut,
@@ -136,11 +135,9 @@
             if count_afresh:
                 return await self._count(queue.name)
             row = await self._store.read(tables.LEADER, tables.PENDING_KEY)
-        except StorageError as error:
+            counts = decode(row.content, dict[str, int]) if row else {}
+        except (StorageError, MalformedRecordError) as error:
             raise self._unreadable(queue.name, error) from error
-        counts: dict[str, int] = {}
-        if row is not None:
-            counts = msgspec.json.decode(row.content, type=dict[str, int])
         return counts.get(queue.name, 0)
 
     async def _count(self, queue: str) -> int:
@@ -195,14 +192,17 @@
         the accepted job once its end is stored; so the progress is looked at
         once more if the accepted job is not there either.
         """
-        for _ in range(2):
-            row = await self._read(tables.PROGRESS, job_id)
-            if row is not None:
-                return decode(row.content, JobProgress)
-            row = await self._read(tables.INTAKE, job_id)
-            if row is not None:
-                spec = decode(row.content, JobSpec)
-                return JobProgress(queue=spec.queue.name)
+        try:
+            for _ in range(2):
+                row = await self._read(tables.PROGRESS, job_id)
+                if row is not None:
+                    return decode(row.content, JobProgress)
+                row = await self._read(tables.INTAKE, job_id)
+                if row is not None:
+                    spec = decode(row.content, JobSpec)
+                    return JobProgress(queue=spec.queue.name)
+        except MalformedRecordError as error:
+            raise self._unreadable(job_id, error) from error
         return None
 
     async def _read(self, table: str, job_id: str) -> StoredRow | None:
--- a/src/curranthill/entry/peers.py
+++ b/src/curranthill/entry/peers.py
@@ -1,6 +1,7 @@
 """The other hosts: each lists itself in the store and reads who else does."""
 
 import random
+import re
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
@@ -14,6 +15,7 @@
     StoredRow,
 )
 from curranthill.tasks import tables
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 #: How often a host lists itself and reads the list, in seconds: a hundred
@@ -36,6 +38,10 @@
 GONE_S: Final = 600.0
 
 
+#: What a host's row holds: an IP number and a port.
+_ADDRESS: Final = re.compile(rb'[0-9.]+:\d{1,5}')
+
+
 class _Sighting(NamedTuple):
     """Since when a host's row has been seen with one version."""
 
@@ -66,6 +72,7 @@
         self._clock = clock
         self._put = RowPut(tables.HOSTS, host, address.encode())
         self._sightings: dict[str, _Sighting] = {}
+        self._bad: dict[str, int] = {}
 
     async def run(self) -> None:
         """List this host and read the list, again and again."""
@@ -90,7 +97,7 @@
 
     async def _read(self) -> None:
         listed = await self._store.scan(tables.HOSTS)
-        others = [row for row in listed.rows if row.key != self._put.key]
+        others = [row for row in listed.rows if self._is_peer(row)]
         silent_s = {row.key: self._silent_s(row) for row in others}
         self.addresses = tuple(
             row.content.decode()
@@ -101,6 +108,18 @@
             if silent_s[row.key] >= GONE_S:
                 await self._remove(row)
 
+    def _is_peer(self, row: StoredRow) -> bool:
+        """Return whether a row names another host; tell of one that can't."""
+        if row.key == self._put.key:
+            return False
+        if _ADDRESS.fullmatch(row.content):
+            return True
+        if self._bad.get(row.key) != row.version:
+            self._bad[row.key] = row.version
+            events.log('peer_row_bad', key=row.key, version=row.version)
+            metrics.records_bad.add(1, {'kind': 'peer'})
+        return False
+
     def _silent_s(self, row: StoredRow) -> float:
         """Return for how long a row is known not to have changed."""
         now_s = self._clock.monotonic_s()
--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -1,26 +1,27 @@
 """Follows the configuration in the store; it never goes back."""
 
 from collections.abc import Callable
-from typing import Final
-
-import msgspec
 
 from curranthill.clock import Clock
 from curranthill.storage.follower import TableFollower
-from curranthill.storage.rows import RowStore, StoredRow
+from curranthill.storage.rows import (
+    MalformedRecordError,
+    RowStore,
+    StoredRow,
+)
 from curranthill.tasks import Revision
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
-#: What a malformed row may raise when it is decoded.
-MALFORMED: Final = (KeyError, ValueError, TypeError, msgspec.MsgspecError)
-
 RevisionDecoder = Callable[[StoredRow], Revision | None]
 
 
 class RevisionFollower:
     """Holds the configuration in force on this host.
 
-    :param decode: returns a row's configuration, or nothing for other rows.
+    :param decode: returns a row's configuration, or nothing for other rows;
+        raises :class:`MalformedRecordError` for one that can't be read, and
+        what is in force stays so.
     """
 
     def __init__(
@@ -51,8 +52,15 @@
         for row in rows:
             try:
                 revision = self._decode(row)
-            except MALFORMED as error:
-                events.log('revision_bad', key=row.key, error=repr(error))
+            except MalformedRecordError as error:
+                events.log(
+                    'revision_bad',
+                    key=row.key,
+                    version=row.version,
+                    in_force=self.current.number if self.current else -1,
+                    error=str(error),
+                )
+                metrics.records_bad.add(1, {'kind': 'revision'})
                 continue
             if revision is not None:
                 self._put_in_force(revision)
--- a/src/curranthill/gateway/allotment.py
+++ b/src/curranthill/gateway/allotment.py
@@ -7,8 +7,8 @@
 from curranthill.application import Application
 from curranthill.configuration import ConfigurationHolder
 from curranthill.errors import PeerError
-from curranthill.membership.notify import Notifier
 from curranthill.membership import Member, View
+from curranthill.membership.notify import Notifier
 from curranthill.protocol import Channels, inner_pb2
 from curranthill.protocol.calls import call_report
 from curranthill.routing import AllottedWorker, Router, WorkerPool
--- a/src/curranthill/gateway/daemon.py
+++ b/src/curranthill/gateway/daemon.py
@@ -5,10 +5,10 @@
 from curranthill.gateway.allotment import AllotmentLoop
 from curranthill.gateway.jobs import JobDesk
 from curranthill.gateway.keyed import KeyedRuns
-from curranthill.membership.notify import Notifier
 from curranthill.gateway.server import CallerServer
 from curranthill.jobs import JobStore
 from curranthill.membership import Node, NodeSettings
+from curranthill.membership.notify import Notifier
 from curranthill.routing import (
     Ejection,
     RetryBudget,
--- a/src/curranthill/gateway/jobs.py
+++ b/src/curranthill/gateway/jobs.py
@@ -25,7 +25,6 @@
     ReplyLostError,
     StorageError,
 )
-from curranthill.membership.notify import Notifier
 from curranthill.gateway.problems import platform_away, refuse
 from curranthill.gateway.requests import CallerRequest
 from curranthill.jobs import (
@@ -39,6 +38,7 @@
     new_job_id,
 )
 from curranthill.jobs import FAILED as JOB_FAILED
+from curranthill.membership.notify import Notifier
 from curranthill.storage import ObjectStore, content_digest
 
 #: Waits between looks at a job that somebody waits for, in seconds.
--- a/src/curranthill/platform/advisor.py
+++ b/src/curranthill/platform/advisor.py
@@ -2,12 +2,16 @@
 
 from typing import Final
 
+import msgspec
+
 from curranthill.dispatch import Advice, AdvisorError
 from curranthill.platform.calls import (
     Caller,
     CallNotSentError,
     CallUnansweredError,
 )
+from curranthill.platform.decoding import Measure, decode_fields
+from curranthill.storage.rows import MalformedRecordError
 
 #: The longest wait for an answer, in seconds: a few questions of other hosts
 #: may stand before ours.
@@ -16,6 +20,13 @@
 _OK: Final = 200
 
 
+class AdviceFields(msgspec.Struct):
+    """Which workers may run a step, each with its ticket."""
+
+    good: list[tuple[str, str]]
+    validity_ms: Measure
+
+
 class PlatformAdvisor:
     """Asks over HTTP."""
 
@@ -37,10 +48,13 @@
             raise self._error(str(error)) from error
         if answer.status != _OK:
             raise self._error(f'status {answer.status}')
-        fields = answer.fields()
+        try:
+            fields = decode_fields(answer.body, AdviceFields, step='advise')
+        except MalformedRecordError as error:
+            raise self._error(error.message) from error
         return Advice(
-            tickets={row[0]: row[1] for row in fields['good']},
-            validity_s=fields['validity_ms'] / 1000,
+            tickets=dict(fields.good),
+            validity_s=fields.validity_ms / 1000,
         )
 
     def _error(self, reason: str) -> AdvisorError:
--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -28,16 +28,6 @@
     status: int
     body: bytes
 
-    def fields(self) -> dict[str, Any]:
-        """Return the body's fields.
-
-        :raises CallUnansweredError: if the body is not such an object.
-        """
-        try:
-            return msgspec.json.decode(self.body, type=dict[str, Any])
-        except msgspec.MsgspecError as error:
-            raise CallUnansweredError(f'unreadable answer: {error}') from error
-
 
 class Caller:
     """Makes calls over connections that it keeps."""
--- a/src/curranthill/platform/configuration.py
+++ b/src/curranthill/platform/configuration.py
@@ -4,9 +4,21 @@
 
 import msgspec
 
-from curranthill.platform.workers import resources_from
+from curranthill.platform.decoding import (
+    Count,
+    Measure,
+    Name,
+    decode_fields,
+)
 from curranthill.storage.rows import StoredRow
-from curranthill.tasks import Limits, Queue, Revision, Step, WorkspacePromise
+from curranthill.tasks import (
+    Limits,
+    Queue,
+    Resources,
+    Revision,
+    Step,
+    WorkspacePromise,
+)
 
 #: Where the operator writes.
 TABLE: Final = 'op'
@@ -14,81 +26,147 @@
 _KEY: Final = 'config'
 
 
+class LimitFields(msgspec.Struct, frozen=True):
+    """What callers' requests may measure."""
+
+    max_body_bytes: Count = Limits().body_bytes
+
+
+class RouteFields(msgspec.Struct):
+    """One queue."""
+
+    name: Name
+    host: Name
+    path_prefix: Name
+    service: Name
+    priority: Count = 0
+    attempts: Count = 1
+    slack_factor: Measure = 1.0
+    target_completion_ms: Measure = 0.0
+    public: bool = False
+    placement_advisor: Any = None
+
+
+class TenantFields(msgspec.Struct):
+    """One workspace."""
+
+    name: Name
+    api_keys: list[str] = []
+    guaranteed: dict[str, Measure] = {}
+
+
+class ConfigurationFields(msgspec.Struct):
+    """The operator's configuration."""
+
+    version: Count
+    routes: list[RouteFields]
+    tenants: list[TenantFields] = []
+    limits: LimitFields = LimitFields()
+
+
 def decode_revision(row: StoredRow) -> Revision | None:
     """Return the configuration of a row, or nothing for other rows.
 
-    :raises KeyError: if a field is missing.
+    :raises MalformedRecordError: if it is not one.
     """
     if row.key != _KEY or row.removed:
         return None
-    fields = msgspec.json.decode(row.content, type=dict[str, Any])
-    limits = fields.get('limits', {})
+    fields = decode_fields(
+        row.content,
+        ConfigurationFields,
+        step='configuration',
+        peer=row.key,
+    )
     return Revision(
-        number=fields['version'],
-        queues=tuple(_queue(route) for route in fields['routes']),
-        workspaces=tuple(_workspace(one) for one in fields.get('tenants', ())),
-        limits=Limits(
-            body_bytes=limits.get('max_body_bytes', Limits().body_bytes),
-        ),
+        number=fields.version,
+        queues=tuple(_queue(route) for route in fields.routes),
+        workspaces=tuple(_workspace(one) for one in fields.tenants),
+        limits=Limits(body_bytes=fields.limits.max_body_bytes),
     )
 
 
-def _queue(route: dict[str, Any]) -> Queue:
+def _queue(route: RouteFields) -> Queue:
     return Queue(
-        name=route['name'],
-        host=route['host'],
-        path_prefix=route['path_prefix'],
-        service=route['service'],
-        priority=route.get('priority', 0),
-        attempts=route.get('attempts', 1),
-        slack_factor=route.get('slack_factor', 1.0),
-        target_s=route.get('target_completion_ms', 0) / 1000,
-        public=route.get('public', False),
-        advisor=bool(route.get('placement_advisor')),
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        attempts=route.attempts,
+        slack_factor=route.slack_factor,
+        target_s=route.target_completion_ms / 1000,
+        public=route.public,
+        advisor=bool(route.placement_advisor),
     )
 
 
-def _workspace(tenant: dict[str, Any]) -> WorkspacePromise:
+def _workspace(tenant: TenantFields) -> WorkspacePromise:
     return WorkspacePromise(
-        name=tenant['name'],
-        keys=tuple(tenant.get('api_keys', ())),
-        guaranteed_gpus=tenant.get('guaranteed', {}).get('gpu', 0),
+        name=tenant.name,
+        keys=tuple(tenant.api_keys),
+        guaranteed_gpus=int(tenant.guaranteed.get('gpu', 0)),
     )
 
 
+class StepFields(msgspec.Struct):
+    """One step of a caller's job; absent fields are 0, false or empty.
+
+    :param max_per_server: for each worker and occurrence.
+    """
+
+    count: Count = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Measure = 0.0
+    after: list[Count] = []
+    gang: bool = False
+    same_rack: bool = False
+    data_rack: str = ''
+    required_label: str = ''
+    max_per_server: Count = 0
+    checkpointable: bool = False
+    speculative: bool = False
+    perpetual: bool = False
+    may_miss: Count = 0
+    fill_count: Any = False
+    image: str = ''
+    target_ms: Measure = 0.0
+
+
 class SubmittedJob(msgspec.Struct):
     """A caller's job as it comes; absent fields are 0, false or empty."""
 
     spec: str = ''
-    steps: list[dict[str, Any]] = []
+    steps: list[StepFields] = []
     times: int = 0
     start_at_ms: float = 0.0
     interval_ms: float = 0.0
 
 
-def step_from(fields: dict[str, Any]) -> Step:
-    """Return a step from its fields.
-
-    :raises TypeError: if a field has another type.
-    """
+def step_from(fields: StepFields) -> Step:
+    """Return a step from its fields."""
     return Step(
-        width=fields.get('count', 0),
-        needs=resources_from(fields),
-        estimate_s=fields.get('estimate_ms', 0) / 1000,
-        after=tuple(fields.get('after', ())),
-        gang=bool(fields.get('gang')),
-        same_rack=bool(fields.get('same_rack')),
-        near_rack=fields.get('data_rack', ''),
-        label=fields.get('required_label', ''),
-        # Per worker and occurrence, though named after a server.
-        max_per_worker=fields.get('max_per_server', 0),
-        checkpointable=bool(fields.get('checkpointable')),
-        speculative=bool(fields.get('speculative')),
-        perpetual=bool(fields.get('perpetual')),
-        may_miss=fields.get('may_miss', 0),
-        fills=bool(fields.get('fill_count')),
-        image=fields.get('image', ''),
-        target_ms=fields.get('target_ms', 0),
+        width=fields.count,
+        needs=Resources(
+            cpu_millis=fields.cpu,
+            memory_mb=fields.mem_mb,
+            gpus=fields.gpu,
+        ),
+        estimate_s=fields.estimate_ms / 1000,
+        after=tuple(fields.after),
+        gang=fields.gang,
+        same_rack=fields.same_rack,
+        near_rack=fields.data_rack,
+        label=fields.required_label,
+        max_per_worker=fields.max_per_server,
+        checkpointable=fields.checkpointable,
+        speculative=fields.speculative,
+        perpetual=fields.perpetual,
+        may_miss=fields.may_miss,
+        fills=bool(fields.fill_count),
+        image=fields.image,
+        target_ms=fields.target_ms,
     )
 
 
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -143,7 +143,7 @@
         try:
             submitted = msgspec.json.decode(body, type=SubmittedJob)
             steps = tuple(step_from(fields) for fields in submitted.steps)
-        except (msgspec.MsgspecError, TypeError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise _bad_job(target, str(error)) from error
         faults = faults_of(submitted.spec, steps, times=submitted.times)
         if faults:
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -2,20 +2,29 @@
 
 import asyncio
 import base64
+import binascii
 from collections.abc import Sequence
 from typing import Any, Final
 
+import msgspec
+
 from curranthill.clock import Clock
-from curranthill.errors import NotSentError, ReplyLostError, StorageError
+from curranthill.errors import (
+    NotSentError,
+    ReplyLostError,
+    StorageError,
+)
 from curranthill.platform.calls import (
     Answer,
     Caller,
     CallNotSentError,
     CallUnansweredError,
 )
+from curranthill.platform.decoding import Count, decode_fields
 from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import (
     HistoryLostError,
+    MalformedRecordError,
     RowChanges,
     RowCheck,
     RowConflictError,
@@ -54,6 +63,24 @@
 _CONFLICT: Final = 412
 
 
+class RowFields(msgspec.Struct):
+    """One row; ``schema_ver`` is its own version, not that of a schema."""
+
+    table: str
+    key: str
+    value: str | None = None
+    schema_ver: Count = 0
+    removed: bool = False
+
+
+class RowsFields(msgspec.Struct):
+    """What the store answers to any call about rows."""
+
+    schema_ver: Count = 0
+    rows: list[RowFields] = []
+    has_more: bool = False
+
+
 class PlatformStore:
     """Rows over the platform's HTTP calls.
 
@@ -111,8 +138,7 @@
                 rows=_rows(self._fields(answer, 'commit')),
             )
         self._expect_ok(answer, 'commit')
-        version: int = self._fields(answer, 'commit')['schema_ver']
-        return version
+        return self._fields(answer, 'commit').schema_ver
 
     async def read(self, table: str, key: str) -> StoredRow | None:
         """Return one row or nothing."""
@@ -157,8 +183,8 @@
             page = _rows(fields)
             rows.extend(page)
             if version is None:
-                version = fields['schema_ver']
-            if not fields.get('has_more') or not page:
+                version = fields.schema_ver
+            if not fields.has_more or not page:
                 return RowChanges(tuple(rows), version)
             # The next key in byte order.
             params['from'] = f'{page[-1].key}\0'
@@ -188,14 +214,14 @@
             )
         self._expect_ok(answer, 'changes')
         fields = self._fields(answer, 'changes')
-        return RowChanges(_rows(fields), fields['schema_ver'])
+        return RowChanges(_rows(fields), fields.schema_ver)
 
     async def _get(
         self,
         table: str,
         params: dict[str, str],
         timeout: ReplyTimeout | None = None,
-    ) -> dict[str, Any]:
+    ) -> RowsFields:
         answer = await self._timed(
             timeout or self._read_timeout,
             'GET',
@@ -249,10 +275,10 @@
             peer=self._paths.address,
         )
 
-    def _fields(self, answer: Answer, step: str) -> dict[str, Any]:
+    def _fields(self, answer: Answer, step: str) -> RowsFields:
         try:
-            return answer.fields()
-        except CallUnansweredError as error:
+            return decode_fields(answer.body, RowsFields, step=step)
+        except MalformedRecordError as error:
             raise ReplyLostError(
                 f'The store did not answer: {error}.',
                 step=step,
@@ -312,20 +338,30 @@
     return {'table': table, 'part': _part_of(table, key), 'key': key}
 
 
-def _rows(fields: dict[str, Any]) -> tuple[StoredRow, ...]:
+def _rows(fields: RowsFields) -> tuple[StoredRow, ...]:
     return tuple(
         StoredRow(
-            table=row['table'],
-            key=row['key'],
-            content=base64.b64decode(row.get('value') or ''),
-            # The version of this row, though it is named like a schema's.
-            version=row.get('schema_ver', 0),
-            removed=bool(row.get('removed')),
+            table=row.table,
+            key=row.key,
+            content=_content_of(row),
+            version=row.schema_ver,
+            removed=row.removed,
         )
-        for row in fields.get('rows', ())
+        for row in fields.rows
     )
 
 
+def _content_of(row: RowFields) -> bytes:
+    """Return a row's bytes; none where another writer's value is no base64.
+
+    Whoever reads the row finds that nothing can be decoded, and says so.
+    """
+    try:
+        return base64.b64decode(row.value or '', validate=True)
+    except (binascii.Error, ValueError):
+        return b''
+
+
 __all__ = (
     'PAGE_ROWS',
     'PATH_PREFIX',
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -1,6 +1,6 @@
 """The platform's workers: their entries in the store and their calls."""
 
-from typing import Any, Final
+from typing import Any, Final, Literal
 
 import msgspec
 
@@ -13,7 +13,11 @@
     StartOrder,
     WorkerGoneError,
 )
-from curranthill.errors import WorkerReplyLostError, WorkerUnreachableError
+from curranthill.dispatch.workers import EndKind
+from curranthill.errors import (
+    WorkerReplyLostError,
+    WorkerUnreachableError,
+)
 from curranthill.placement import WorkerEntry
 from curranthill.platform.calls import (
     Answer,
@@ -21,8 +25,18 @@
     CallNotSentError,
     CallUnansweredError,
 )
-from curranthill.storage.rows import StoredRow
+from curranthill.platform.decoding import (
+    Count,
+    Fields,
+    Measure,
+    Name,
+    SocketAddress,
+    decode_fields,
+)
+from curranthill.storage.rows import MalformedRecordError, StoredRow
 from curranthill.tasks import Resources, TaskKey
+from curranthill.telemetry import metrics
+from curranthill.telemetry.events import events
 
 #: A start or stop is answered in milliseconds; a slow host or worker takes
 #: some tens of them, so that a reply this late is taken as lost.
@@ -36,6 +50,76 @@
 _OTHER_WORKER: Final = 421
 
 
+class RoomFields(msgspec.Struct):
+    """What a worker has, used or not."""
+
+    cpu: Count
+    mem_mb: Count
+    gpu: Count
+
+
+class EntryFields(msgspec.Struct):
+    """A worker's entry: what it always says, and what it says at times.
+
+    :param headroom: all that the worker has, though named like what is left.
+    :param born: when it started; not told by all platforms.
+    """
+
+    service: Name
+    address: SocketAddress
+    zone: Name
+    version: str
+    capacity: Count
+    state: Literal['ready', 'draining']
+    cold_remaining_ms: Measure
+    sequence: Count
+    headroom: RoomFields
+    labels: list[str]
+    clock_ms: Measure = 0.0
+    remaining_ms: Measure = 0.0
+    born: Count = 0
+
+
+class RunRow(msgspec.Struct, array_like=True):
+    """One run in a list; what may follow is not read."""
+
+    task: str
+    run: Count
+    saved: str
+    percent: float
+
+
+class EndRow(msgspec.Struct, array_like=True):
+    """One end in a list."""
+
+    number: Count
+    task: str
+    run: Count
+    how: EndKind
+    saved: str = ''
+
+
+class ListFields(msgspec.Struct):
+    """A worker's answer to a renewal."""
+
+    clock_ms: Measure
+    running: list[RunRow] = []
+    ended: list[EndRow] = []
+    born: Count = 0
+
+
+class ClockFields(msgspec.Struct):
+    """A worker's answer to an order."""
+
+    clock_ms: Measure
+
+
+class RejectionFields(msgspec.Struct):
+    """Why a worker did nothing."""
+
+    reason: str = ''
+
+
 class RegisteredWorkers:
     """Entries that the workers write under their ids."""
 
@@ -44,21 +128,29 @@
     def decode(self, row: StoredRow) -> WorkerEntry:
         """Return a worker's entry.
 
-        :raises KeyError: if a field is missing.
+        :raises MalformedRecordError: if it is not as workers write them.
         """
-        fields = msgspec.json.decode(row.content, type=dict[str, Any])
+        fields = decode_fields(
+            row.content,
+            EntryFields,
+            step='entry',
+            peer=row.key,
+        )
         return WorkerEntry(
             worker_id=row.key,
-            service=fields['service'],
-            address=fields['address'],
-            data_centre=fields['zone'],
-            # All that the worker has, though named like what is left.
-            room=resources_from(fields.get('headroom', {})),
-            labels=tuple(fields.get('labels', ())),
-            leaving=fields.get('state') == 'draining',
-            clock_s=fields.get('clock_ms', 0) / 1000,
-            remaining_s=fields.get('remaining_ms', 0) / 1000,
-            incarnation=fields.get('born', 0),
+            service=fields.service,
+            address=fields.address,
+            data_centre=fields.zone,
+            room=Resources(
+                cpu_millis=fields.headroom.cpu,
+                memory_mb=fields.headroom.mem_mb,
+                gpus=fields.headroom.gpu,
+            ),
+            labels=tuple(fields.labels),
+            leaving=fields.state == 'draining',
+            clock_s=fields.clock_ms / 1000,
+            remaining_s=fields.remaining_ms / 1000,
+            incarnation=fields.born,
         )
 
 
@@ -106,8 +198,7 @@
             fields['checkpoint_at'] = order.checkpoint
         if order.ticket:
             fields['ticket'] = order.ticket
-        answer = await self._call('run-start', fields, ORDER_TIMEOUT_S)
-        return _clock_s(answer.fields())
+        return await self._order('run-start', fields)
 
     async def stop(self, task: TaskKey, attempt: int, token: int) -> float:
         """Stop a run."""
@@ -116,8 +207,7 @@
             'attempt': attempt,
             'fencing_token': token,
         }
-        answer = await self._call('run-stop', fields, ORDER_TIMEOUT_S)
-        return _clock_s(answer.fields())
+        return await self._order('run-stop', fields)
 
     async def renew(self, order: LeaseOrder) -> LeaseReport:
         """Renew the lease and return what runs and what ended."""
@@ -134,12 +224,47 @@
             fields,
             order.wait_s + RENEWAL_SLACK_S,
         )
-        report = answer.fields()
+        report = self._read(answer, ListFields, 'hold')
+        try:
+            runs = tuple(_run(row) for row in report.running)
+            ends = tuple(_end(row) for row in report.ended)
+        except ValueError as error:
+            raise self._unreadable('hold', error) from error
         return LeaseReport(
-            clock_s=_clock_s(report),
-            runs=tuple(_run(row) for row in report.get('running', ())),
-            ends=tuple(_end(row) for row in report.get('ended', ())),
-            incarnation=report.get('born', 0),
+            clock_s=report.clock_ms / 1000,
+            runs=runs,
+            ends=ends,
+            incarnation=report.born,
+        )
+
+    async def _order(self, path: str, fields: dict[str, Any]) -> float:
+        """Give an order and return the worker's clock in seconds."""
+        answer = await self._call(path, fields, ORDER_TIMEOUT_S)
+        return self._read(answer, ClockFields, path).clock_ms / 1000
+
+    def _read(self, answer: Answer, kind: type[Fields], path: str) -> Fields:
+        """Return an answer's fields; one that can't be read tells nothing."""
+        try:
+            return decode_fields(
+                answer.body,
+                kind,
+                step=path,
+                peer=self._address,
+            )
+        except MalformedRecordError as error:
+            raise self._unreadable(path, error) from error
+
+    def _unreadable(
+        self,
+        path: str,
+        error: Exception,
+    ) -> WorkerReplyLostError:
+        events.log('reply_bad', peer=self._address, step=path, error=str(error))
+        metrics.records_bad.add(1, {'kind': 'reply'})
+        return WorkerReplyLostError(
+            f'The answer cannot be read: {error}',
+            step=path,
+            peer=self._address,
         )
 
     async def _call(
@@ -181,7 +306,8 @@
             )
         reason = str(answer.status)
         if answer.status == _CONFLICT:
-            reason = str(answer.fields().get('reason', reason))
+            told = self._read(answer, RejectionFields, path).reason
+            reason = told or reason
         return RejectedError(
             f'The worker rejected the call: {reason}.',
             step=path,
@@ -190,33 +316,23 @@
         )
 
 
-def resources_from(fields: dict[str, Any]) -> Resources:
-    """Return an amount from its fields; absent ones are 0."""
-    return Resources(
-        cpu_millis=fields.get('cpu', 0),
-        memory_mb=fields.get('mem_mb', 0),
-        gpus=fields.get('gpu', 0),
+def _run(row: RunRow) -> RunReport:
+    return RunReport(
+        task=TaskKey.parse(row.task),
+        attempt=row.run,
+        checkpoint=row.saved,
+        done_percent=row.percent,
     )
 
 
-def _clock_s(fields: dict[str, Any]) -> float:
-    return float(fields['clock_ms']) / 1000
-
-
-def _run(row: list[Any]) -> RunReport:
-    task, attempt, checkpoint, percent = row[:4]
-    return RunReport(TaskKey.parse(task), attempt, checkpoint, percent)
-
-
-def _end(row: list[Any]) -> EndReport:
-    number, task, *rest = row
-    attempt, kind, checkpoint = rest[:3]
-    return EndReport(number, TaskKey.parse(task), attempt, kind, checkpoint)
+def _end(row: EndRow) -> EndReport:
+    return EndReport(
+        number=row.number,
+        task=TaskKey.parse(row.task),
+        attempt=row.run,
+        kind=row.how,
+        checkpoint=row.saved,
+    )
 
 
-__all__ = (
-    'PlatformConnector',
-    'PlatformWorker',
-    'RegisteredWorkers',
-    'resources_from',
-)
+__all__ = ('PlatformConnector', 'PlatformWorker', 'RegisteredWorkers')
--- a/src/curranthill/scheduler/leader.py
+++ b/src/curranthill/scheduler/leader.py
@@ -16,7 +16,6 @@
 from curranthill.storage import HostDirectory
 from curranthill.telemetry import metrics
 
-
 #: How often neighbours are told how full a data centre is, in seconds.
 LOAD_INTERVAL_S = 1.0
 
--- a/src/curranthill/scheduler/quick.py
+++ b/src/curranthill/scheduler/quick.py
@@ -4,10 +4,10 @@
 from typing import Final, NamedTuple
 
 from curranthill.clock import Clock
+from curranthill.jobs import Member
 from curranthill.scheduler.board import Board
 from curranthill.scheduler.cluster import WorkerState
 from curranthill.scheduler.victims import choose_victims
-from curranthill.jobs import Member
 
 #: Slots kept for each request that was in flight at the peak.
 HEADROOM: Final = 1.25
--- a/src/curranthill/storage/rows.py
+++ b/src/curranthill/storage/rows.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from curranthill.errors import ConflictError, StorageError
+from curranthill.errors import ConflictError, CurranthillError, StorageError
 
 
 class StoredRow(NamedTuple):
@@ -73,6 +73,10 @@
         self.rows = rows
 
 
+class MalformedRecordError(CurranthillError):
+    """A record that somebody else wrote is not as the platform says."""
+
+
 class HistoryLostError(StorageError):
     """The feed no longer holds the asked versions; read the table again."""
 
@@ -114,6 +118,7 @@
 
 __all__ = (
     'HistoryLostError',
+    'MalformedRecordError',
     'RowChanges',
     'RowCheck',
     'RowConflictError',
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from curranthill.storage.rows import MalformedRecordError
 from curranthill.tasks.records import TaskKey
 
 JobState = Literal['queued', 'running', 'completed', 'failed', 'cancelled']
@@ -97,14 +98,17 @@
 def decode(content: bytes, record: type[Record]) -> Record:
     """Return a record from its stored form.
 
-    :raises msgspec.DecodeError: if the content is not such a record.
+    :raises MalformedRecordError: if the content is not such a record.
     """
-    if content.startswith(_ZLIB_START):
-        try:
+    try:
+        if content.startswith(_ZLIB_START):
             content = zlib.decompress(content)
-        except zlib.error as error:
-            raise msgspec.DecodeError(str(error)) from error
-    return msgspec.json.decode(content, type=record)
+        return msgspec.json.decode(content, type=record)
+    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
+        raise MalformedRecordError(
+            f'The stored record cannot be read: {error}.',
+            step='decode',
+        ) from error
 
 
 __all__ = (
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -92,7 +92,7 @@
 
     def decode(self, row: StoredRow) -> WorkerEntry:
         """Return a worker's entry."""
-        return msgspec.json.decode(row.content, type=WorkerEntry)
+        return decode(row.content, WorkerEntry)
 
 
 class FixedRevision:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -204,6 +204,7 @@
         return _answer(
             200,
             clock_ms=int(report.clock_s * 1000),
+            born=report.incarnation,
             running=[
                 [str(one.task), one.attempt, one.checkpoint, one.done_percent]
                 for one in report.runs
@@ -232,6 +233,10 @@
                 'service': entry.service,
                 'address': entry.address,
                 'zone': entry.data_centre,
+                'version': 'v1',
+                'capacity': 8,
+                'sequence': 1,
+                'cold_remaining_ms': 0,
                 'state': 'draining' if entry.leaving else 'ready',
                 'headroom': {
                     'cpu': entry.room.cpu_millis,
@@ -240,6 +245,7 @@
                 },
                 'labels': list(entry.labels),
                 'clock_ms': int(entry.clock_s * 1000),
+                'born': entry.incarnation,
             },
         ).encode(),
     )
--- /dev/null
+++ b/tests/test_foreign_records.py
@@ -0,0 +1,371 @@
+"""Records that another writer wrote, and answers that can't be read."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Iterator
+from contextlib import suppress
+from typing import Any, Final
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from curranthill.dispatch import AdvisorError, LeaseOrder, StartOrder
+from curranthill.dispatch.leadership import leader_row_of
+from curranthill.errors import StorageError, WorkerError
+from curranthill.placement import WorkerEntry
+from curranthill.platform.advisor import PlatformAdvisor
+from curranthill.platform.calls import Answer
+from curranthill.platform.configuration import decode_revision
+from curranthill.platform.store import PlatformStore
+from curranthill.platform.workers import PlatformWorker, RegisteredWorkers
+from curranthill.storage.paths import StorePaths
+from curranthill.storage.rows import MalformedRecordError, RowPut, StoredRow
+from curranthill.tasks import JobProgress, JobSpec, TaskKey, decode, tables
+from tests.domain import (
+    WORKER_TABLE,
+    Domain,
+    in_domain,
+    make_spec,
+)
+from tests.support import ManualClock, run
+
+FIRST = TaskKey('a1', 0, 0, 0)
+
+ENTRY: Final[dict[str, Any]] = {
+    'service': 'calc',
+    'address': '10.1.0.9:8080',
+    'zone': 'dc',
+    'version': 'v1',
+    'capacity': 8,
+    'state': 'ready',
+    'sequence': 4,
+    'cold_remaining_ms': 0,
+    'headroom': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 8},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'born': 1700000000123,
+}
+
+REQUIRED: Final = (
+    'service',
+    'address',
+    'zone',
+    'version',
+    'capacity',
+    'state',
+    'sequence',
+    'cold_remaining_ms',
+    'headroom',
+    'labels',
+)
+
+#: Values that stand where another type is wanted.
+STRANGE: Final[tuple[Any, ...]] = (
+    None,
+    True,
+    [],
+    {},
+    [1],
+    {'x': 1},
+    -1,
+    0.5,
+    '',
+    'strange',
+)
+
+BYTES: Final = (b'', b'\xff\xfe', b'null', b'7', b'"text"', b'[]', b'[[', b'{')
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def row(content: bytes) -> StoredRow:
+    """Return a worker's row."""
+    return StoredRow('servers', 'i-1', content, 1)
+
+
+def taken(fields: object) -> WorkerEntry | None:
+    """Return the worker that an entry names, if it names one."""
+    try:
+        return RegisteredWorkers().decode(row(json.dumps(fields).encode()))
+    except MalformedRecordError:
+        return None
+
+
+#: Strange values that are of the type which a field wants all the same.
+FITTING: Final[dict[str, tuple[Any, ...]]] = {
+    'service': ('strange',),
+    'zone': ('strange',),
+    'version': ('', 'strange'),
+    'labels': ([],),
+    'cold_remaining_ms': (0.5,),
+}
+
+
+def variants() -> Iterator[tuple[str, object]]:
+    """Return entries that lack a field, or have one of another type."""
+    for name in REQUIRED:
+        yield (
+            f'without {name}',
+            {key: field for key, field in ENTRY.items() if key != name},
+        )
+        for strange in STRANGE:
+            if strange not in FITTING.get(name, ()):
+                yield f'{name} {strange!r}', {**ENTRY, name: strange}
+    for name in ENTRY['headroom']:
+        room = dict(ENTRY['headroom'])
+        room.pop(name)
+        yield f'room without {name}', {**ENTRY, 'headroom': room}
+        for strange in STRANGE:
+            yield (
+                f'room with {name} {strange!r}',
+                {**ENTRY, 'headroom': {**room, name: strange}},
+            )
+    for name in ('clock_ms', 'remaining_ms', 'born'):
+        for strange in (None, True, [], {}, -1, '', 'strange'):
+            yield f'{name} {strange!r}', {**ENTRY, name: strange}
+    yield 'state of another name', {**ENTRY, 'state': 'standby'}
+    yield 'a label that is a number', {**ENTRY, 'labels': ['a', 3]}
+    yield 'an address without a port', {**ENTRY, 'address': '10.1.0.9'}
+
+
+class WorkerEntryTest(unittest.TestCase):
+    """What is not as workers write it names no worker to use."""
+
+    def test_an_entry_as_workers_write_it_is_taken(self) -> None:
+        """Also one that says more than is known here."""
+        for entry in (ENTRY, {**ENTRY, 'machine': 'm-1', 'remaining_ms': 20}):
+            found = taken(entry)
+            assert found is not None
+            self.assertEqual(found.incarnation, 1700000000123)
+            self.assertEqual(found.room.gpus, 8)
+
+    def test_an_entry_without_what_is_told_at_times_is_taken(self) -> None:
+        """A clock and an incarnation are no condition."""
+        entry = {name: ENTRY[name] for name in REQUIRED}
+        found = taken(entry)
+        assert found is not None
+        self.assertEqual(found.incarnation, 0)
+
+    def test_no_variant_is_taken(self) -> None:
+        """Fields missing, of another type, or with a name of no page."""
+        for name, entry in variants():
+            with self.subTest(name):
+                self.assertIsNone(taken(entry))
+
+    def test_bytes_that_are_no_object_are_rejected(self) -> None:
+        """As are some that are no text at all."""
+        for content in BYTES:
+            with self.subTest(repr(content)):
+                with self.assertRaises(MalformedRecordError):
+                    RegisteredWorkers().decode(row(content))
+
+
+class FixedAnswer:
+    """Answers every call with one body."""
+
+    def __init__(self, body: bytes, status: int = 200) -> None:
+        """Keep the answer."""
+        self._answer = Answer(status, body)
+
+    async def call(self, method: str, url: str, **options: Any) -> Answer:
+        """Return the answer."""
+        return self._answer
+
+
+ORDER: Final = StartOrder(FIRST, 1, 'text', 5.0, 1)
+RENEWAL: Final = LeaseOrder(1, 0, 5.0, 0.0)
+
+
+class AnyBytesTest(unittest.TestCase):
+    """Whatever comes, decoders raise nothing but their own error."""
+
+    @settings(max_examples=300)
+    @given(JSON, st.sampled_from(('', *ENTRY)), JSON)
+    def test_entries(self, whole: object, name: str, field: object) -> None:
+        """Any object, and an entry with any field exchanged."""
+        taken(whole)
+        taken({**ENTRY, name: field})
+
+    @settings(max_examples=200)
+    @given(
+        st.binary(max_size=40) | JSON.map(lambda one: json.dumps(one).encode())
+    )
+    def test_stored_records(self, content: bytes) -> None:
+        """The configuration, jobs, progress and the leader's row."""
+        for kind in (JobSpec, JobProgress):
+            with suppress(MalformedRecordError):
+                decode(content, kind)
+        try:
+            decode_revision(StoredRow('op', 'config', content, 1))
+        except MalformedRecordError as error:
+            self.assertEqual(error.step, 'configuration')
+        try:
+            leader_row_of(StoredRow(tables.LEADER, 'leader', content, 1))
+        except StorageError as error:
+            self.assertEqual(error.step, 'leader')
+
+    @settings(max_examples=200)
+    @given(
+        st.binary(max_size=40) | JSON.map(lambda one: json.dumps(one).encode()),
+        st.sampled_from((200, 409)),
+    )
+    def test_answers(self, body: bytes, status: int) -> None:
+        """Of workers, of the store and of the advisor."""
+
+        async def case() -> None:
+            caller: Any = FixedAnswer(body, status)
+            worker = PlatformWorker(
+                caller=caller,
+                address='10.0.0.1:80',
+                worker_id='i-1',
+            )
+            store = PlatformStore(
+                caller=caller,
+                paths=StorePaths(direct='10.0.0.2:80', peers=tuple),
+                clock=ManualClock(),
+            )
+            advisor = PlatformAdvisor(caller=caller, address='10.0.0.3:80')
+            calls = (
+                (worker.start(ORDER), WorkerError),
+                (worker.stop(FIRST, 1, 1), WorkerError),
+                (worker.renew(RENEWAL), WorkerError),
+                (store.commit(), StorageError),
+                (store.scan('servers'), StorageError),
+                (advisor.ask('a1.0.0', ('i-1',)), AdvisorError),
+            )
+            for call, error in calls:
+                with suppress(error):
+                    await call
+
+        asyncio.run(case())
+
+
+class RowValueTest(unittest.TestCase):
+    """A row whose value is no base64."""
+
+    def test_the_other_rows_of_its_page_hold(self) -> None:
+        """Its content is empty, which no decoder takes."""
+        rows = [
+            {
+                'table': 'servers',
+                'key': 'i-1',
+                'value': 'e30=',
+                'schema_ver': 4,
+            },
+            {'table': 'servers', 'key': 'i-2', 'value': 'e3', 'schema_ver': 5},
+            {'table': 'servers', 'key': 'i-3', 'value': '!!', 'schema_ver': 6},
+        ]
+        body = json.dumps({'rows': rows, 'schema_ver': 6}).encode()
+
+        async def case() -> None:
+            caller: Any = FixedAnswer(body)
+            store = PlatformStore(
+                caller=caller,
+                paths=StorePaths(direct='10.0.0.2:80', peers=tuple),
+                clock=ManualClock(),
+            )
+            listed = await store.scan('servers')
+            contents = [one.content for one in listed.rows]
+            self.assertEqual(contents, [b'{}', b'', b''])
+
+        run(case())
+
+
+def write(domain: Domain, key: str, content: bytes) -> None:
+    """Write a worker's row as another writer does."""
+    domain.rows.apply((), (RowPut(WORKER_TABLE, key, content),), ())
+
+
+class BadEntryTest(unittest.TestCase):
+    """A bad entry among good ones on a leader that works."""
+
+    def test_the_others_of_the_same_change_hold(self) -> None:
+        """Work goes to the good worker that comes with the bad entry."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            leader = (await domain.leader()).leader
+            write(domain, 'w8', b'\xff')
+            domain.add_worker('w9')
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(len(domain.workers['w9'].starts), 1)
+            self.assertIs(host.leader, leader)
+
+        in_domain(case, workers=0)
+
+    def test_a_leader_starts_beside_a_bad_entry(self) -> None:
+        """The entry stands there when the term begins."""
+
+        async def case(domain: Domain) -> None:
+            write(domain, 'w8', b'{}')
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=1)
+
+    def test_a_known_worker_gets_no_work_until_its_entry_is_good(self) -> None:
+        """What runs there goes on under its lease."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            worker = domain.workers['w0']
+            write(domain, 'w0', b'[]')
+            await host.accept(make_spec('b2'))
+            await domain.clock.advance(15)
+            self.assertEqual(len(worker.runs), 1)
+            self.assertEqual(len(worker.starts), 1)
+            domain.list_worker(worker.entry)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(await domain.ended('b2'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [1])
+
+        in_domain(case, workers=1, run_s=20)
+
+    def test_a_worker_that_is_lost_behind_a_bad_entry_is_given_up(self) -> None:
+        """Its task starts again elsewhere once the lease has lapsed."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            lost = next(one for one in domain.workers.values() if one.runs)
+            write(domain, lost.entry.worker_id, b'7')
+            lost.cut = True
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=20,
+            )
+
+        in_domain(case, run_s=30)
+
+    def test_a_job_that_cannot_be_read_holds_up_no_other(self) -> None:
+        """It is told of, and nothing of it starts."""
+
+        async def case(domain: Domain) -> None:
+            put = RowPut(tables.INTAKE, 'bad', b'\xff')
+            domain.rows.apply((), (put,), ())
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec())
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=1)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from unittest.mock import patch
 
 import aiohttp
+import msgspec
 
 from curranthill.clock import SystemClock
 from curranthill.dispatch import LeaseOrder, RejectedError, StartOrder
@@ -27,7 +28,11 @@
 from curranthill.placement import WorkerEntry
 from curranthill.platform import HostDaemon, read_platform_settings
 from curranthill.platform.calls import Caller
-from curranthill.platform.configuration import decode_revision, step_from
+from curranthill.platform.configuration import (
+    StepFields,
+    decode_revision,
+    step_from,
+)
 from curranthill.platform.store import PAGE_ROWS, PlatformStore
 from curranthill.platform.workers import PlatformConnector, RegisteredWorkers
 from curranthill.standin.rows import RowModel
@@ -345,22 +350,25 @@
     def test_a_step(self) -> None:
         """Each field that may stand in a job."""
         step = step_from(
-            {
-                'count': 3,
-                'cpu': 500,
-                'mem_mb': 64,
-                'gpu': 2,
-                'estimate_ms': 900,
-                'after': [0],
-                'gang': True,
-                'same_rack': True,
-                'data_rack': 'r1',
-                'required_label': 'b',
-                'max_per_server': 2,
-                'checkpointable': True,
-                'perpetual': True,
-                'fill_count': True,
-            },
+            msgspec.convert(
+                {
+                    'count': 3,
+                    'cpu': 500,
+                    'mem_mb': 64,
+                    'gpu': 2,
+                    'estimate_ms': 900,
+                    'after': [0],
+                    'gang': True,
+                    'same_rack': True,
+                    'data_rack': 'r1',
+                    'required_label': 'b',
+                    'max_per_server': 2,
+                    'checkpointable': True,
+                    'perpetual': True,
+                    'fill_count': True,
+                },
+                StepFields,
+            ),
         )
         self.assertEqual(step.needs, Resources(500, 64, 2))
         self.assertEqual((step.width, step.estimate_s), (3, 0.9))
