A gang of which two members fail at once has failed once

Cause: each failed end of an attempt added one to the failures of all members, so two members on workers that fail what they start used up two of a job's allowed attempts, and the job was shown as failed early. Found by reading how failures are counted.

Ruled out: counting only the first end of an attempt by the leader's memory: a leader that takes over may hear of the second.

Change: a task keeps the newest attempt that counts, and counts each once.

Measured: the test fails before (starts [1, 2] of three allowed).

Conclusion: callers get all the attempts of their queue.

--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -357,7 +357,7 @@
         failures = 0
         for key in job.members_of(end.task):
             task = job.progress.task(key)
-            task.failures += 1
+            task.note_failure(end.attempt)
             failures = max(failures, task.failures)
         self._stop_fellows(job, end.task, end.attempt)
         if job.step_of(end.task).perpetual:
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -35,9 +35,10 @@
     """One task's life.
 
     :param attempt: the number of the newest start; it only grows.
-    :param failures: runs that ended as failed.
+    :param failures: attempts that ended as failed, of a gang as a whole.
     :param worker: where a run is marked, or empty if none can exist.
     :param checkpoint: the newest known checkpoint, or empty.
+    :param failed_attempt: the newest attempt that counts among the failures.
     """
 
     attempt: int = 0
@@ -45,6 +46,13 @@
     done: bool = False
     worker: str = ''
     checkpoint: str = ''
+    failed_attempt: int = 0
+
+    def note_failure(self, attempt: int) -> None:
+        """Count a failed attempt once, however many of its members failed."""
+        if attempt > self.failed_attempt:
+            self.failed_attempt = attempt
+            self.failures += 1
 
 
 class JobProgress(msgspec.Struct, array_like=True):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -606,6 +606,20 @@
 
         in_domain(case)
 
+    def test_a_gang_fails_once_an_attempt(self) -> None:
+        """Two members that fail together are one failure of the gang."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for worker in domain.workers.values():
+                worker.failing = True
+            await host.accept(make_spec('a1', gang(), attempts=3))
+            self.assertEqual(await domain.ended('a1'), 'failed')
+            self.assertEqual(domain.starts(FIRST), [1, 2, 3])
+
+        in_domain(case)
+
     def test_a_cancelled_job_stops_and_never_starts_again(self) -> None:
         """Also after a takeover."""
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -302,6 +302,22 @@
 
         in_domain(case, workers=0)
 
+    def test_a_worker_of_a_service_that_no_queue_names_is_not_used(
+        self,
+    ) -> None:
+        """Its entry is well formed all the same."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            domain.list_worker(worker.entry._replace(service='other'))
+            await host.accept(make_spec())
+            await domain.clock.advance(5)
+            self.assertEqual(worker.starts, [])
+
+        in_domain(case, workers=1)
+
     def test_a_leader_starts_beside_a_bad_entry(self) -> None:
         """The entry stands there when the term begins."""
 
