The soak restarts workers under their ids and lets others write entries

Cause: the soak of real hosts knew workers only as replaced by other ids, faults one at a time, callers that leave a host at each answer, and no bad entry.

Change: faults stand in a registry of their own (soak_faults), workers and callers in theirs; new are restarts under the id (at once, twice, behind a cut, listed late), workers that fail all they run, entries that no worker wrote, changes of the configuration, series of faults, callers that keep to one connection until the host ends it, and any number of hosts. The checks are those of the drawn faults, now one class: nothing runs twice or after its noted end, nothing starts after its last allowed failure, no job fails without cause, accepted jobs end, refused ones were not stored. The stand-in worker breaks its connections when it restarts.

Ruled out: a check of answers on connections of a stopping host: from outside a request that was never read looks the same.

--- /dev/null
+++ b/bench/soak_workers.py
@@ -0,0 +1,113 @@
+"""The workers of a soak: stand-ins behind proxies, and what befalls them."""
+
+import random
+from typing import Final
+
+from bench.proxy import Proxy
+from curranthill.clock import Clock
+from curranthill.placement import WorkerEntry
+from curranthill.standin.rows import RowModel
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.storage.rows import RowPut, RowRemoval
+from curranthill.tasks import Resources
+from tests.platform_standin import WorkerServer, serve, worker_row
+
+WORKERS: Final = 5
+ROOM: Final = Resources(cpu_millis=8000, memory_mb=8192, gpus=8)
+
+#: Tasks that end between two faults, and tasks that outlast a lease.
+RUN_TIMES_S: Final = (0.3, 1.5, 8.0)
+
+
+class SoakWorkers:
+    """All workers by their names.
+
+    :param models: every worker that there ever was.
+    :param proxies: what hosts reach each worker through.
+    """
+
+    def __init__(
+        self,
+        *,
+        rows: RowModel,
+        clock: Clock,
+        drawn: random.Random,
+    ) -> None:
+        """Start without workers."""
+        self.models: list[TaskWorkerModel] = []
+        self.proxies: dict[str, Proxy] = {}
+        self._servers: dict[str, WorkerServer] = {}
+        self._rows = rows
+        self._clock = clock
+        self._drawn = drawn
+
+    async def open(self) -> None:
+        """Start the workers."""
+        for number in range(WORKERS):
+            await self._add(f'w{number}')
+
+    def draw(self) -> str:
+        """Return the name of some worker."""
+        return self._drawn.choice(sorted(self._servers))
+
+    def model(self, name: str) -> TaskWorkerModel:
+        """Return the worker of a name."""
+        return self._servers[name].model
+
+    def list_again(self, name: str) -> None:
+        """Write a worker's entry as it is now, unless it was replaced."""
+        if name not in self._servers:
+            return
+        model = self.model(name)
+        entry = model.entry._replace(
+            address=self.proxies[name].address,
+            incarnation=model.incarnation,
+        )
+        self._rows.apply((), (worker_row(entry),), ())
+
+    def write_entry(self, name: str, content: bytes) -> None:
+        """Write an entry as another writer does."""
+        self._rows.apply((), (RowPut('servers', name, content),), ())
+
+    async def replace(self, name: str) -> None:
+        """Let a worker go for good, and another id come in its place."""
+        lost = self._servers.pop(name)
+        lost.model.runs.clear()
+        lost.model.gone = True
+        await self.proxies.pop(name).close()
+        self._rows.apply((), (), (RowRemoval('servers', name),))
+        await self._add(f'{name}x')
+
+    def heal(self) -> None:
+        """Make all workers reachable, sound and well listed."""
+        for name, server in self._servers.items():
+            server.model.failing = False
+            self.proxies[name].change('pass')
+            self.list_again(name)
+
+    async def _add(self, name: str) -> None:
+        entry = WorkerEntry(
+            worker_id=name,
+            service='calc',
+            address='',
+            data_centre='dc',
+            room=ROOM,
+            labels=('a', 'r1'),
+            incarnation=1,
+        )
+        model = TaskWorkerModel(
+            entry=entry,
+            clock=self._clock,
+            run_s=self._drawn.choice(RUN_TIMES_S),
+        )
+        server = WorkerServer(model=model)
+        _, address = await serve(server.handle)
+        proxy = Proxy(target=address)
+        await proxy.open()
+        self.models.append(model)
+        self._servers[name] = server
+        self.proxies[name] = proxy
+        self.list_again(name)
+
+
+__all__ = ('SoakWorkers',)
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -17,7 +17,7 @@
     StartOrder,
     WorkerGoneError,
 )
-from curranthill.dispatch.workers import EndKind
+from curranthill.dispatch.workers import RUN_FAILED, EndKind
 from curranthill.errors import WorkerReplyLostError
 from curranthill.placement import WorkerEntry
 from curranthill.tasks import TaskKey
@@ -48,6 +48,7 @@
     :param stalled: whether tasks make no progress.
     :param gangs: jobs whose tasks stay, with all their work done, until one
         of them is as old as the longest takes; then they end together.
+    :param failures: all ends as failed, heard of or not.
     :param voided: ends that were listed when the lease lapsed: such an end may
         be given up, since nobody had heard of it in time.
     :param starts: every start that took effect, in order.
@@ -79,6 +80,7 @@
         self.runs: dict[tuple[TaskKey, int], ActiveRun] = {}
         self.ends: list[EndReport] = []
         self.acknowledged: list[EndReport] = []
+        self.failures: list[EndReport] = []
         self.voided: set[EndReport] = set()
         self.incarnation = 1
         self.cut = False
@@ -222,8 +224,10 @@
         self.runs.pop(name)
         self._ended.add(name)
         self._end_count += 1
-        number = self._end_count
-        self.ends.append(EndReport(number, run.task, run.attempt, kind, ''))
+        end = EndReport(self._end_count, run.task, run.attempt, kind, '')
+        self.ends.append(end)
+        if kind == RUN_FAILED:
+            self.failures.append(end)
 
     def _clock_s(self) -> float:
         return self.clock.monotonic_s() - self._born_s
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -164,7 +164,9 @@
         except WorkerGoneError:
             return web.Response(status=421)
         except WorkerReplyLostError:
-            # The caller has given up by now.
+            # The caller has given up by now, or the worker starts again.
+            if request.transport is not None:
+                request.transport.abort()
             return web.Response(status=500)
 
     async def _act(
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import unittest
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -11,8 +10,9 @@
 
 from curranthill.errors import RefusedError
 from curranthill.standin.tasks import TaskWorkerModel
-from curranthill.tasks import Step, TaskKey
+from curranthill.tasks import Step
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
+from tests.promises import PromiseWatch
 
 #: Tasks that end between two faults, and tasks that outlast a lease.
 RUN_TIMES_S: Final = (0.9, 9.0)
@@ -205,57 +205,20 @@
 )
 
 
-class Watch:
-    """Looks at all workers and remembers what must never happen."""
+class Watch(PromiseWatch):
+    """The same, of the workers of a domain, and that none is too full."""
 
     def __init__(self, domain: Domain) -> None:
         """Watch every start."""
-        self.faults: list[str] = []
+        super().__init__(workers=domain.workers.values, attempts=ATTEMPTS)
         self._domain = domain
-        self._spent: dict[TaskKey, int] = {}
 
     def look(self) -> None:
-        """Check the runs of this moment and the starts since the last."""
-        live: dict[TaskKey, int] = {}
+        """Look at the workers' room too: each task takes one accelerator."""
+        super().look()
         for worker in self._domain.workers.values():
-            worker.tick()
-            for run in worker.runs.values():
-                live[run.task] = live.get(run.task, 0) + 1
-            gpus = len(worker.runs)
-            if gpus > worker.entry.room.gpus:
+            if len(worker.runs) > worker.entry.room.gpus:
                 self.faults.append(f'{worker.entry.worker_id} is too full')
-        noted = self._noted('done')
-        for task, count in live.items():
-            if count > 1:
-                self.faults.append(f'{task} runs {count} times')
-            if task in noted:
-                self.faults.append(f'{task} runs after its end')
-        self._count_failures()
-
-    def _count_failures(self) -> None:
-        """Check that nothing starts after its last allowed failure."""
-        starts = self._started()
-        for task in self._spent:
-            if starts[task] > self._spent[task]:
-                self.faults.append(f'{task} starts after its last failure')
-        for task, failures in self._noted('failed').items():
-            if failures >= ATTEMPTS:
-                self._spent[task] = starts[task]
-
-    def _started(self) -> Counter[TaskKey]:
-        return Counter(
-            order.task
-            for worker in self._domain.workers.values()
-            for order in worker.starts
-        )
-
-    def _noted(self, kind: str) -> Counter[TaskKey]:
-        return Counter(
-            end.task
-            for worker in self._domain.workers.values()
-            for end in worker.acknowledged
-            if end.kind == kind and end not in worker.voided
-        )
 
 
 class AnyFaultTest(unittest.TestCase):
--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -5,10 +5,11 @@
 import unittest
 from pathlib import Path
 
+from bench.soak_faults import kill
 from bench.soak_hosts import Soak
 
 #: Seeds that are played: the first, and each that ever failed, with its cause.
-SEEDS = (1,)
+SEEDS = (1, 2, 3)
 
 
 class EndedDuringRestarts(Soak):
@@ -21,11 +22,11 @@
 
     async def _inject(self) -> None:
         for _ in range(8):
-            self._spawn(self._fault_kill())
+            self._spawn(kill(self))
         await asyncio.sleep(0.15)
 
     async def _heal(self) -> None:
-        self._healing = True
+        self._callers.stopped.set()
 
     async def _await_ends(self) -> None:
         await asyncio.sleep(0.1)
