Tests of the peers' list give hosts real addresses

Cause: since records are checked, a host's row must name an IP number and a port; three tests had hosts list themselves as 'a' and 'b' and failed in the whole run.

Ruled out: a looser check: an address that is none would be called in an outage.

Change: the same assertions on addresses as hosts write them; one more test, of rows that name none.

Conclusion: the tests were wrong about the row's form, not the check.

--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 from unittest.mock import patch
 
 import aiohttp
@@ -224,6 +224,10 @@
         on_bench(case)
 
 
+#: Where each host passes calls on.
+ADDRESSES: Final = {'a': '10.0.0.1:7001', 'b': '10.0.0.2:7001'}
+
+
 class PeerListTest(unittest.TestCase):
     """Who passes calls on."""
 
@@ -233,8 +237,8 @@
         async def case(domain: Domain) -> None:
             first, second = (start_list(domain, name) for name in 'ab')
             await domain.clock.advance(4)
-            self.assertEqual(first.addresses, ('b',))
-            self.assertEqual(second.addresses, ('a',))
+            self.assertEqual(first.addresses, (ADDRESSES['b'],))
+            self.assertEqual(second.addresses, (ADDRESSES['a'],))
 
         in_domain(case)
 
@@ -242,10 +246,10 @@
         """It was killed, and no other has its name."""
 
         async def case(domain: Domain) -> None:
-            domain.rows.apply((), (RowPut(tables.HOSTS, 'b', b'b'),), ())
+            domain.rows.apply((), (listed_host('b'),), ())
             living = start_list(domain, 'a')
             await domain.clock.advance(4)
-            self.assertEqual(living.addresses, ('b',))
+            self.assertEqual(living.addresses, (ADDRESSES['b'],))
             await domain.clock.advance(100)
             self.assertEqual(living.addresses, ())
             self.assertIn((tables.HOSTS, 'b'), domain.rows.rows)
@@ -254,6 +258,20 @@
 
         in_domain(case)
 
+    def test_a_row_that_names_no_address_is_passed_over(self) -> None:
+        """It is told of, and the other hosts are known all the same."""
+
+        async def case(domain: Domain) -> None:
+            for content in (b'', b'\xff', b'b', b'10.0.0.9'):
+                put = RowPut(tables.HOSTS, repr(content), content)
+                domain.rows.apply((), (put,), ())
+            first = start_list(domain, 'a')
+            start_list(domain, 'b')
+            await domain.clock.advance(4)
+            self.assertEqual(first.addresses, (ADDRESSES['b'],))
+
+        in_domain(case)
+
     def test_the_list_outlives_the_store(self) -> None:
         """Peers are needed just when it cannot be read."""
 
@@ -263,18 +281,23 @@
             await domain.clock.advance(4)
             domain.rows.down.add('*')
             await domain.clock.advance(60)
-            self.assertEqual(first.addresses, ('b',))
+            self.assertEqual(first.addresses, (ADDRESSES['b'],))
 
         in_domain(case)
 
 
+def listed_host(name: str) -> RowPut:
+    """Return the row that a host writes about itself."""
+    return RowPut(tables.HOSTS, name, ADDRESSES[name].encode())
+
+
 def start_list(domain: Domain, name: str) -> PeerList:
     """Start a host's list of peers; it ends with the test's event loop."""
     peers = PeerList(
         store=domain.rows.client(name),
         clock=domain.clock,
         host=name,
-        address=name,
+        address=ADDRESSES[name],
     )
     domain.background.append(asyncio.ensure_future(peers.run()))
     return peers
