An end is acknowledged only where a list shows every start before it

Cause: the model of restarts found a case that the guards did not cover: a start that was answered since the last list may have reached a new incarnation and have ended there under the number that the next renewal acknowledges.

Change: besides unanswered starts, answered ones that no list has shown yet hold the number back; the next list, at most one renewal later, lets it go.

Ruled out: holding the number back by the time of the last answer: on a busy worker a start falls between any two lists, and ends would go unacknowledged for seconds.

--- a/src/curranthill/dispatch/ends.py
+++ b/src/curranthill/dispatch/ends.py
@@ -44,11 +44,6 @@
         """Return whether all ends that were noted are stored."""
         return self.acknowledged == self.noted
 
-    @property
-    def untold(self) -> int:
-        """Return the number to acknowledge, or 0 if the worker knows it."""
-        return self.acknowledged if self.acknowledged > self.told else 0
-
     @property
     def settled(self) -> bool:
         """Return whether the worker has heard that all its ends are stored."""
--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -27,6 +27,7 @@
 
     :param runs: by task and attempt.
     :param ends: of the worker's present incarnation.
+    :param unproven: runs whose start was answered and that no list has shown.
     """
 
     def __init__(
@@ -38,14 +39,17 @@
     ) -> None:
         """Start with nothing known of the worker."""
         self.runs: dict[tuple[TaskKey, int], Run] = {}
+        self.unproven: set[tuple[TaskKey, int]] = set()
         self._session = session
         self._owner = owner
         self._clock = clock
         self.ends = EndLog(saved=owner.ends_saved, clock=clock)
 
     @property
-    def any_ordered(self) -> bool:
-        """Return whether the answer to some start is outstanding."""
+    def any_unproven(self) -> bool:
+        """Return whether some start may have reached another incarnation."""
+        if self.unproven:
+            return True
         return any(run.state == ORDERED for run in self.runs.values())
 
     def begin_anew(self) -> None:
@@ -69,6 +73,7 @@
         new_ends = self.ends.new_of(report.ends)
         self._tell_passed_over(report.ends)
         seen.update((end.task, end.attempt) for end in new_ends)
+        self.unproven.difference_update(seen)
         for one in report.runs:
             self._take_run(one)
         for run in list(self.runs.values()):
@@ -87,6 +92,7 @@
         if self.runs.get(run.name) is not run:
             return
         self.runs.pop(run.name)
+        self.unproven.discard(run.name)
         self._owner.run_vanished(self._session, run, reason)
 
     def vanish_all(self, reason: str) -> None:
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -242,6 +242,7 @@
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
+            self._list.unproven.add(run.name)
             metrics.start_order_s.record(run.settled_s - sent_s)
             run.percent_changed_s = run.settled_s
             if run.state == ORDERED:
@@ -341,12 +342,12 @@
     def _number_to_acknowledge(self) -> int:
         """Return the number of an end that this incarnation has listed, or 0.
 
-        After a start whose answer is not known a new incarnation may have
-        ended a run under that number, which would then be forgotten unread.
+        A start that no list has shown may have reached a new incarnation and
+        have ended there under that number: it would be forgotten unread.
         """
-        if not self.synced or self._list.any_ordered:
+        if not self.synced or self._list.any_unproven:
             return 0
-        return self._list.ends.untold
+        return self._list.ends.acknowledged
 
     def _renewal_rejected(
         self,
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -238,6 +238,15 @@
         in_domain(case, workers=1, run_s=2)
 
 
+class SteadyWorker(TaskWorkerModel):
+    """Has a clock that happens to go on over a restart."""
+
+    def restart(self) -> None:
+        """Start anew but for the clock."""
+        super().restart()
+        self._born_s = 0.0
+
+
 class SilentWorker(TaskWorkerModel):
     """Does not tell which of its incarnations answers."""
 
@@ -353,6 +362,31 @@
         clock = ManualClock()
         run_to_end(case(clock))
 
+    def test_nothing_is_acknowledged_before_a_list_shows_the_start(
+        self,
+    ) -> None:
+        """The start was answered, by a clock that tells of no restart."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, SteadyWorker)
+            owner = SlowlySavedOwner()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, FIRST)
+            await clock.until(lambda: FIRST in owner.ended)
+            model.restart()
+            await run_task(session, clock, SECOND)
+            await clock.advance(0.05)
+            owner.stored.set()
+            await clock.advance(2)
+            self.assertEqual(owner.ended, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
     def test_an_idle_worker_is_told_no_number_twice(self) -> None:
         """Its clock has passed the last reading by the next start."""
 
