--- a/spec/check.sh
+++ b/spec/check.sh
@@ -7,7 +7,7 @@
 fi
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-cp gang.pml dispatch.pml "$work"
+cp gang.pml dispatch.pml incarnation.pml "$work"
 cd "$work"
 
 # verify NAME SPIN-FLAGS COMPILE-FLAGS RUN-FLAGS: print what was found.
@@ -58,4 +58,17 @@
 expect dispatch-blind-mark wrong
 verify dispatch-no-lapse "-DNO_LAPSE" "$flags" "-E"
 expect dispatch-no-lapse wrong
-echo "Both protocols hold; all broken variants are found wrong."
+model=incarnation.pml
+verify incarnation "" "$flags" "-E"
+expect incarnation right
+verify incarnation-keep-numbers "-DKEEP_NUMBERS" "$flags" "-E"
+expect incarnation-keep-numbers wrong
+verify incarnation-ack-ordered "-DACK_ORDERED" "$flags" "-E"
+expect incarnation-ack-ordered wrong
+verify incarnation-ack-unproven "-DACK_UNPROVEN" "$flags" "-E"
+expect incarnation-ack-unproven wrong
+verify incarnation-ack-unsynced "-DACK_UNSYNCED" "$flags" "-E"
+expect incarnation-ack-unsynced wrong
+verify incarnation-uncounted "-DUNCOUNTED" "$flags" "-E"
+expect incarnation-uncounted wrong
+echo "All protocols hold; all broken variants are found wrong."
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from typing import Any, Final
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -22,13 +23,17 @@
 from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import MalformedRecordError, RowPut, StoredRow
 from curranthill.tasks import JobProgress, JobSpec, TaskKey, decode, tables
+from curranthill.telemetry.events import events
 from tests.domain import (
     WORKER_TABLE,
     Domain,
     in_domain,
     make_spec,
 )
+from tests.platform_standin import worker_row
 from tests.support import ManualClock, run
+from tests.test_paths import start_two, submit
+from tests.test_platform import Bench, leader_of, on_bench, until
 
 FIRST = TaskKey('a1', 0, 0, 0)
 
@@ -284,6 +289,34 @@
     domain.rows.apply((), (RowPut(WORKER_TABLE, key, content),), ())
 
 
+class RunningHostsTest(unittest.TestCase):
+    """Bad entries on hosts that serve callers over real ports."""
+
+    def test_callers_notice_nothing_of_bad_entries(self) -> None:
+        """Of another worker all the time, and of the only one for a while."""
+
+        async def case(bench: Bench) -> None:
+            hosts = await start_two(bench, first_leads=True)
+            address = hosts.second.callers_address
+            for number, content in enumerate(BYTES):
+                put = RowPut('servers', f'i-bad{number}', content)
+                bench.rows.apply((), (put,), ())
+                answer = await submit(address, f'/quick/{number:016x}')
+                self.assertEqual(answer, 200)
+            await until(lambda: len(bench.worker.starts) == 3 * len(BYTES))
+            bad = RowPut('servers', bench.entry.worker_id, b'[]')
+            bench.rows.apply((), (bad,), ())
+            await asyncio.sleep(0.3)
+            self.assertEqual(await submit(address, f'/quick/{99:016x}'), 200)
+            await asyncio.sleep(0.7)
+            self.assertEqual(len(bench.worker.starts), 3 * len(BYTES))
+            bench.rows.apply((), (worker_row(bench.entry),), ())
+            await until(lambda: len(bench.worker.starts) == 3 + 3 * len(BYTES))
+            self.assertEqual(leader_of(bench), 'front-1')
+
+        on_bench(case)
+
+
 class BadEntryTest(unittest.TestCase):
     """A bad entry among good ones on a leader that works."""
 
@@ -330,6 +363,25 @@
 
         in_domain(case, workers=1)
 
+    def test_each_version_of_a_bad_row_is_told_once(self) -> None:
+        """Also when the whole table is read again."""
+
+        async def case(domain: Domain) -> None:
+            domain.start_host('h1')
+            await domain.leader()
+            with patch.object(events, 'log') as log:
+                write(domain, 'w8', b'{}')
+                await domain.clock.advance(1)
+                domain.rows.forget_history()
+                await domain.clock.advance(3)
+                write(domain, 'w8', b'[]')
+                await domain.clock.advance(1)
+            kinds = [call.args[0] for call in log.call_args_list]
+            self.assertIn('feed_history_lost', kinds)
+            self.assertEqual(kinds.count('worker_row_bad'), 2)
+
+        in_domain(case, workers=1)
+
     def test_a_known_worker_gets_no_work_until_its_entry_is_good(self) -> None:
         """What runs there goes on under its lease."""
 
