Failing test: an end behind a late answer is never acknowledged

Cause: found by reading the change before the landing: the answer to a start may be overtaken by the list that shows the run's end. The run was then kept as one that no list has shown, for good, and no end of that worker was acknowledged any more.

Ruled out: nothing yet.

--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -14,7 +14,12 @@
 import asyncio
 import unittest
 
-from curranthill.dispatch import EndReport, LeaseOrder, LeaseReport
+from curranthill.dispatch import (
+    EndReport,
+    LeaseOrder,
+    LeaseReport,
+    StartOrder,
+)
 from curranthill.dispatch.session import WorkerSession
 from curranthill.placement import Run, WorkerEntry
 from curranthill.standin.tasks import TaskWorkerModel
@@ -31,6 +36,7 @@
 
 FIRST = TaskKey('a1', 0, 0, 0)
 SECOND = TaskKey('b2', 0, 0, 0)
+LONG = TaskKey('c3', 0, 0, 0)
 
 
 async def restarted(domain: Domain, name: str = 'w0') -> None:
@@ -247,6 +253,16 @@
         self._born_s = 0.0
 
 
+class SlowlyAnsweringWorker(TaskWorkerModel):
+    """Starts at once and answers later, when the run is over."""
+
+    async def start(self, order: StartOrder) -> float:
+        """Keep the answer back."""
+        clock_s = await super().start(order)
+        await self.clock.sleep(0.3)
+        return clock_s
+
+
 class SilentWorker(TaskWorkerModel):
     """Does not tell which of its incarnations answers."""
 
@@ -518,6 +534,35 @@
     await clock.until(order.done)
 
 
+class LateAnswerTest(unittest.TestCase):
+    """A start whose answer is overtaken by the list that shows its end."""
+
+    def test_its_end_is_acknowledged_all_the_same(self) -> None:
+        """Nothing waits for a list to show a run that is over."""
+
+        async def case(clock: ManualClock) -> None:
+            model = make_model(clock, SlowlyAnsweringWorker)
+            model.lengths_s[LONG] = 60.0
+            owner = SlowlySavedOwner()
+            owner.stored.set()
+            session = open_session(model, owner, clock, incarnation=1)
+            serving = asyncio.ensure_future(session.run())
+            await clock.advance(0.1)
+            await run_task(session, clock, LONG)
+            await clock.advance(1)
+            await run_task(session, clock, FIRST)
+            await clock.advance(3)
+            await run_task(session, clock, SECOND)
+            await clock.advance(3)
+            noted = [end.task for end in model.acknowledged]
+            self.assertEqual(noted, [FIRST, SECOND])
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+
+        clock = ManualClock()
+        run_to_end(case(clock))
+
+
 class ReturnTest(unittest.TestCase):
     """The same incarnation comes back after it was given up."""
 
