A start whose run is over when it is answered is waited for no more

Cause: the answer added the run to those that a list must show first, also when a list had shown its end already.

Ruled out: dropping such runs at the next list: until then nothing tells them from starts that reached another incarnation.

Change: only a run that may still exist is added. Two private names say what they do (_is_entry_current, _mark_unreadable).

Measured: the failing test passes; 90 tests of sessions, dispatch and records pass.

--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -183,7 +183,7 @@
             entry = self._worker_feed.decode(row)
         except MalformedRecordError as error:
             self._tell_bad(row, 'worker', error)
-            self._unlist(row.key)
+            self._mark_unreadable(row.key)
             return
         session = self._work.sessions.get(entry.worker_id)
         if session is None or session.gone:
@@ -194,7 +194,7 @@
             events.log('worker_leaving', worker=entry.worker_id)
         session.relist(entry)
 
-    def _unlist(self, worker_id: str) -> None:
+    def _mark_unreadable(self, worker_id: str) -> None:
         """Place nothing at a worker whose entry can't be read.
 
         It may live and be what it was: what runs there goes on, its lease is
--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -52,6 +52,11 @@
             return True
         return any(run.state == ORDERED for run in self.runs.values())
 
+    def start_answered(self, run: Run) -> None:
+        """Wait for a list to show a run, unless one has shown its end."""
+        if self.runs.get(run.name) is run:
+            self.unproven.add(run.name)
+
     def begin_anew(self) -> None:
         """Forget the numbers of ends: another incarnation counts anew.
 
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -115,7 +115,7 @@
             return False
         if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
             return False
-        if not self._is_listed_as_it_is():
+        if not self._is_entry_current():
             return False
         return self.listed and self.reachable and self.synced
 
@@ -139,7 +139,7 @@
         self.entry = entry
         self.listed = True
         self.readable = True
-        if news and not self._is_listed_as_it_is():
+        if news and not self._is_entry_current():
             self._raise_token()
 
     def wake(self) -> None:
@@ -242,7 +242,7 @@
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
-            self._list.unproven.add(run.name)
+            self._list.start_answered(run)
             metrics.start_order_s.record(run.settled_s - sent_s)
             run.percent_changed_s = run.settled_s
             if run.state == ORDERED:
@@ -393,7 +393,7 @@
         self._list.doubt_ordered()
         self._urgent.set()
 
-    def _is_listed_as_it_is(self) -> bool:
+    def _is_entry_current(self) -> bool:
         """Return whether the entry is of the incarnation that answered.
 
         Another one may be of another kind, with other room and labels.
