--- /dev/null
+++ b/tests/test_planner_properties.py
@@ -0,0 +1,267 @@
+"""What one round of placement keeps to, whatever the cluster and the jobs."""
+
+import unittest
+from collections import Counter
+from typing import Final, NamedTuple
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from curranthill.placement import Plan, Room, Run, room_needed
+from curranthill.tasks import JobSpec, Resources, Step
+from tests.domain import ROOM, make_spec
+from tests.test_planner import make_room, make_run, needs, plan
+
+RACKS: Final = ('r1', 'r2', 'r3')
+WORKSPACES: Final = ('alpha', 'beta')
+
+#: Accelerators that a task may take; a worker has eight.
+SIZES: Final = (1, 2, 4, 8)
+
+#: Processor that a task may take; a worker has 32,000.
+PROCESSORS: Final = (1000, 12_000)
+
+
+class Case(NamedTuple):
+    """A cluster with what runs on it, and jobs that wait."""
+
+    rooms: list[Room]
+    specs: list[JobSpec]
+
+    def room(self, worker_id: str) -> Room:
+        """Return the room of a worker."""
+        return next(
+            room for room in self.rooms if room.entry.worker_id == worker_id
+        )
+
+
+NEEDS = st.builds(
+    lambda gpus, cpu_millis: needs(gpus)._replace(cpu_millis=cpu_millis),
+    st.sampled_from(SIZES),
+    st.sampled_from(PROCESSORS),
+)
+
+
+@st.composite
+def rooms(draw: st.DrawFn) -> list[Room]:
+    """Draw workers in racks, each with runs that fit it."""
+    found = []
+    for rack in RACKS[: draw(st.integers(1, len(RACKS)))]:
+        for number in range(draw(st.integers(1, 3))):
+            worker_id = f'{rack}-w{number}'
+            runs = draw(runs_on(worker_id))
+            doubt = draw(st.sampled_from((0.0, 0.0, 1.0)))
+            found.append(make_room(worker_id, rack, *runs, doubt=doubt))
+    return found
+
+
+@st.composite
+def runs_on(draw: st.DrawFn, worker_id: str) -> list[Run]:
+    """Draw runs that a worker has, some of them being stopped."""
+    runs: list[Run] = []
+    free = ROOM
+    for rank, wanted in enumerate(draw(st.lists(NEEDS))):
+        if not free.covers(wanted):
+            break
+        free = free.minus(wanted)
+        run = make_run(
+            worker_id,
+            wanted.gpus,
+            priority=draw(st.integers(0, 2)),
+            age_s=draw(st.sampled_from((0.1, 5.0, 60.0))),
+            job_id=f'run-on-{worker_id}',
+            rank=rank,
+        )
+        run.needs = wanted
+        run.stop_wanted = draw(st.sampled_from((False, False, True)))
+        runs.append(run)
+    return runs
+
+
+STEPS = st.builds(
+    Step,
+    width=st.integers(1, 6),
+    needs=NEEDS,
+    estimate_s=st.sampled_from((0.5, 8.0)),
+    after=st.just(()),
+    gang=st.booleans(),
+    same_rack=st.booleans(),
+    near_rack=st.sampled_from(('', '', *RACKS)),
+    label=st.sampled_from(('', '', 'a', 'b')),
+    max_per_worker=st.sampled_from((0, 0, 1, 2)),
+    checkpointable=st.booleans(),
+    speculative=st.just(False),
+    perpetual=st.just(False),
+    may_miss=st.just(0),
+    fills=st.booleans(),
+    image=st.just(''),
+    target_ms=st.just(0.0),
+)
+
+
+@st.composite
+def jobs(draw: st.DrawFn) -> list[JobSpec]:
+    """Draw jobs of one step, or of two of which one waits for the other."""
+    specs = []
+    for number in range(draw(st.integers(1, 5))):
+        steps = [draw(STEPS)]
+        if draw(st.booleans()):
+            steps.append(draw(STEPS)._replace(after=(0,)))
+        specs.append(
+            make_spec(
+                f'job{number}',
+                *steps,
+                priority=draw(st.integers(0, 2)),
+                workspace=draw(st.sampled_from(WORKSPACES)),
+            ),
+        )
+    return specs
+
+
+CASES = st.builds(Case, rooms=rooms(), specs=jobs())
+GUARANTEES = st.fixed_dictionaries(
+    {name: st.sampled_from((0, 4, 16)) for name in WORKSPACES},
+)
+
+
+def taken(room: Room, decided: Plan) -> Resources:
+    """Return what a worker has to give at once: all that runs, and starts."""
+    total = Resources()
+    for run in room.runs:
+        total = total.plus(run.needs)
+    for run in decided.victims:
+        # A run that is stopped takes its room until it has ended.
+        if run.worker_id == room.entry.worker_id:
+            total = total.plus(run.needs)
+    for placement in decided.placements:
+        for _, worker_id in placement.workers:
+            if worker_id == room.entry.worker_id:
+                total = total.plus(room_needed(placement.ready.step))
+    return total
+
+
+class RoundPropertiesTest(unittest.TestCase):
+    """Random clusters, random jobs, one round."""
+
+    @settings(max_examples=150)
+    @given(CASES, GUARANTEES)
+    def test_no_worker_is_given_more_than_its_room(
+        self,
+        case: Case,
+        guaranteed: dict[str, int],
+    ) -> None:
+        """What is being stopped still counts."""
+        decided = plan(case.rooms, *case.specs, guaranteed=guaranteed)
+        for room in case.rooms:
+            total = taken(room, decided)
+            self.assertTrue(room.entry.room.covers(total), total)
+
+    @settings(max_examples=150)
+    @given(CASES, GUARANTEES)
+    def test_a_gang_is_placed_whole(
+        self,
+        case: Case,
+        guaranteed: dict[str, int],
+    ) -> None:
+        """Never a part of it."""
+        decided = plan(case.rooms, *case.specs, guaranteed=guaranteed)
+        for placement in decided.placements:
+            step = placement.ready.step
+            if not step.gang:
+                continue
+            self.assertEqual(len(placement.workers), step.width)
+
+    @settings(max_examples=150)
+    @given(CASES, GUARANTEES)
+    def test_limits_of_a_step_hold(
+        self,
+        case: Case,
+        guaranteed: dict[str, int],
+    ) -> None:
+        """Labels, tasks a worker, steps that come first, once each."""
+        decided = plan(case.rooms, *case.specs, guaranteed=guaranteed)
+        started: Counter[str] = Counter()
+        for placement in decided.placements:
+            step = placement.ready.step
+            workers = [worker_id for _, worker_id in placement.workers]
+            started.update(str(key) for key, _ in placement.workers)
+            self.assertEqual(step.after, ())
+            if step.max_per_worker:
+                most = max(Counter(workers).values())
+                self.assertLessEqual(most, step.max_per_worker)
+            if step.label:
+                for worker_id in workers:
+                    labels = case.room(worker_id).entry.labels
+                    self.assertIn(step.label, labels)
+        self.assertTrue(all(count == 1 for count in started.values()))
+
+    @settings(max_examples=150)
+    @given(CASES, GUARANTEES)
+    def test_only_lower_work_is_stopped_and_each_run_once(
+        self,
+        case: Case,
+        guaranteed: dict[str, int],
+    ) -> None:
+        """Urgent work is never stopped for other work."""
+        decided = plan(case.rooms, *case.specs, guaranteed=guaranteed)
+        names = [run.name for run in decided.victims]
+        self.assertEqual(len(names), len(set(names)))
+        for run in decided.victims:
+            self.assertGreater(run.priority, 0)
+            self.assertFalse(run.stop_wanted)
+
+    @settings(max_examples=150)
+    @given(rooms(), st.sampled_from(SIZES), st.integers(0, 1))
+    def test_work_within_its_guarantee_gets_room_while_some_can_be_made(
+        self,
+        found: list[Room],
+        size: int,
+        extra: int,
+    ) -> None:
+        """It is placed now, or what it needs is being stopped."""
+        step = Step(width=1, needs=needs(size), estimate_s=0.5)
+        possible = any(movable(room).covers(step.needs) for room in found)
+        # Stopped already: nothing more is to be stopped for it.
+        coming = any(room.soon.covers(step.needs) for room in found)
+        spec = make_spec('a', step, priority=0)
+        decided = plan(found, spec, guaranteed={'alpha': size + extra})
+        served = bool(decided.placements or decided.victims)
+        self.assertEqual(served or coming, possible)
+
+    @settings(max_examples=150)
+    @given(st.lists(st.sampled_from(RACKS), min_size=1, max_size=6), STEPS)
+    def test_an_idle_cluster_takes_what_fits(
+        self,
+        racks: list[str],
+        step: Step,
+    ) -> None:
+        """Of a step without wishes something starts at once."""
+        plain = step._replace(near_rack='', same_rack=False, label='')
+        idle = [
+            make_room(f'w{number}', rack) for number, rack in enumerate(racks)
+        ]
+        decided = plan(idle, make_spec('a', plain, priority=2))
+        wanted = room_needed(plain)
+        a_worker = ROOM.gpus // wanted.gpus
+        if wanted.cpu_millis:
+            a_worker = min(a_worker, ROOM.cpu_millis // wanted.cpu_millis)
+        if plain.max_per_worker:
+            a_worker = min(a_worker, plain.max_per_worker)
+        held = a_worker * len(idle)
+        started = sum(len(one.workers) for one in decided.placements)
+        whole = held >= plain.width
+        most = 0 if plain.gang and not whole else min(plain.width, held)
+        self.assertEqual(started, most)
+
+
+def movable(room: Room) -> Resources:
+    """Return the room that is free, or held by what may stop or does."""
+    left = room.entry.room
+    for run in room.runs:
+        if run.priority == 0 and not run.stop_wanted:
+            left = left.minus(run.needs)
+    return left
+
+
+if __name__ == '__main__':
+    unittest.main()
