--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -1,18 +1,21 @@
 """A worker that starts again under the id that it had.
 
-A worker crashed, or was cut off and crashed meanwhile, and came back under
-its old id with nothing left of before: it counted its ends from 1 once more.
-The leader kept the numbers that it had noted from the former incarnation, so
-it passed over every end up to that number. The log of a task that ran twice
-reads `run_ended ... number 1` before the restart, then `run_vanished ... not
-listed` 0.5 s after the second run was done, then a new start; the next end
-that was noted there has number 2. The same renewals acknowledged up to the
-old number, so the worker forgot ends that nobody had read: tasks that were
-done ran again, and failed runs were not counted against their limit.
+Workers crashed and came back under their old ids with nothing left of before:
+they counted their ends from 1 once more. The leader kept the numbers that it
+had noted from the former incarnation, so it passed over every end up to that
+number, and its next renewal acknowledged it unread. Tasks that were done ran
+again, and failed runs were not counted against their limit. The log of a task
+that ran twice has `run_ended ... number 1` of its worker before the restart;
+after it no line when the run was done, `run_vanished ... not listed` 1.3 s
+later, and a new start. The next end noted from that worker had number 2. With
+a line added for it, the case below reads `end_passed_over ... number 1, noted
+1`, which settled the cause.
 """
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
+from typing import Generic, TypeVar
 
 from curranthill.dispatch import (
     EndReport,
@@ -324,6 +327,59 @@
         await self.stored.wait()
 
 
+Model = TypeVar('Model', bound=TaskWorkerModel)
+
+
+class Lone(Generic[Model]):
+    """One worker, whose tasks take hardly any time, and a session of it.
+
+    :param owner: whose store is away until a test gives it back.
+    """
+
+    def __init__(self, *, kind: type[Model], incarnation: int) -> None:
+        """Start with a worker that the session has not reached yet."""
+        self.clock = ManualClock()
+        entry = WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM)
+        self.model = kind(entry=entry, clock=self.clock, run_s=0.01)
+        self.owner = SlowlySavedOwner()
+        self.session = open_session(
+            self.model,
+            self.owner,
+            self.clock,
+            incarnation,
+        )
+
+    def order_start(self, key: TaskKey) -> asyncio.Future[None]:
+        """Order a start, as a round does after it was stored."""
+        one = marked_run(self.clock, key, self.session.incarnation)
+        self.session.runs[one.name] = one
+        return asyncio.ensure_future(self.session.start(one, 'text'))
+
+    async def run_task(self, key: TaskKey) -> None:
+        """Order a start and wait for its answer."""
+        order = self.order_start(key)
+        await self.clock.until(order.done)
+
+
+def by_itself(
+    case: Callable[[Lone[Model]], Awaitable[None]],
+    kind: type[Model],
+    *,
+    incarnation: int = 1,
+) -> None:
+    """Run a test on a worker that its session has just reached."""
+
+    async def main() -> None:
+        lone = Lone(kind=kind, incarnation=incarnation)
+        serving = asyncio.ensure_future(lone.session.run())
+        await lone.clock.advance(0.1)
+        await case(lone)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    run_to_end(main())
+
+
 class UnseenRestartTest(unittest.TestCase):
     """No entry and no broken call has told of the restart."""
 
@@ -332,206 +388,116 @@
     ) -> None:
         """The end to acknowledge is stored just after the restart."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, TaskWorkerModel)
-            owner = SlowlySavedOwner()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.until(lambda: FIRST in owner.ended)
-            model.restart()
-            await run_task(session, clock, SECOND)
-            await clock.advance(0.05)
-            owner.stored.set()
-            await clock.advance(2)
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
-
-        clock = ManualClock()
-        run_to_end(case(clock))
+        async def case(lone: Lone[TaskWorkerModel]) -> None:
+            await lone.run_task(FIRST)
+            await lone.clock.until(lambda: FIRST in lone.owner.ended)
+            lone.model.restart()
+            await lone.run_task(SECOND)
+            await lone.clock.advance(0.05)
+            lone.owner.stored.set()
+            await lone.clock.advance(2)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
+
+        by_itself(case, TaskWorkerModel)
 
     def test_nothing_is_acknowledged_while_a_start_is_unanswered(self) -> None:
         """It may have reached another incarnation, and ended there."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, TaskWorkerModel)
-            owner = SlowlySavedOwner()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.until(lambda: FIRST in owner.ended)
-            model.restart()
-            model.late_next = 1
-            model.late_s = 0.0
-            order = order_start(session, clock, SECOND)
-            await clock.advance(0.1)
-            owner.stored.set()
-            await clock.advance(2)
+        async def case(lone: Lone[TaskWorkerModel]) -> None:
+            await lone.run_task(FIRST)
+            await lone.clock.until(lambda: FIRST in lone.owner.ended)
+            lone.model.restart()
+            lone.model.late_next = 1
+            lone.model.late_s = 0.0
+            order = lone.order_start(SECOND)
+            await lone.clock.advance(0.1)
+            lone.owner.stored.set()
+            await lone.clock.advance(2)
             await order
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
 
-        clock = ManualClock()
-        run_to_end(case(clock))
+        by_itself(case, TaskWorkerModel)
 
     def test_nothing_is_acknowledged_before_a_list_shows_the_start(
         self,
     ) -> None:
         """The start was answered, by a clock that tells of no restart."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, SteadyWorker)
-            owner = SlowlySavedOwner()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.until(lambda: FIRST in owner.ended)
-            model.restart()
-            await run_task(session, clock, SECOND)
-            await clock.advance(0.05)
-            owner.stored.set()
-            await clock.advance(2)
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
-
-        clock = ManualClock()
-        run_to_end(case(clock))
+        async def case(lone: Lone[SteadyWorker]) -> None:
+            await lone.run_task(FIRST)
+            await lone.clock.until(lambda: FIRST in lone.owner.ended)
+            lone.model.restart()
+            await lone.run_task(SECOND)
+            await lone.clock.advance(0.05)
+            lone.owner.stored.set()
+            await lone.clock.advance(2)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
+
+        by_itself(case, SteadyWorker)
 
     def test_an_idle_worker_is_told_no_number_twice(self) -> None:
         """Its clock has passed the last reading by the next start."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, TaskWorkerModel)
-            owner = SlowlySavedOwner()
-            owner.stored.set()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.advance(0.2)
-            model.restart()
-            model.run_s = 0.0
-            await clock.advance(1 + clock.monotonic_s())
-            await run_task(session, clock, SECOND)
-            await clock.advance(2)
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
-
-        clock = ManualClock()
-        run_to_end(case(clock))
+        async def case(lone: Lone[TaskWorkerModel]) -> None:
+            lone.owner.stored.set()
+            await lone.run_task(FIRST)
+            await lone.clock.advance(0.2)
+            lone.model.restart()
+            lone.model.run_s = 0.0
+            await lone.clock.advance(1 + lone.clock.monotonic_s())
+            await lone.run_task(SECOND)
+            await lone.clock.advance(2)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
+
+        by_itself(case, TaskWorkerModel)
 
     def test_a_renewal_after_a_lost_answer_acknowledges_nothing(self) -> None:
         """Whoever answers it may have started again meanwhile."""
 
-        async def case(clock: ManualClock) -> None:
-            model = CountingWorker(
-                entry=WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM),
-                clock=clock,
-                run_s=0.01,
-            )
-            owner = SlowlySavedOwner()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.until(lambda: FIRST in owner.ended)
-            model.late_next = 1
-            order = order_start(session, clock, SECOND)
-            await clock.until(order.done)
-            owner.stored.set()
-            asked = len(model.orders)
-            await clock.advance(1)
-            numbers = [one.acknowledged for one in model.orders[asked:]]
+        async def case(lone: Lone[CountingWorker]) -> None:
+            await lone.run_task(FIRST)
+            await lone.clock.until(lambda: FIRST in lone.owner.ended)
+            lone.model.late_next = 1
+            order = lone.order_start(SECOND)
+            await lone.clock.until(order.done)
+            lone.owner.stored.set()
+            asked = len(lone.model.orders)
+            await lone.clock.advance(1)
+            numbers = [one.acknowledged for one in lone.model.orders[asked:]]
             self.assertEqual(numbers[:2], [0, 1])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
 
-        clock = ManualClock()
-        run_to_end(case(clock))
+        by_itself(case, CountingWorker)
 
     def test_a_clock_that_starts_anew_tells_of_a_restart(self) -> None:
         """Where workers do not tell their incarnations."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, SilentWorker)
-            owner = SlowlySavedOwner()
-            owner.stored.set()
-            session = open_session(model, owner, clock)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.advance(2)
-            model.restart()
-            await run_task(session, clock, SECOND)
-            await clock.advance(2)
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            self.assertTrue(session.accepts_work)
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
-
-        clock = ManualClock()
-        run_to_end(case(clock))
+        async def case(lone: Lone[SilentWorker]) -> None:
+            lone.owner.stored.set()
+            await lone.run_task(FIRST)
+            await lone.clock.advance(2)
+            lone.model.restart()
+            await lone.run_task(SECOND)
+            await lone.clock.advance(2)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
+            self.assertTrue(lone.session.accepts_work)
+
+        by_itself(case, SilentWorker, incarnation=0)
 
     def test_a_list_with_an_earlier_clock_tells_of_a_restart(self) -> None:
         """No order was answered since, and the incarnation is not told."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, SilentWorker)
-            owner = SlowlySavedOwner()
-            owner.stored.set()
-            session = open_session(model, owner, clock)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, FIRST)
-            await clock.advance(2)
-            model.restart()
-            model.late_next = 1
-            model.late_s = 0.0
-            await run_task(session, clock, SECOND)
-            await clock.advance(2)
-            self.assertEqual(owner.ended, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
-
-        clock = ManualClock()
-        run_to_end(case(clock))
-
-
-def make_model(
-    clock: ManualClock,
-    kind: type[TaskWorkerModel],
-) -> TaskWorkerModel:
-    """Return a worker whose tasks take hardly any time."""
-    entry = WorkerEntry('w1', 'calc', '10.0.0.1:80', 'dc', ROOM)
-    return kind(entry=entry, clock=clock, run_s=0.01)
-
-
-def order_start(
-    session: WorkerSession,
-    clock: ManualClock,
-    key: TaskKey,
-) -> asyncio.Future[None]:
-    """Order a start, as a round does after it was stored."""
-    one = marked_run(clock, key, session.incarnation)
-    session.runs[one.name] = one
-    return asyncio.ensure_future(session.start(one, 'text'))
-
-
-async def run_task(
-    session: WorkerSession,
-    clock: ManualClock,
-    key: TaskKey,
-) -> None:
-    """Order a start and wait for its answer."""
-    order = order_start(session, clock, key)
-    await clock.until(order.done)
+        async def case(lone: Lone[SilentWorker]) -> None:
+            lone.owner.stored.set()
+            await lone.run_task(FIRST)
+            await lone.clock.advance(2)
+            lone.model.restart()
+            lone.model.late_next = 1
+            lone.model.late_s = 0.0
+            await lone.run_task(SECOND)
+            await lone.clock.advance(2)
+            self.assertEqual(lone.owner.ended, [FIRST, SECOND])
+
+        by_itself(case, SilentWorker, incarnation=0)
 
 
 class LateAnswerTest(unittest.TestCase):
@@ -540,27 +506,19 @@
     def test_its_end_is_acknowledged_all_the_same(self) -> None:
         """Nothing waits for a list to show a run that is over."""
 
-        async def case(clock: ManualClock) -> None:
-            model = make_model(clock, SlowlyAnsweringWorker)
-            model.lengths_s[LONG] = 60.0
-            owner = SlowlySavedOwner()
-            owner.stored.set()
-            session = open_session(model, owner, clock, incarnation=1)
-            serving = asyncio.ensure_future(session.run())
-            await clock.advance(0.1)
-            await run_task(session, clock, LONG)
-            await clock.advance(1)
-            await run_task(session, clock, FIRST)
-            await clock.advance(3)
-            await run_task(session, clock, SECOND)
-            await clock.advance(3)
-            noted = [end.task for end in model.acknowledged]
+        async def case(lone: Lone[SlowlyAnsweringWorker]) -> None:
+            lone.model.lengths_s[LONG] = 60.0
+            lone.owner.stored.set()
+            await lone.run_task(LONG)
+            await lone.clock.advance(1)
+            await lone.run_task(FIRST)
+            await lone.clock.advance(3)
+            await lone.run_task(SECOND)
+            await lone.clock.advance(3)
+            noted = [end.task for end in lone.model.acknowledged]
             self.assertEqual(noted, [FIRST, SECOND])
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
 
-        clock = ManualClock()
-        run_to_end(case(clock))
+        by_itself(case, SlowlyAnsweringWorker)
 
 
 class ReturnTest(unittest.TestCase):
