Failing test: a start is sent to a worker that has said that it leaves

Cause: starts at one worker are ordered one after another, and each that gets no answer holds the next up for 0.6 s. What was placed before the worker said that it leaves is still sent when its turn comes, seconds later.

Ruled out: placing on leaving workers: a round takes none of them.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -829,6 +829,28 @@
 
         in_domain(case, run_s=60)
 
+    def test_a_start_that_waits_for_its_turn_is_not_sent_to_a_leaving_worker(
+        self,
+    ) -> None:
+        """The order before it gets no answer; meanwhile the worker leaves."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.late_next = 1
+            worker.late_s = 60
+            await host.accept(make_spec('a1'))
+            await domain.clock.advance(0.1)
+            await host.accept(make_spec('b2'))
+            await domain.clock.advance(0.1)
+            self.assertEqual(worker.starts, [])
+            domain.list_worker(worker.entry._replace(leaving=True))
+            await domain.clock.advance(5)
+            self.assertEqual(worker.starts, [])
+
+        in_domain(case, workers=1)
+
 
 class HousekeepingTest(unittest.TestCase):
     """What is kept of ended jobs."""
