A start is not sent to a worker that has said that it leaves

Cause: orders at one worker go one after another, and one without an answer holds the next up for 0.6 s; a start placed before the worker said that it leaves was sent when its turn came.

Ruled out: giving up all that waits when a worker leaves: what is under way has an order out already, and what is not is looked at here anyway.

Change: the entry is looked at once more when the order's turn has come, as the incarnation is; the task is placed anew.

Measured: the failing test passes; 91 tests of dispatch, sessions and records pass.

Conclusion: mended in the project's own test.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -169,6 +169,10 @@
                 # Placed by the room of a former incarnation.
                 self._list.vanish(run, 'worker restarted')
                 return
+            if self.entry.leaving:
+                # It said so while orders without an answer held this one up.
+                self._list.vanish(run, 'worker leaving')
+                return
             if not self._owner.may_order() or self._worker is None:
                 self._list.vanish(run, 'not ordered')
                 return
