A run that is given up says what was known of it

Cause: whether a worker that is gone crashed, left or was cut off, and what ran there, could not be told from the log. Change: run_vanished carries the run's state, how long it was seen at work and whether its worker leaves; worker_gone and worker_restarted name the tasks.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -440,7 +440,7 @@
             worker=self.worker_id,
             before=self.incarnation,
             now=report.incarnation,
-            runs=len(self.runs),
+            runs=[str(run.key) for run in self.runs.values()],
         )
         metrics.workers_restarted.add(1)
         self.incarnation = report.incarnation or self.incarnation
@@ -453,7 +453,13 @@
         if self.gone:
             return
         self.gone = True
-        events.log('worker_gone', worker=self.worker_id, runs=len(self.runs))
+        events.log(
+            'worker_gone',
+            worker=self.worker_id,
+            leaving=self.entry.leaving,
+            listed=self.listed,
+            runs=[str(run.key) for run in self.runs.values()],
+        )
         self._list.vanish_all('worker gone')
         self._urgent.set()
         self._owner.session_changed(self)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -150,6 +150,9 @@
             attempt=run.attempt,
             worker=session.worker_id,
             reason=reason,
+            state=run.state,
+            worked_s=round(run.age_s, 2),
+            worker_leaving=session.entry.leaving,
         )
         self.changed.set()
         job = self.jobs.get(run.key.job_id)
