A task that crashes the workers that start it is given up

Cause: an outcome that nobody reports counted as no outcome. The end of a run whose worker crashed is listed by nobody; the queue's limit counts reported ends, so the task was placed anew as soon as each loss was noticed. Change: a run that is given up because its worker is gone, has started again or was silent for a lease counts in the stored progress of its task, unless it was never sent or the worker had said that it leaves. A worker that answers again in the same life takes its loss back. A start that was never sent counts for nothing and is placed elsewhere at once.

--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -92,7 +92,17 @@
 
 @sentences.register('job_ended')
 def _ended(line: Line) -> str:
-    return f'ended as {line["state"]}'
+    reason = line.get('reason', '')
+    return f'ended as {line["state"]}. {reason}'.rstrip()
+
+
+@sentences.register('lost_with_worker')
+def _lost_with_worker(line: Line) -> str:
+    return (
+        f'{line["task"]} attempt {line["attempt"]} lost with {line["worker"]} '
+        f'({line["reason"]}) after {line["worked_s"]} s of work: '
+        f'{line["losses"]} losses, {line["prompt_crashes"]} right after a start'
+    )
 
 
 def trace(
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -220,6 +220,8 @@
             token=token,
             former_s=self._leadership.former_s,
         )
+        if former is not None:
+            session.doubtful.take_over(former.doubtful)
         self._work.sessions[entry.worker_id] = session
         self._spawner.spawn(session.run())
         return session
--- a/src/curranthill/dispatch/owner.py
+++ b/src/curranthill/dispatch/owner.py
@@ -39,6 +39,9 @@
     ) -> None:
         """Take note that a run does not exist and never will."""
 
+    def loss_settled(self, run: Run, *, crashed: bool) -> None:
+        """Take note whether a run whose lease lapsed crashed its worker."""
+
     def needs_of(self, key: TaskKey) -> Resources:
         """Return the room a task takes, for runs found at a worker."""
 
--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING, Final
 
 from curranthill.clock import Clock
+from curranthill.dispatch.crashes import WORKER_RESTARTED
 from curranthill.dispatch.ends import EndLog
 from curranthill.dispatch.owner import SessionOwner
 from curranthill.dispatch.workers import (
@@ -40,6 +41,7 @@
         """Start with nothing known of the worker."""
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         self.unproven: set[tuple[TaskKey, int]] = set()
+        self._outlived: set[tuple[TaskKey, int]] = set()
         self._session = session
         self._owner = owner
         self._clock = clock
@@ -66,6 +68,7 @@
         """
         self.ends.close()
         self.ends = EndLog(saved=self._owner.ends_saved, clock=self._clock)
+        self._outlived.update(self.runs)
 
     def take(
         self,
@@ -79,6 +82,7 @@
         self._tell_passed_over(report.ends)
         seen.update((end.task, end.attempt) for end in new_ends)
         self.unproven.difference_update(seen)
+        self._outlived.difference_update(seen)
         for one in report.runs:
             self._take_run(one)
         for run in list(self.runs.values()):
@@ -98,6 +102,7 @@
             return
         self.runs.pop(run.name)
         self.unproven.discard(run.name)
+        self._outlived.discard(run.name)
         self._owner.run_vanished(self._session, run, reason)
 
     def vanish_all(self, reason: str) -> None:
@@ -150,11 +155,13 @@
 
     def _check_absent(self, run: Run, order: LeaseOrder, sent_s: float) -> None:
         """Give up a run that an answer should have listed and did not."""
+        outlived = run.name in self._outlived
         if run.state == UNKNOWN:
             if run.ordered_token < order.token:
-                self.vanish(run, 'never started')
+                reason = WORKER_RESTARTED if outlived else 'never started'
+                self.vanish(run, reason)
         elif run.state == RUNNING and run.settled_s < sent_s:
-            self.vanish(run, 'not listed')
+            self.vanish(run, WORKER_RESTARTED if outlived else 'not listed')
 
     def _tell_passed_over(self, ends: tuple[EndReport, ...]) -> None:
         """Tell of an end that passes for known though its run is not over."""
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -10,6 +10,12 @@
 from typing import Final
 
 from curranthill.clock import Clock
+from curranthill.dispatch.crashes import (
+    LEASE_LAPSED,
+    WORKER_GONE,
+    DoubtfulLosses,
+    is_lost,
+)
 from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.owner import SessionOwner
 from curranthill.dispatch.runlist import RunList
@@ -22,7 +28,7 @@
     TaskWorker,
     WorkerGoneError,
 )
-from curranthill.errors import WorkerError
+from curranthill.errors import WorkerError, WorkerUnreachableError
 from curranthill.placement import (
     MARKED,
     ORDERED,
@@ -61,6 +67,8 @@
     :param troubles_s: when runs failed or stood still here since the last one
         that was done.
     :param stalled_runs: how many runs stood still when last looked at.
+    :param doubtful: runs of which it is not known whether they crashed the
+        worker.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         self.synced = False
         self.troubles_s: list[float] = []
         self.stalled_runs = 0
+        self.doubtful = DoubtfulLosses(owner=owner)
         self.rejected_s = -REJECTION_PAUSE_S
         self._worker = worker
         self._owner = owner
@@ -167,7 +176,7 @@
                 return
             if run.incarnation != self.incarnation:
                 # Placed by the room of a former incarnation.
-                self._list.vanish(run, 'worker restarted')
+                self._list.vanish(run, 'placed before a restart')
                 return
             if self.entry.leaving:
                 # It said so while orders without an answer held this one up.
@@ -208,14 +217,7 @@
                     self._token,
                 )
             except WorkerError as error:
-                events.log(
-                    'stop_unanswered',
-                    task=str(run.key),
-                    attempt=run.attempt,
-                    worker=self.worker_id,
-                    error=str(error),
-                )
-                metrics.orders_unanswered.add(1, {'order': 'stop'})
+                _tell_unanswered('stop', run, error)
                 self._raise_token()
             else:
                 self._read_clock(clock_s, known_clock_s)
@@ -229,17 +231,10 @@
             clock_s = await self._worker.start(order)
         except RejectedError as rejected:
             self._start_rejected(run, rejected)
-        except WorkerGoneError:
-            self.end_life()
+        except (WorkerGoneError, WorkerUnreachableError) as error:
+            self._not_started(run, error)
         except WorkerError as error:
-            events.log(
-                'start_unanswered',
-                task=str(run.key),
-                attempt=run.attempt,
-                worker=self.worker_id,
-                error=str(error),
-            )
-            metrics.orders_unanswered.add(1, {'order': 'start'})
+            _tell_unanswered('start', run, error)
             if run.state == ORDERED:
                 run.state = UNKNOWN
             self._raise_token()
@@ -253,6 +248,16 @@
                 run.state = RUNNING
             self._urgent.set()
 
+    def _not_started(self, run: Run, error: WorkerError) -> None:
+        """Let a task start elsewhere whose start never reached its worker."""
+        if isinstance(error, WorkerGoneError):
+            self._list.vanish(run, 'another worker answered its start')
+            self.end_life(replaced=True)
+            return
+        self._list.vanish(run, 'not sent')
+        self._note_unreachable(error)
+        self._urgent.set()
+
     def _start_rejected(self, run: Run, rejected: RejectedError) -> None:
         events.log(
             'start_rejected',
@@ -300,7 +305,7 @@
             self._renewal_rejected(order, rejected)
             await self._clock.sleep(MISSED_DELAY_S)
         except WorkerGoneError:
-            self.end_life()
+            self.end_life(replaced=True)
         except WorkerError as error:
             await self._missed(error)
         else:
@@ -370,24 +375,32 @@
 
     async def _missed(self, error: WorkerError) -> None:
         """A renewal without an answer: its effect is unknown."""
-        if self.reachable:
-            events.log(
-                'worker_unreachable',
-                worker=self.worker_id,
-                error=str(error),
-                runs=len(self.runs),
-            )
-            self.reachable = False
-            self._owner.session_changed(self)
+        self._note_unreachable(error)
         self._raise_token()
         await self._clock.sleep(MISSED_DELAY_S)
         self._check_lapse()
 
+    def _note_unreachable(self, error: WorkerError) -> None:
+        """Place nothing here until the worker answers."""
+        if not self.reachable:
+            return
+        events.log(
+            'worker_unreachable',
+            worker=self.worker_id,
+            error=str(error),
+            runs=len(self.runs),
+        )
+        self.reachable = False
+        self._owner.session_changed(self)
+
     def _check_lapse(self) -> None:
         """Give up all runs once no lease can reach this far."""
         if not self._lease.lapsed:
             return
-        self._list.vanish_all('lease lapsed')
+        for run in self.runs.values():
+            if is_lost(run, LEASE_LAPSED, leaving=self.entry.leaving):
+                self.doubtful.add(run, self.incarnation)
+        self._list.vanish_all(LEASE_LAPSED)
         if not self.listed:
             self.end_life()
 
@@ -446,12 +459,18 @@
         self.incarnation = report.incarnation or self.incarnation
         self.troubles_s.clear()
         self.stalled_runs = 0
+        self.doubtful.settle(crashed=True)
         self._list.begin_anew()
 
-    def end_life(self) -> None:
-        """Take the worker as gone for good."""
+    def end_life(self, *, replaced: bool = False) -> None:
+        """Take the worker as gone for good.
+
+        :param replaced: another one answers at its address.
+        """
         if self.gone:
             return
+        if replaced:
+            self.doubtful.settle(crashed=not self.entry.leaving)
         self.gone = True
         events.log(
             'worker_gone',
@@ -460,7 +479,7 @@
             listed=self.listed,
             runs=[str(run.key) for run in self.runs.values()],
         )
-        self._list.vanish_all('worker gone')
+        self._list.vanish_all(WORKER_GONE)
         self._urgent.set()
         self._owner.session_changed(self)
 
@@ -472,6 +491,7 @@
     ) -> None:
         accepted_work = self.accepts_work
         self._lease.read_clock(report.clock_s)
+        self.doubtful.settle_by(report.incarnation)
         if not self.reachable:
             self.reachable = True
             events.log('worker_reachable', worker=self.worker_id)
@@ -484,4 +504,15 @@
             self._owner.session_changed(self)
 
 
+def _tell_unanswered(order: str, run: Run, error: WorkerError) -> None:
+    events.log(
+        f'{order}_unanswered',
+        task=str(run.key),
+        attempt=run.attempt,
+        worker=run.worker_id,
+        error=str(error),
+    )
+    metrics.orders_unanswered.add(1, {'order': order})
+
+
 __all__ = ('WorkerSession',)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -9,6 +9,7 @@
 
 from curranthill.clock import Clock
 from curranthill.dispatch.cleanup import IntakeCleanup
+from curranthill.dispatch.crashes import LossCounts
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S, Leadership
 from curranthill.dispatch.session import WorkerSession
@@ -69,6 +70,11 @@
         self._journal = journal
         self._spawner = spawner
         self._cancelled: set[str] = set()
+        self._losses = LossCounts(
+            jobs=self.jobs,
+            journal=journal,
+            give_up=self._end_job,
+        )
 
     # What sessions ask and tell.
 
@@ -95,8 +101,11 @@
             self._spawner.spawn(session.stop(run))
             return
         task = job.progress.peek(run.key)
-        if run.checkpoint and task is not None:
+        if task is None:
+            return
+        if run.checkpoint:
             task.checkpoint = run.checkpoint
+        self._losses.clear_if_lasting(run)
 
     def fenced(self, session: WorkerSession) -> None:
         """End the term: a worker has seen another leader's token."""
@@ -167,6 +176,11 @@
         task.worker = ''
         self._stop_fellows(job, run.key, run.attempt)
         self._journal.note(job)
+        self._losses.note(run, reason, leaving=session.entry.leaving)
+
+    def loss_settled(self, run: Run, *, crashed: bool) -> None:
+        """Count a lapsed run as a crash of its worker, or not at all."""
+        self._losses.settle(run, crashed=crashed)
 
     def needs_of(self, key: TaskKey) -> Resources:
         """Return the room a task takes."""
@@ -369,7 +383,8 @@
         if job.step_of(end.task).perpetual:
             return
         if failures >= job.spec.queue.attempts:
-            self._end_job(job, FAILED)
+            reason = f'Task {end.task} failed {failures} times.'
+            self._end_job(job, FAILED, reason)
 
     def _stop_fellows(self, job: ActiveJob, key: TaskKey, attempt: int) -> None:
         """Stop the rest of a gang that lost one of its members."""
@@ -378,11 +393,22 @@
             if run is not None and run.attempt == attempt and member != key:
                 self.stop_run(run)
 
-    def _end_job(self, job: ActiveJob, state: JobState) -> None:
+    def _end_job(
+        self,
+        job: ActiveJob,
+        state: JobState,
+        reason: str = '',
+    ) -> None:
         """Make a job's state final and stop what it still runs."""
         job.progress.state = state
+        job.progress.reason = reason
         job.progress.ended_at_s = self._clock.wall_s()
-        events.log('job_ended', job=job.spec.job_id, state=state)
+        events.log(
+            'job_ended',
+            job=job.spec.job_id,
+            state=state,
+            reason=reason,
+        )
         for run in list(job.runs.values()):
             self.stop_run(run)
         self._journal.note(job)
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -19,7 +19,7 @@
     WorkerGoneError,
 )
 from curranthill.dispatch.workers import RUN_FAILED, EndKind
-from curranthill.errors import WorkerReplyLostError
+from curranthill.errors import WorkerReplyLostError, WorkerUnreachableError
 from curranthill.placement import WorkerEntry
 from curranthill.tasks import TaskKey
 
@@ -170,6 +170,8 @@
         until_s = self.clock.monotonic_s() + order.wait_s
         while not self.ends and self.clock.monotonic_s() < until_s:
             await self.clock.sleep(WAIT_POLL_S)
+            if self.down:
+                raise self._reply_lost('renew')
             await self._pass('renew')
             if self.incarnation != incarnation:
                 raise self._reply_lost('renew')
@@ -284,7 +286,11 @@
         if self.cut:
             await self._give_up(step)
         if self.down:
-            raise self._reply_lost(step)
+            raise WorkerUnreachableError(
+                'Nobody listens.',
+                step=step,
+                peer=self.entry.address,
+            )
         if self.gone:
             raise WorkerGoneError(
                 'Another life answered.',
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -39,6 +39,9 @@
     :param worker: where a run is marked, or empty if none can exist.
     :param checkpoint: the newest known checkpoint, or empty.
     :param failed_attempt: the newest attempt that counts among the failures.
+    :param losses: runs that were lost with their worker.
+    :param prompt_crashes: of these, the ones whose worker crashed for certain
+        and right after the start.
     """
 
     attempt: int = 0
@@ -47,6 +50,8 @@
     worker: str = ''
     checkpoint: str = ''
     failed_attempt: int = 0
+    losses: int = 0
+    prompt_crashes: int = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
@@ -56,6 +61,7 @@
     :param ended_at_s: wall-clock seconds of the end, 0 before it.
     :param done_steps: occurrence and step, joined by a dot, of steps all of
         whose tasks are done; these are listed no more.
+    :param reason: why the job failed, as a sentence; else empty.
     """
 
     queue: str
@@ -63,6 +69,7 @@
     tasks: dict[str, TaskProgress] = {}
     ended_at_s: float = 0.0
     done_steps: list[str] = []
+    reason: str = ''
 
     def note_step_done(self, occurrence: int, step: int, width: int) -> None:
         """Keep of a step only that all its tasks are done."""
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -76,14 +76,7 @@
             domain.crashing.add(FIRST)
             await host.accept(make_spec('a1', WHOLE, priority=0))
             for number in range(1, 12):
-                seen = domain.crashes(FIRST)
-                await domain.clock.until(
-                    lambda seen=seen: (
-                        domain.crashes(FIRST) > seen
-                        or domain.state('a1') == 'failed'
-                    ),
-                    within_s=60,
-                )
+                await crashed_once_more(domain)
                 await domain.leading()[0].kill()
                 domain.start_host(f'h{number}')
                 await domain.leader()
@@ -93,5 +86,99 @@
         in_domain(case, workers=6)
 
 
+class InnocentTest(unittest.TestCase):
+    """Tasks that have nothing to do with a crash are not counted for it."""
+
+    def test_a_start_that_was_never_sent_counts_for_nothing(self) -> None:
+        """Its idle worker had crashed unseen; it starts elsewhere at once."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].crash()
+            await host.accept(make_spec('a1', WHOLE, priority=0))
+            await domain.clock.until(
+                lambda: bool(domain.starts(FIRST)),
+                within_s=0.2,
+            )
+            self.assertEqual(domain.progress('a1').task(FIRST).losses, 0)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case)
+
+    def test_a_start_answered_by_another_worker_counts_for_nothing(
+        self,
+    ) -> None:
+        """Its worker had crashed unseen and another one has its address."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].gone = True
+            await host.accept(make_spec('a1', WHOLE, priority=0))
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(FIRST), [2])
+
+        in_domain(case)
+
+    def test_a_cut_worker_that_is_back_takes_its_loss_back(self) -> None:
+        """Its lease had lapsed; it is the same life of it."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', WHOLE))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await domain.clock.advance(1)
+            worker = domain.workers['w0']
+            worker.cut = True
+            await domain.clock.until(
+                lambda: domain.progress('a1').task(FIRST).losses == 1,
+                within_s=12,
+            )
+            worker.cut = False
+            await domain.clock.until(
+                lambda: domain.progress('a1').task(FIRST).losses == 0,
+                within_s=3,
+            )
+
+        in_domain(case, run_s=60)
+
+    def test_a_worker_that_leaves_counts_for_nothing(self) -> None:
+        """It had said so, and what ran there ended with it."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', WHOLE))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            worker = domain.workers['w0']
+            domain.list_worker(worker.entry._replace(leaving=True))
+            await domain.clock.advance(1)
+            worker.gone = True
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) == 2)
+            self.assertEqual(domain.progress('a1').task(FIRST).losses, 0)
+
+        in_domain(case, run_s=60)
+
+    def test_a_task_that_lasts_starts_with_a_clean_record(self) -> None:
+        """After ten minutes at work, losses of before count no more."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            lasting = Step(width=1, needs=ROOM, perpetual=True)
+            await host.accept(make_spec('a1', lasting))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            await domain.clock.advance(5)
+            domain.workers['w0'].crash()
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) == 2)
+            self.assertEqual(domain.progress('a1').task(FIRST).losses, 1)
+            await domain.clock.advance(700)
+            self.assertEqual(domain.progress('a1').task(FIRST).losses, 0)
+
+        in_domain(case, run_s=10_000)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -96,6 +96,9 @@
         newest = self._worker.renewals[-1]
         self.vanished.append((reason, newest.token))
 
+    def loss_settled(self, run: Run, *, crashed: bool) -> None:
+        """Pass over what a loss turns out to be."""
+
     def needs_of(self, key: TaskKey) -> Resources:
         """Return what every task takes."""
         return ONE_GPU
