Work that loses its workers is given up by the product's own scheduler and quick lane too

An idempotent job whose workers were lost was requeued without end; an idempotent quick request went from one lost worker to the next while its retry budget lasted; and a worker that had crashed and was back answered that it knows of no start, so work that must run once ran again. Change: a job ends as failed after five lost attempts (new setting losses), a quick request after two lost workers, and a start that was answered counts as a start whatever its worker says later. Left: a marked attempt that a new leader finds unknown at its worker.

--- a/src/curranthill/jobs/records.py
+++ b/src/curranthill/jobs/records.py
@@ -47,6 +47,7 @@
     :param members: where the marked attempt runs.
     :param body: what the caller sent, as text.
     :param failed_on: the worker of each failure, oldest first.
+    :param losses: attempts whose workers were lost while they ran.
     :param checkpoint: where a preempted job goes on from.
     :param key_row: the row of its idempotency key, if it has one.
     """
@@ -77,6 +78,7 @@
     result_bytes: int = 0
     failed_on: tuple[str, ...] = ()
     preemptions: int = 0
+    losses: int = 0
     checkpoint: str = ''
     key_row: str = ''
 
--- a/src/curranthill/routing/router.py
+++ b/src/curranthill/routing/router.py
@@ -35,6 +35,10 @@
 #: Waits after a worker refused for want of a slot, in seconds.
 _BUSY_WAIT_S: Final = 0.01
 
+#: Workers that may be lost with one request. It may be what crashes them, and
+#: a request whose first worker was lost by chance has a second try.
+MOST_LOSSES: Final = 2
+
 _TOO_MANY: Final = 429
 _UNAVAILABLE: Final = 503
 _BAD_GATEWAY: Final = 502
@@ -95,6 +99,7 @@
         self._admit(work)
         self._retries.count_request()
         excluded: frozenset[str] = frozenset()
+        losses = 0
         while True:
             worker = await self._acquire(work, excluded, until_s)
             try:
@@ -103,7 +108,8 @@
                 self._judge(work, worker, error)
                 if not isinstance(error, WorkerBusyError):
                     excluded |= {worker.name}
-                await self._allow_retry(work, error, until_s, excluded)
+                losses += _outcome(error) == UNKNOWN
+                await self._allow_retry(work, error, until_s, excluded, losses)
             finally:
                 worker.in_flight -= 1
                 self.in_flight -= 1
@@ -252,10 +258,13 @@
         error: WorkerError,
         until_s: float,
         excluded: frozenset[str],
+        losses: int,
     ) -> None:
         """Return if the request may go to another worker, else refuse it.
 
         Once every worker has been tried it is refused at once.
+
+        :param losses: workers that were lost with this request.
         """
         outcome = _outcome(error)
         in_time = self._clock.monotonic_s() < until_s
@@ -263,7 +272,8 @@
             await self._clock.sleep(_BUSY_WAIT_S)
             return
         safe = outcome == NOT_RUN or (work.idempotent and outcome == UNKNOWN)
-        safe = safe and in_time and self._pool.has_others(excluded)
+        safe = safe and in_time and losses < MOST_LOSSES
+        safe = safe and self._pool.has_others(excluded)
         if safe and self._retries.take():
             metrics.retries.add(1)
             return
--- a/src/curranthill/scheduler/members.py
+++ b/src/curranthill/scheduler/members.py
@@ -51,6 +51,7 @@
         self._attempt_id = attempt_id
         self._states = states
         self._watches = watches
+        self._any_started = False
 
     async def reserve(self) -> tuple[str, ...]:
         """Reserve all members; return the workers that refused."""
@@ -100,7 +101,9 @@
         answers = await asyncio.gather(
             *(self._release(member) for member in self.members),
         )
-        return any(answers)
+        # A worker that has crashed since answers that it knows of no start:
+        # taken at its word, work that must run once would run again.
+        return self._any_started or any(answers)
 
     async def own_lease(self, step: str) -> None:
         """Wait until the leader's lease holds, margin included.
@@ -149,14 +152,8 @@
             checkpoint=job.checkpoint,
         )
         for tries_left in reversed(range(_START_TRIES)):
-            await self.own_lease('start')
-            token = self._context.election.token
             try:
-                return await self.client(member).start(
-                    token,
-                    self._attempt_id,
-                    task,
-                )
+                return await self._start_once(member, task)
             except (FencedError, WorkerBusyError):
                 raise
             except WorkerError:
@@ -166,6 +163,12 @@
             await self._context.clock.sleep(RETRY_S)
         return None
 
+    async def _start_once(self, member: Member, task: Task) -> None:
+        await self.own_lease('start')
+        token = self._context.election.token
+        await self.client(member).start(token, self._attempt_id, task)
+        self._any_started = True
+
     async def _checkpoint(self, member: Member) -> str:
         try:
             return await self.client(member).stop(
--- a/src/curranthill/scheduler/settle.py
+++ b/src/curranthill/scheduler/settle.py
@@ -129,7 +129,17 @@
         return self._ended(job, 'fail', reason or 'The task failed.')
 
     def _after_loss(self, job: Job, *, started: bool) -> Job:
-        if job.idempotent or not started:
+        if not started:
+            return job._replace(state=next_state(job.state, 'requeue'))
+        job = job._replace(losses=job.losses + 1)
+        if job.losses >= self._context.placement.losses:
+            return self._ended(
+                job,
+                'fail',
+                f'Its workers were lost {job.losses} times while they ran it:'
+                ' it is taken to crash them.',
+            )
+        if job.idempotent:
             return job._replace(state=next_state(job.state, 'requeue'))
         return self._ended(
             job,
--- a/src/curranthill/settings/records.py
+++ b/src/curranthill/settings/records.py
@@ -144,6 +144,8 @@
     :param grace_s: the time that a preempted task has to checkpoint.
     :param failures: different healthy workers on which a job may fail.
     :param preemptions: how often one job may be preempted.
+    :param losses: attempts of one job that may be lost with their workers; it
+        may be what crashes them.
     :param quarantine_s: how long a worker on which different jobs fail gets
         no work before it is probed.
     :param quarantine_failures: how many different jobs those are.
@@ -158,6 +160,7 @@
     grace_s: float = 1.0
     failures: int = 3
     preemptions: int = 5
+    losses: int = 5
     quarantine_s: float = 30.0
     quarantine_failures: int = 3
     adopt_marked_s: float = 300.0
--- a/src/curranthill/standin/worker.py
+++ b/src/curranthill/standin/worker.py
@@ -139,6 +139,17 @@
             if lease.state not in ENDED_STATES:
                 self._end(lease, STOPPED, 'the worker went')
 
+    def crash(self) -> None:
+        """Lose all leases and start again with nothing of before."""
+        for lease in list(self._leases.values()):
+            if lease.state not in ENDED_STATES:
+                self._end(lease, STOPPED, 'the worker crashed')
+        self._leases.clear()
+        self._ended_s.clear()
+        self._started.clear()
+        self._last_poll = None
+        self._notify()
+
     def fence(self, token: Token) -> tuple[LeaseReport, ...]:
         """Raise the epoch seen and return all leases."""
         self._fence(token)
@@ -426,19 +437,11 @@
                 epoch=lease.token.epoch,
                 holder=lease.token.holder,
                 reason=lease.reason,
-                used_slots=self._usage_told(lease),
+                used_slots=_usage_told(lease, self._clock.monotonic_s()),
             )
             for lease in self._leases.values()
         )
 
-    def _usage_told(self, lease: _Lease) -> float:
-        """Return the usage as it was measured some time ago: none at first."""
-        record = lease.record
-        if record is None:
-            return 0.0
-        age_s = self._clock.monotonic_s() - record.started_s
-        return lease.used_slots if age_s >= USAGE_LAG_S else 0.0
-
     def _lease(self, attempt_id: AttemptId, step: str) -> _Lease:
         lease = self._leases.get(attempt_id)
         if lease is None:
@@ -463,6 +466,14 @@
     )
 
 
+def _usage_told(lease: _Lease, now_s: float) -> float:
+    """Return the usage as it was measured some time ago: none at first."""
+    if lease.record is None:
+        return 0.0
+    age_s = now_s - lease.record.started_s
+    return lease.used_slots if age_s >= USAGE_LAG_S else 0.0
+
+
 def _asked(body: bytes) -> dict[str, Any]:
     try:
         asked = json.loads(body or b'{}')
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -247,6 +247,33 @@
 
         on_site(case)
 
+    def test_work_that_loses_its_workers_is_given_up(self) -> None:
+        """It may be what crashes them; its job says so as it fails."""
+
+        async def case(site: Site) -> None:
+            await site.scheduler('s1')
+            await site.accept(body='{"run_s": 500}')
+            for _ in range(8):
+                await lose_place(site)
+            self.assertEqual(await ended(site, 'dc-1', 200), 'failed')
+            job = await site.job('dc-1')
+            self.assertIn('lost 5 times', job.reason)
+            self.assertEqual(sum(site.starts('dc-1').values()), 5)
+
+        on_site(case)
+
+    def test_work_whose_worker_crashed_is_not_run_again(self) -> None:
+        """The worker is back at once and knows of no start."""
+
+        async def case(site: Site) -> None:
+            await site.scheduler('s1')
+            await site.accept(**ONCE, body='{"run_s": 500}')
+            await lose_place(site)
+            self.assertEqual(await ended(site, 'dc-1', 200), 'unknown')
+            self.assertEqual(sum(site.starts('dc-1').values()), 1)
+
+        on_site(case)
+
     def test_lost_non_idempotent_work_ends_as_unknown(self) -> None:
         """It is never started again, and the job says so."""
 
@@ -264,6 +291,16 @@
         on_site(case)
 
 
+async def lose_place(site: Site) -> None:
+    """Have the worker that runs something crash and start again."""
+    if (await site.job('dc-1')).state == 'failed':
+        return
+    await site.clock.until(lambda: bool(site.running('dc-1')))
+    worker = next(one for one in site.workers.values() if one.running())
+    worker.crash()
+    await site.clock.advance(20)
+
+
 class PlatformOutageTest(unittest.TestCase):
     """The table or the object store is away for long."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -247,6 +247,13 @@
         self.assertEqual(self.route(workers), 'answered')
         self.assertEqual(workers.sent, ['a', 'b'])
 
+    def test_work_that_loses_its_workers_is_not_sent_to_all(self) -> None:
+        """It may be what crashes them; the second lost one is the last."""
+        lost = WorkerReplyLostError('lost', step='quick')
+        workers = FakeWorkers({name: [lost] for name in 'abcde'})
+        self.assertEqual(self.route(workers), 'unknown')
+        self.assertEqual(len(workers.sent), 2)
+
     def test_lost_non_idempotent_work_is_unknown(self) -> None:
         """It is sent once and never again."""
         lost = WorkerReplyLostError('lost', step='quick')
