A start is checked against the newest room when it is sent

Cause: a start that waited for its turn at a worker looked at the incarnation and at leaving, not at the room, which may have shrunk since it was placed. Ruled out: stopping what runs over a shrunk room: it throws work away, and a room that flaps each second would have it started again each second. Change: WorkerSession.start gives a start up that no longer fits beside what was sent there; it is placed anew, a gang as a whole.

--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -12,8 +12,8 @@
     LeaseReport,
     RunReport,
 )
-from curranthill.placement import ORDERED, RUNNING, UNKNOWN, Run
-from curranthill.tasks import TaskKey
+from curranthill.placement import MARKED, ORDERED, RUNNING, UNKNOWN, Run
+from curranthill.tasks import Resources, TaskKey
 from curranthill.telemetry.events import events
 
 if TYPE_CHECKING:
@@ -54,6 +54,17 @@
             return True
         return any(run.state == ORDERED for run in self.runs.values())
 
+    def fits(self, run: Run, room: Resources) -> bool:
+        """Return whether a room holds one more run beside those sent there.
+
+        What is being stopped still takes its room.
+        """
+        taken = run.needs
+        for one in self.runs.values():
+            if one is not run and one.state != MARKED:
+                taken = taken.plus(one.needs)
+        return room.covers(taken)
+
     def start_answered(self, run: Run) -> None:
         """Wait for a list to show a run, unless one has shown its end."""
         if self.runs.get(run.name) is run:
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -182,6 +182,10 @@
                 # It said so while orders without an answer held this one up.
                 self._list.vanish(run, 'worker leaving')
                 return
+            if not self._list.fits(run, self.entry.room):
+                # Its room has shrunk while the start waited for its turn.
+                self._list.vanish(run, 'room shrunk')
+                return
             if not self._owner.may_order() or self._worker is None:
                 self._list.vanish(run, 'not ordered')
                 return
--- /dev/null
+++ b/tests/test_shrinking_rooms.py
@@ -0,0 +1,193 @@
+"""Workers whose room shrinks and grows while they run.
+
+Starts wait for their turn at a worker, behind one that is slow to be answered.
+Checked against the room only when they were placed, they were sent long after
+the worker had said that the room is gone: four of five ran on a worker that
+had room for two.
+"""
+
+import unittest
+
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.tasks import Resources, Step, TaskKey
+from tests.domain import ONE_GPU, ROOM, Domain, in_domain, make_spec
+
+FIRST = TaskKey('a1', 0, 0, 0)
+
+ROOM_FOR_TWO = Resources(cpu_millis=8000, memory_mb=65_536, gpus=2)
+
+
+def resize(domain: Domain, worker: TaskWorkerModel, room: Resources) -> None:
+    """Have a worker say that it has another room."""
+    worker.entry = worker.entry._replace(room=room)
+    domain.list_worker(worker.entry)
+
+
+def wide(width: int) -> Step:
+    """Return a step of tasks of one accelerator each."""
+    return Step(width=width, needs=ONE_GPU, estimate_s=60.0)
+
+
+class ShrunkRoomTest(unittest.TestCase):
+    """Nothing is started in room that is gone."""
+
+    def test_starts_that_wait_for_their_turn_see_the_newest_room(self) -> None:
+        """Five wait at a slow worker; its room shrinks after the first."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.start_delay_s = 1.2
+            await host.accept(make_spec('a1', wide(5)))
+            await domain.clock.until(lambda: bool(worker.runs))
+            resize(domain, worker, ROOM_FOR_TWO)
+            await domain.clock.advance(20)
+            self.assertLessEqual(worker.most_runs, 2)
+
+        in_domain(case, workers=1, run_s=60)
+
+    def test_a_gang_loses_its_start_with_one_members_room(self) -> None:
+        """It starts whole once there is room again, and never in part."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            worker.start_delay_s = 1.2
+            gang = wide(4)._replace(gang=True)
+            await host.accept(make_spec('a1', gang))
+            await domain.clock.until(lambda: bool(worker.runs))
+            resize(domain, worker, ROOM_FOR_TWO)
+            await domain.clock.advance(5)
+            self.assertEqual(len(worker.runs), 0)
+            resize(domain, worker, ROOM)
+            await domain.clock.until(lambda: len(worker.runs) == 4)
+
+        in_domain(case, workers=1, run_s=60)
+
+    def test_what_runs_goes_on_in_room_that_has_shrunk(self) -> None:
+        """A stop would throw work away; nothing new starts meanwhile."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            await host.accept(make_spec('a1', wide(4)))
+            await domain.clock.until(lambda: len(worker.runs) == 4)
+            resize(domain, worker, ROOM_FOR_TWO)
+            await host.accept(make_spec('b2', wide(1)))
+            await domain.clock.advance(10)
+            self.assertEqual(len(worker.starts), 4)
+            self.assertEqual(len(worker.runs), 4)
+
+        in_domain(case, workers=1, run_s=60)
+
+    def test_room_that_flaps_stops_nothing(self) -> None:
+        """Each second another room; four tasks run once and to their end."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            await host.accept(make_spec('a1', wide(4)))
+            await domain.clock.until(lambda: len(worker.runs) == 4)
+            for _ in range(5):
+                resize(domain, worker, ROOM_FOR_TWO)
+                await domain.clock.advance(1)
+                resize(domain, worker, ROOM)
+                await domain.clock.advance(1)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(len(worker.starts), 4)
+
+        in_domain(case, workers=1, run_s=12)
+
+    def test_room_that_has_grown_is_used_at_once(self) -> None:
+        """Within the time of one round."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            worker = domain.workers['w0']
+            resize(domain, worker, ROOM_FOR_TWO)
+            await domain.clock.advance(1)
+            await host.accept(make_spec('a1', wide(4)))
+            await domain.clock.advance(2)
+            self.assertEqual(len(worker.runs), 2)
+            resize(domain, worker, ROOM)
+            await domain.clock.until(
+                lambda: len(worker.runs) == 4,
+                within_s=0.3,
+            )
+
+        in_domain(case, workers=1, run_s=60)
+
+
+#: Accelerators of some worker from some moment on, for how many seconds.
+SERIES = st.lists(
+    st.tuples(
+        st.integers(0, 1),
+        st.integers(0, 8),
+        st.sampled_from((0.02, 0.3, 1.1, 2.6)),
+    ),
+    min_size=1,
+    max_size=15,
+)
+
+#: News of a room reaches the leader well within this, in seconds.
+NEWS_S = 0.1
+
+
+class AnyRoomsTest(unittest.TestCase):
+    """Rooms that shrink and grow in any order."""
+
+    @settings(max_examples=25, phases=(Phase.explicit, Phase.generate))
+    @given(SERIES, st.sampled_from((0.0, 0.25)))
+    def test_no_start_goes_over_a_known_room(
+        self,
+        series: list[tuple[int, int, float]],
+        start_delay_s: float,
+    ) -> None:
+        """And all that was accepted ends once the rooms are back."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for worker in domain.workers.values():
+                worker.start_delay_s = start_delay_s
+            gang = wide(3)._replace(gang=True)
+            await host.accept(make_spec('a1', wide(6)))
+            await host.accept(make_spec('b2', gang))
+            await host.accept(make_spec('c3', wide(4), priority=0))
+            for number, gpus, wait_s in series:
+                worker = domain.workers[f'w{number}']
+                resize(domain, worker, ROOM._replace(gpus=gpus))
+                await domain.clock.advance(NEWS_S + start_delay_s)
+                await self.check(domain, wait_s)
+            for worker in domain.workers.values():
+                resize(domain, worker, ROOM)
+            for job_id in ('a1', 'b2', 'c3'):
+                self.assertEqual(await domain.ended(job_id), 'completed')
+
+        in_domain(case, run_s=2)
+
+    async def check(self, domain: Domain, wait_s: float) -> None:
+        """Move time on; a worker that starts something has room for it."""
+        until_s = domain.clock.monotonic_s() + wait_s
+        while domain.clock.monotonic_s() < until_s:
+            before = {
+                name: len(worker.starts)
+                for name, worker in domain.workers.items()
+            }
+            await domain.clock.advance(0.01)
+            for name, worker in domain.workers.items():
+                if len(worker.starts) > before[name]:
+                    room = worker.entry.room.gpus
+                    self.assertLessEqual(len(worker.runs), room)
+
+
+if __name__ == '__main__':
+    unittest.main()
