Clocks count the time that a machine is suspended

Cause: every lease, age and limit was read on the steady clock, which stands still while the machine is suspended. A leader that was away for 8 s renewed leases 8.0 s after its last write; a host was ready on an old answer. Change: SystemClock, the connection pools and the log's budgets read the boot clock (CLOCK_BOOTTIME). Tests suspend hosts: timers stand still, calls wait. Ruled out: the loop's own timers: they stand still and only wake parts late, which then read the clock.

--- a/src/curranthill/clock.py
+++ b/src/curranthill/clock.py
@@ -10,21 +10,34 @@
     """What the system asks of time."""
 
     def monotonic_s(self) -> float:
-        """Return seconds that never run backwards."""
+        """Return seconds that never run back, time suspended included."""
 
     def wall_s(self) -> float:
         """Return seconds since 1970, for records that people read."""
 
     async def sleep(self, delay_s: float) -> None:
-        """Return after ``delay_s`` seconds of this clock."""
+        """Return after ``delay_s`` seconds or later.
+
+        Timers stand still while the machine is suspended, so whoever wakes
+        up reads the clock before it goes by what it knew.
+        """
+
+
+def uptime_s() -> float:
+    """Return seconds since the machine's start, time suspended included.
+
+    The steady clock stands still while the machine is suspended: leases and
+    ages read by it would seem to be as fresh as before.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class SystemClock:
     """The machine's own clocks."""
 
     def monotonic_s(self) -> float:
-        """Return the machine's monotonic seconds."""
-        return time.monotonic()
+        """Return seconds that go on while the machine is suspended."""
+        return uptime_s()
 
     def wall_s(self) -> float:
         """Return the machine's wall clock."""
@@ -56,4 +69,4 @@
             task.cancel()
 
 
-__all__ = ('Clock', 'SystemClock', 'wait_at_most')
+__all__ = ('Clock', 'SystemClock', 'uptime_s', 'wait_at_most')
--- a/src/curranthill/connections.py
+++ b/src/curranthill/connections.py
@@ -7,11 +7,12 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from time import monotonic
 from typing import Final
 
 import aiohttp
 
+from curranthill.clock import uptime_s
+
 #: How long an unused connection is kept, in seconds: above the interval of
 #: every regular call, so that these need no new connections.
 KEEP_ALIVE_S: Final = 60.0
@@ -35,7 +36,7 @@
         )
         self.calls = 0
         self.retired = False
-        self.used_s = monotonic()
+        self.used_s = uptime_s()
 
 
 class ConnectionPools:
@@ -64,7 +65,7 @@
             raise
         finally:
             pool.calls -= 1
-            pool.used_s = monotonic()
+            pool.used_s = uptime_s()
             await self._close_if_over(pool)
 
     async def close(self) -> None:
@@ -85,7 +86,7 @@
 
     def _forget_unused(self) -> None:
         """Let go of peers that are called no more, such as former workers."""
-        oldest_s = monotonic() - FORGET_AFTER_S
+        oldest_s = uptime_s() - FORGET_AFTER_S
         for peer, pool in list(self._pools.items()):
             if not pool.calls and pool.used_s < oldest_s:
                 self._retire(peer, pool)
--- a/src/curranthill/telemetry/events.py
+++ b/src/curranthill/telemetry/events.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from curranthill.clock import uptime_s
 from curranthill.telemetry.metrics import metrics
 
 #: Most lines of one kind in one second; the rest are counted and left out.
@@ -63,7 +64,7 @@
         metrics.lines_left_out.add(1)
 
     def _is_over_budget(self, kind: str) -> bool:
-        second = int(time.monotonic())
+        second = int(uptime_s())
         if second != self._second:
             self._second = second
             self._counts.clear()
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -38,6 +38,7 @@
     tables,
 )
 from tests.support import ManualClock, run
+from tests.suspension import HostClock, HostStore, Order, OrderedWorker
 
 SERVICE = 'calc'
 WORKER_TABLE = 'listed'
@@ -287,10 +288,15 @@
     def connect(self, entry: WorkerEntry) -> TaskWorker:
         """Return a client of a worker."""
         self._domain.connected.append(entry.address)
-        return HostWorker(
+        worker = HostWorker(
             model=self._domain.workers[entry.worker_id],
             cut_off=self._host.cut_off,
         )
+        return OrderedWorker(
+            worker=worker,
+            clock=self._host.clock,
+            orders=self._host.orders,
+        )
 
 
 class HostWorker:
@@ -326,7 +332,11 @@
 
 
 class TestHost:
-    """One host: a desk, and an election that may make it the leader."""
+    """One host: a desk, and an election that may make it the leader.
+
+    :param clock: the host's own, which can be suspended.
+    :param orders: all orders that it sent to workers.
+    """
 
     __test__ = False
 
@@ -337,22 +347,32 @@
         self.cut_off: set[str] = set()
         self.failures = 0
         self._domain = domain
-        self._store = domain.rows.client(name)
-        self.health = StoreHealth(clock=domain.clock)
+        self.clock = HostClock(clock=domain.clock)
+        self.orders: list[Order] = []
+        self._store = HostStore(
+            store=domain.rows.client(name),
+            clock=self.clock,
+        )
+        self.health = StoreHealth(clock=self.clock)
         self.desk = Desk(
             store=self._store,
-            clock=domain.clock,
+            clock=self.clock,
             health=self.health,
         )
         self.election = Election(
             store=self._store,
-            clock=domain.clock,
+            clock=self.clock,
             holder=name,
             lead=self._lead,
             health=self.health,
         )
         self._task = asyncio.ensure_future(self.election.run())
 
+    @property
+    def led_s(self) -> dict[int, list[float]]:
+        """Return when this host wrote as a leader, by epoch."""
+        return self._store.led_s
+
     async def accept(self, spec: JobSpec) -> None:
         """Accept a job while time moves on."""
         await self.during(self.desk.accept(spec, 3.0))
@@ -375,7 +395,7 @@
             raise ValueError('a fault of the program')
         self.leader = Leader(
             store=self._store,
-            clock=self._domain.clock,
+            clock=self.clock,
             leadership=leadership,
             connector=HostConnector(domain=self._domain, host=self),
             worker_feed=ListedWorkers(),
