A host that was away reads its configuration again before it answers

Cause: requests that waited at a suspended or frozen host were answered by the configuration of before, up to a second until the feed told of a change. Ruled out: opening all connections anew (a frozen host's are good; a silent one costs one time limit); counting afresh after a pause (scans of a slow store). Tests: a pause told once; the configuration read again, refused while it can't be.

--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -1,8 +1,10 @@
 """Follows the configuration in the store; it never goes back."""
 
+import asyncio
 from collections.abc import Callable
+from typing import Final
 
-from curranthill.clock import Clock
+from curranthill.clock import Clock, wait_at_most
 from curranthill.storage.follower import TableFollower
 from curranthill.storage.rows import (
     MalformedRecordError,
@@ -13,6 +15,10 @@
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
+#: How long a request waits for the configuration to be read again, in seconds:
+#: sixty usual replies of the store.
+RECHECK_PATIENCE_S: Final = 0.3
+
 RevisionDecoder = Callable[[StoredRow], Revision | None]
 
 
@@ -34,7 +40,10 @@
     ) -> None:
         """Start without a configuration."""
         self.current: Revision | None = None
+        self._clock = clock
         self._decode = decode
+        self._checked = asyncio.Event()
+        self._doubted = asyncio.Event()
         self._follower = TableFollower(
             store=store,
             clock=clock,
@@ -46,7 +55,31 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._follower.read()
-        await self._follower.follow()
+        self._checked.set()
+        await asyncio.gather(self._follower.follow(), self._check_again())
+
+    def doubt(self) -> None:
+        """Read the configuration again: it may have changed unseen."""
+        self._checked.clear()
+        self._doubted.set()
+
+    async def checked(self) -> bool:
+        """Return whether no doubt is left, waiting a while for that."""
+        if self._checked.is_set():
+            return True
+        return await wait_at_most(
+            self._checked.wait(),
+            timeout_s=RECHECK_PATIENCE_S,
+            clock=self._clock,
+        )
+
+    async def _check_again(self) -> None:
+        while True:
+            await self._doubted.wait()
+            self._doubted.clear()
+            await self._follower.read()
+            if not self._doubted.is_set():
+                self._checked.set()
 
     def _take(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from curranthill.clock import Clock
-from curranthill.entry import Desk, RevisionFollower
+from curranthill.entry import Desk, PauseWatch, RevisionFollower
 from curranthill.errors import NOT_RUN, RefusedError
 from curranthill.platform.configuration import SubmittedJob, step_from
 from curranthill.tasks import JobSpec, Queue, Revision, Step, faults_of
@@ -38,6 +38,7 @@
     """Answers callers.
 
     :param count_afresh: tells whether the leader's counts may be old.
+    :param pauses: is looked at before each request.
     """
 
     def __init__(
@@ -47,8 +48,10 @@
         revisions: RevisionFollower,
         clock: Clock,
         count_afresh: Callable[[], bool],
+        pauses: PauseWatch,
     ) -> None:
         """Keep what answers."""
+        self._pauses = pauses
         self._desk = desk
         self._revisions = revisions
         self._clock = clock
@@ -57,6 +60,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        self._pauses.look()
         began_s = self._clock.monotonic_s()
         try:
             response = await self._answer(request)
@@ -82,14 +86,7 @@
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
-        revision = self._revisions.current
-        if revision is None:
-            raise RefusedError(
-                'This host has no configuration yet.',
-                step='route',
-                status=503,
-                retry_after_s=STARTING_RETRY_S,
-            )
+        revision = await self._revision()
         target = _target(request, revision)
         if request.method == 'POST' and target.job_id:
             return await self._submit(request, revision, target)
@@ -113,6 +110,21 @@
             status=405,
         )
 
+    async def _revision(self) -> Revision:
+        """Return the configuration to go by.
+
+        :raises RefusedError: if there is none yet, or none since a pause.
+        """
+        revision = self._revisions.current
+        if revision is not None and await self._revisions.checked():
+            return self._revisions.current or revision
+        raise RefusedError(
+            'This host has not read its configuration yet.',
+            step='route',
+            status=503,
+            retry_after_s=STARTING_RETRY_S,
+        )
+
     async def _submit(
         self,
         request: web.BaseRequest,
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -11,7 +11,7 @@
 
 from curranthill.application import Application
 from curranthill.dispatch import Election, Leader, Leadership
-from curranthill.entry import Desk, PeerList, RevisionFollower
+from curranthill.entry import Desk, PauseWatch, PeerList, RevisionFollower
 from curranthill.errors import SettingsError
 from curranthill.placement import ALL_ON
 from curranthill.platform.advisor import PlatformAdvisor
@@ -113,6 +113,7 @@
             lead=self._lead,
             health=self._health,
         )
+        self._pauses = PauseWatch(clock=clock, on_resume=self._resumed)
         self._front = Front(
             desk=Desk(
                 store=self._store,
@@ -122,7 +123,9 @@
             revisions=self._revisions,
             clock=clock,
             count_afresh=self._may_count_wrongly,
+            pauses=self._pauses,
         )
+        self.app.spawn(self._pauses.run(), name='pauses')
         self.app.spawn(self._revisions.run(), name='revisions')
         self._election_task = self.app.spawn(
             self._election.run(),
@@ -217,6 +220,14 @@
         else:
             events.log('reloaded')
 
+    def _resumed(self) -> None:
+        """Go by nothing that was known before a pause until it is read anew.
+
+        Leases, orders and ages need no help: they count the pause.
+        """
+        self._health.doubt()
+        self._revisions.doubt()
+
     def _peer_addresses(self) -> tuple[str, ...]:
         return self._peers.addresses
 
@@ -226,6 +237,7 @@
         return self._election.leader_silent_s > COUNT_AFRESH_S
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._pauses.look()
         return web.Response(status=200 if self.is_ready else 503)
 
 
--- a/src/curranthill/storage/health.py
+++ b/src/curranthill/storage/health.py
@@ -26,6 +26,10 @@
             self._was_reachable = True
             events.log('store_reachable')
 
+    def doubt(self) -> None:
+        """Count as unreachable until the next answer."""
+        self._answered_s = -UNREACHABLE_S
+
     def failed(self, error: StorageError) -> None:
         """Take note of a failure."""
         if self._was_reachable and not self.reachable:
--- a/tests/test_suspended_hosts.py
+++ b/tests/test_suspended_hosts.py
@@ -15,7 +15,9 @@
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S
 from curranthill.dispatch.session import RAISES_PER_EPOCH
 from curranthill.dispatch.work import ORDER_FRESHNESS_S
-from curranthill.tasks import Step, TaskKey
+from curranthill.entry import PauseWatch, RevisionFollower
+from curranthill.storage.rows import RowPut
+from curranthill.tasks import Revision, Step, TaskKey
 from tests.domain import ONE_GPU, Domain, TestHost, in_domain, make_spec
 
 FIRST = TaskKey('a1', 0, 0, 0)
@@ -177,5 +179,74 @@
         in_domain(case)
 
 
+class ResumeTest(unittest.TestCase):
+    """What a host does first when it is back."""
+
+    def test_a_pause_is_told_once_before_anything_else(self) -> None:
+        """By whoever looks first; shorter ones are passed over."""
+
+        async def case(domain: Domain) -> None:
+            told: list[float] = []
+            watch = PauseWatch(
+                clock=domain.clock,
+                on_resume=lambda: told.append(domain.clock.monotonic_s()),
+            )
+            watch.look()
+            await domain.clock.advance(0.9)
+            watch.look()
+            self.assertEqual(told, [])
+            await domain.clock.advance(5)
+            watch.look()
+            watch.look()
+            self.assertEqual(len(told), 1)
+
+        in_domain(case)
+
+    def test_the_configuration_is_read_again(self) -> None:
+        """A change of the time when it was away is in force at once."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            revisions = follow_revisions(domain, host)
+            await domain.clock.advance(0.1)
+            host.clock.suspend()
+            domain.rows.apply((), (revision_row(2),), ())
+            domain.rows.down.add('h1')
+            await domain.clock.advance(5)
+            host.clock.resume()
+            revisions.doubt()
+            self.assertFalse(await host.during(revisions.checked()))
+            domain.rows.down.clear()
+            await domain.clock.advance(2)
+            self.assertTrue(await host.during(revisions.checked()))
+            assert revisions.current is not None
+            self.assertEqual(revisions.current.number, 2)
+
+        in_domain(case)
+
+
+def revision_row(number: int) -> RowPut:
+    """Return a row that holds a revision's number."""
+    return RowPut('settings', 'newest', str(number).encode())
+
+
+def follow_revisions(domain: Domain, host: TestHost) -> RevisionFollower:
+    """Return what follows revisions at a host, from the first one on."""
+    domain.rows.apply((), (revision_row(1),), ())
+    revisions = RevisionFollower(
+        store=domain.rows.client(host.name),
+        clock=host.clock,
+        table='settings',
+        decode=lambda row: Revision(
+            number=int(row.content),
+            queues=(),
+            workspaces=(),
+        ),
+    )
+    domain.background.append(asyncio.ensure_future(revisions.run()))
+    return revisions
+
+
 if __name__ == '__main__':
     unittest.main()
