Tasks that may have crashed their workers are started apart from others

Cause: nobody can tell which of a worker's tasks crashed it. Change: a task with a crash right after its start, or with two losses, is a suspect: it starts on a worker of its own (a gang beside its members only), one at a time for each job, after 5 s anywhere; after 60 s at work others may join it.

--- a/src/curranthill/dispatch/crashes.py
+++ b/src/curranthill/dispatch/crashes.py
@@ -122,6 +122,7 @@
         if reason != LEASE_LAPSED and run.age_s < PROMPT_S:
             task.prompt_crashes += 1
         metrics.runs_lost.add(1)
+        job.note_losses(run.key)
         self._judge(job, run, reason)
 
     def settle(self, run: Run, *, crashed: bool) -> None:
@@ -132,9 +133,11 @@
             return
         if not crashed:
             task.losses = max(0, task.losses - 1)
+            job.note_losses(run.key)
             self._journal.note(job)
         elif run.age_s < PROMPT_S:
             task.prompt_crashes += 1
+            job.note_losses(run.key)
             self._judge(job, run, 'crashed after all')
 
     def clear_if_lasting(self, run: Run) -> None:
@@ -146,6 +149,7 @@
         if task.losses:
             task.losses = 0
             task.prompt_crashes = 0
+            job.note_losses(run.key)
             self._journal.note(job)
 
     def _judge(self, job: ActiveJob, run: Run, reason: str) -> None:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -279,6 +279,7 @@
             kind=kind_of(step),
             incarnation=session.incarnation,
         )
+        run.alone = job.is_alone(key)
         session.runs[run.name] = run
         job.runs[key] = run
         return run
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -64,7 +64,8 @@
     queue = [
         _rank(room, needs, index)
         for index, room in enumerate(rooms)
-        if room.fits_now(needs) and room.allows(ready.tasks[0], ready.step)
+        if room.fits_now(needs)
+        and room.allows(ready.tasks[0], ready.step, alone=ready.alone)
     ]
     heapq.heapify(queue)
     chosen: Fit = []
@@ -73,9 +74,13 @@
             break
         index = heapq.heappop(queue)[-1]
         room = rooms[index]
-        room.place(key, ready.step)
+        room.place(key, ready.step, alone=ready.alone)
         chosen.append((key, room))
-        if room.fits_now(needs) and room.allows(key, ready.step):
+        if room.fits_now(needs) and room.allows(
+            key,
+            ready.step,
+            alone=ready.alone,
+        ):
             heapq.heappush(queue, _rank(room, needs, index))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from curranthill.placement.runs import Run
+from curranthill.placement.suspects import ALONE_PATIENCE_S, is_suspect
 from curranthill.tasks import (
     COMPLETED,
     ENDED,
@@ -19,6 +20,7 @@
     """Tasks of one step whose turn has come and of which no run can exist.
 
     :param tickets: by worker, for queues whose policy allows only some.
+    :param alone: nothing else may run on their workers.
     """
 
     occurrence: int
@@ -26,6 +28,7 @@
     step: Step
     tasks: tuple[TaskKey, ...]
     tickets: dict[str, str] | None = None
+    alone: bool = False
 
     @property
     def name(self) -> str:
@@ -44,6 +47,7 @@
     :param lasting: whether tasks of it run until it is cancelled.
     :param objective_s: when it should be done, in wall-clock seconds.
     :param gpus: the accelerators that all its tasks take together.
+    :param suspects: tasks that may be what crashed their workers.
     """
 
     def __init__(self, *, spec: JobSpec, progress: JobProgress) -> None:
@@ -54,8 +58,13 @@
         self.lasting = any(step.perpetual for step in spec.steps)
         self.objective_s = spec.objective_s
         self.gpus = spec.gpus
+        self.suspects: set[TaskKey] = set()
+        self._waits_since_s: dict[TaskKey, float] = {}
         self._done_steps: set[tuple[int, int]] = set()
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
+        for name, task in progress.tasks.items():
+            if is_suspect(task):
+                self.suspects.add(TaskKey.parse(f'{spec.job_id}.{name}'))
 
     @property
     def ended(self) -> bool:
@@ -76,7 +85,11 @@
                 return
             for number, step in enumerate(self.spec.steps):
                 ready = self._ready_step(occurrence, number, step)
-                if ready is not None:
+                if ready is None:
+                    continue
+                if self.suspects:
+                    yield from self._apart(ready, now_s)
+                else:
                     yield ready
 
     def keys_of(self, occurrence: int, number: int) -> tuple[TaskKey, ...]:
@@ -133,6 +146,46 @@
         self.progress.ended_at_s = now_s
         return True
 
+    def note_losses(self, key: TaskKey) -> None:
+        """Take note of what a task's losses make it."""
+        self._waits_since_s.pop(key, None)
+        if is_suspect(self.progress.task(key)):
+            self.suspects.add(key)
+        else:
+            self.suspects.discard(key)
+
+    def is_alone(self, key: TaskKey) -> bool:
+        """Return whether a task's run is to have its worker for itself."""
+        if not self.suspects:
+            return False
+        return any(one in self.suspects for one in self.members_of(key))
+
+    def _apart(self, ready: ReadyStep, now_s: float) -> Iterator[ReadyStep]:
+        """Yield a step's suspects apart from its other tasks, one at a time.
+
+        Started together, the tasks of a step that all crash their workers
+        would take as many workers down at once. A gang starts as a whole.
+        """
+        suspects = [key for key in ready.tasks if key in self.suspects]
+        if not suspects:
+            yield ready
+            return
+        if ready.step.gang:
+            yield ready._replace(alone=self._waits_alone(suspects[0], now_s))
+            return
+        others = tuple(key for key in ready.tasks if key not in self.suspects)
+        if others:
+            yield ready._replace(tasks=others)
+        if not self.suspects.isdisjoint(self.runs):
+            return
+        alone = self._waits_alone(suspects[0], now_s)
+        yield ready._replace(tasks=(suspects[0],), alone=alone)
+
+    def _waits_alone(self, key: TaskKey, now_s: float) -> bool:
+        """Return whether a suspect still waits for a worker of its own."""
+        since_s = self._waits_since_s.setdefault(key, now_s)
+        return now_s - since_s < ALONE_PATIENCE_S
+
     def _note_step_done(self, place: tuple[int, int]) -> None:
         self._done_steps.add(place)
         self._keys.pop(place, None)
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -129,7 +129,7 @@
             workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
         missing = ready.tasks[len(chosen) :]
-        if not missing:
+        if not missing or ready.alone:
             return
         if urgent:
             self._make_room(job, ready, missing, groups)
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -13,6 +13,7 @@
     RunKind,
     kind_of,
 )
+from curranthill.placement.suspects import ALONE_S
 from curranthill.placement.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -36,6 +37,7 @@
     """
 
     __slots__ = (
+        '_alone',
         '_keys',
         '_kinds',
         'doubt',
@@ -59,6 +61,9 @@
         self.doubt = doubt
         self.version = 0
         self._keys = [run.key for run in self.runs]
+        self._alone = any(
+            run.alone and run.age_s < ALONE_S for run in self.runs
+        )
         self._kinds: list[RunKind] = [
             run.kind for run in self.runs if run.kind != PLAIN
         ]
@@ -74,8 +79,19 @@
             return False
         return free.covers(needs) and self.soon.covers(needs)
 
-    def allows(self, key: TaskKey, step: Step) -> bool:
-        """Return whether a step's own limits let a task run here."""
+    def allows(
+        self,
+        key: TaskKey,
+        step: Step,
+        *,
+        alone: bool = False,
+    ) -> bool:
+        """Return whether a step's own limits let a task run here.
+
+        :param alone: only beside members of its own gang.
+        """
+        if (alone or self._alone) and not self._only_gang_of(key, step):
+            return False
         if step.label and step.label not in self.entry.labels:
             return False
         if self._kinds:
@@ -94,8 +110,15 @@
         """Return whether this worker stands in a rack."""
         return rack in self.entry.labels
 
-    def place(self, key: TaskKey, step: Step) -> None:
+    def place(
+        self,
+        key: TaskKey,
+        step: Step,
+        *,
+        alone: bool = False,
+    ) -> None:
         """Take room for a task that starts now."""
+        self._alone = self._alone or alone
         needs = room_needed(step)
         self.version += 1
         self.free = self.free.minus(needs)
@@ -111,6 +134,8 @@
         self.free = self.free.plus(needs)
         self.soon = self.soon.plus(needs)
         self._keys.remove(key)
+        if not self._keys:
+            self._alone = False
         if kind_of(step) != PLAIN:
             self._kinds.remove(kind_of(step))
 
@@ -126,6 +151,12 @@
             self.soon = self.soon.plus(run.needs)
             self.runs.remove(run)
 
+    def _only_gang_of(self, key: TaskKey, step: Step) -> bool:
+        """Return whether nothing runs here but members of a task's gang."""
+        if not self._keys:
+            return True
+        return step.gang and all(one[:3] == key[:3] for one in self._keys)
+
     def _count(self, key: TaskKey) -> int:
         """Return how many tasks of a task's step run here."""
         step = key[:3]
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -53,11 +53,13 @@
     :param lasting: it runs until its job is cancelled.
     :param kind: whether it answers users of its own, or fills what is left.
     :param incarnation: that of the worker when it was placed there.
+    :param alone: nothing else may run on its worker.
     :param age_s: how long it has run, as of the newest report.
     """
 
     __slots__ = (
         'age_s',
+        'alone',
         'attempt',
         'checkpoint',
         'checkpointable',
@@ -108,6 +110,7 @@
         self.priority = priority
         self.checkpointable = checkpointable
         self.age_s = 0.0
+        self.alone = False
         self.state: RunState = state
         self.checkpoint = ''
         self.ticket = ''
--- /dev/null
+++ b/src/curranthill/placement/suspects.py
@@ -0,0 +1,31 @@
+"""Tasks that may be what crashes their workers, and how they are started.
+
+Answers tasks that crash each worker that starts them: nobody can tell which
+of a worker's tasks did it, so those that may have are started where a further
+crash hits nobody else, and never two of them side by side.
+"""
+
+from typing import Final
+
+from curranthill.tasks import TaskProgress
+
+#: Losses of any kind from which on a task is a suspect; one alone is what
+#: every crash of a worker leaves of all tasks there.
+SUSPECT_LOSSES: Final = 2
+
+#: How long a suspect waits for a worker of its own, in seconds: above most
+#: tasks' run times, so that some worker has got empty, and short enough for an
+#: innocent one under full load.
+ALONE_PATIENCE_S: Final = 5.0
+
+#: A suspect that has worked for so long may have others beside it, in
+#: seconds: by far longer than from a start to a crash.
+ALONE_S: Final = 60.0
+
+
+def is_suspect(task: TaskProgress) -> bool:
+    """Return whether a task may be what crashed its workers."""
+    return bool(task.prompt_crashes) or task.losses >= SUSPECT_LOSSES
+
+
+__all__ = ('ALONE_PATIENCE_S', 'ALONE_S', 'SUSPECT_LOSSES', 'is_suspect')
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -64,6 +64,8 @@
     :param crashing: tasks under which the worker crashes.
     :param crash_after_s: how long after the start of such a task.
     :param crashes: how often the worker crashed, by the task that did it.
+    :param lost_s: seconds of run time that crashes cost tasks that are not
+        among those.
     :param down: crashed and not back yet; each call breaks off.
     :param on_crash: is told of each crash, and brings the worker back.
     """
@@ -100,6 +102,7 @@
         self.crashing: set[TaskKey] = set()
         self.crash_after_s = 0.0
         self.crashes: list[TaskKey] = []
+        self.lost_s = 0.0
         self.down = False
         self.on_crash: Callable[[TaskWorkerModel], None] | None = None
         self.most_runs = 0
@@ -129,6 +132,12 @@
     def crash(self) -> None:
         """Lose everything; who is told of it brings the worker back."""
         self.down = True
+        now_s = self._clock_s()
+        self.lost_s += sum(
+            now_s - run.began_s
+            for run in self.runs.values()
+            if run.task not in self.crashing
+        )
         self.runs.clear()
         self.ends = []
         if self.on_crash is not None:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -11,14 +11,18 @@
 
 import unittest
 
-from curranthill.tasks import Step, TaskKey
-from tests.domain import ROOM, Domain, in_domain, make_spec
+from curranthill.placement.suspects import ALONE_PATIENCE_S
+from curranthill.tasks import Resources, Step, TaskKey
+from tests.domain import AWAY_S, ONE_GPU, ROOM, Domain, in_domain, make_spec
 
 FIRST = TaskKey('a1', 0, 0, 0)
 
 #: A task that takes a whole worker, like the ones that were seen.
 WHOLE = Step(width=1, needs=ROOM, estimate_s=1.0)
 
+#: A task that leaves room beside it on its worker.
+HALF = Resources(cpu_millis=8000, memory_mb=1024, gpus=4)
+
 #: Most workers that one task may crash: it must not be started a third time
 #: after three have crashed under it.
 MOST_CRASHES = 5
@@ -180,5 +184,82 @@
         in_domain(case, run_s=10_000)
 
 
+class SuspectTest(unittest.TestCase):
+    """Tasks that may have crashed a worker are started apart from others."""
+
+    def test_a_neighbour_of_a_crashing_task_is_not_given_up(self) -> None:
+        """Both were on the workers that crashed; only one crashes them."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.crashing.add(FIRST)
+            for number in range(6):
+                await host.accept(make_spec(f'n{number}'))
+            await host.accept(make_spec('a1'))
+            self.assertEqual(await domain.ended('a1'), 'failed')
+            for number in range(6):
+                self.assertEqual(await domain.ended(f'n{number}'), 'completed')
+
+        in_domain(case, workers=3)
+
+    def test_suspects_have_a_worker_each(self) -> None:
+        """Two tasks that were on a crashed worker start on two, alone."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for job_id in ('a1', 'b2'):
+                await host.accept(make_spec(job_id))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            domain.workers['w0'].crash()
+            await domain.clock.until(lambda: len(domain.starts(FIRST)) == 2)
+            await host.accept(make_spec('c3', Step(width=8, needs=ONE_GPU)))
+            await domain.clock.advance(1)
+            places = [
+                sorted(task.job_id for task, _ in worker.runs)
+                for worker in domain.workers.values()
+            ]
+            self.assertIn(['a1'], places)
+            self.assertIn(['b2'], places)
+
+        in_domain(case, workers=3, run_s=20)
+
+    def test_a_step_that_crashes_its_workers_takes_one_at_a_time(self) -> None:
+        """Six tasks, each on a worker of its own, crash six at first."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            step = Step(width=6, needs=ROOM, estimate_s=1.0)
+            keys = [FIRST._replace(rank=rank) for rank in range(6)]
+            domain.crashing.update(keys)
+            await host.accept(make_spec('a1', step))
+            self.assertEqual(await domain.ended('a1'), 'failed')
+            crashes = sum(domain.crashes(key) for key in keys)
+            self.assertLessEqual(crashes, 6 + 2)
+
+        in_domain(case, workers=8)
+
+    def test_a_suspect_waits_only_so_long_for_a_worker_of_its_own(
+        self,
+    ) -> None:
+        """No worker is empty; it starts beside what runs there."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            domain.workers['w0'].crash()
+            await host.accept(make_spec('n1', Step(width=1, needs=HALF)))
+            await domain.clock.until(
+                lambda: len(domain.starts(FIRST)) == 2,
+                within_s=AWAY_S + ALONE_PATIENCE_S + 1,
+            )
+
+        in_domain(case, workers=1, run_s=40)
+
+
 if __name__ == '__main__':
     unittest.main()
