--- a/spec/check.sh
+++ b/spec/check.sh
@@ -7,7 +7,7 @@
 fi
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-cp gang.pml dispatch.pml incarnation.pml "$work"
+cp gang.pml dispatch.pml incarnation.pml crashes.pml "$work"
 cd "$work"
 
 # verify NAME SPIN-FLAGS COMPILE-FLAGS RUN-FLAGS: print what was found.
@@ -71,4 +71,17 @@
 expect incarnation-ack-unsynced wrong
 verify incarnation-uncounted "-DUNCOUNTED" "$flags" "-E"
 expect incarnation-uncounted wrong
+model=crashes.pml
+verify crashes "" "$flags" "-E"
+expect crashes right
+verify crashes-reports-only "-DREPORTS_ONLY" "$flags" "-E"
+expect crashes-reports-only wrong
+verify crashes-in-memory "-DIN_MEMORY" "$flags" "-E"
+expect crashes-in-memory wrong
+verify crashes-mark-last "-DMARK_LAST" "$flags" "-E"
+expect crashes-mark-last wrong
+verify crashes-two-writes "-DTWO_WRITES" "$flags" "-E"
+expect crashes-two-writes wrong
+verify crashes-unanswered "-DUNANSWERED" "$flags" "-E"
+expect crashes-unanswered wrong
 echo "All protocols hold; all broken variants are found wrong."
