Drawn faults and the soak crash workers by tasks and shrink rooms

Cause: neither had a task that crashes its workers nor a room that changes. Change: tests draw a task that crashes each worker that starts it (with an example across two leaders and a cut worker); the soak does the same, and takes accelerators away and gives them back; both check that such a task starts at most twice after three crashes. A job that failed has a cause if two workers went down under one of its tasks, which the platform allows. The faults of restarts and losses pass over workers that are down. Left: a host cannot be suspended from outside; a stop by a signal is counted by every clock.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bench.proxy import Mode, Proxy
+from bench.soak_workers import ROOM
 
 if TYPE_CHECKING:
     from bench.soak_hosts import Soak
@@ -23,6 +24,9 @@
     'mute',
 )
 
+#: Tasks of one soak that crash their workers: each takes some down.
+MOST_CRASHING: Final = 3
+
 #: What another writer may put in place of a worker's entry.
 BAD_ENTRIES: Final = (b'', b'\xff', b'[]', b'{}', b'{"service": ["calc"]}')
 
@@ -140,6 +144,31 @@
     model.failing = False
 
 
+@fault
+async def task_crashes_workers(soak: 'Soak') -> None:
+    """Have a task that runs crash its worker, and all that start it."""
+    name = soak.workers.draw()
+    model = soak.workers.model(name)
+    if model.down or len(soak.workers.crashing) >= MOST_CRASHING:
+        return
+    for task, _ in list(model.runs)[:1]:
+        soak.workers.crashing.add(task)
+        model.crash_after_s = soak.random.choice((0.0, 0.5, 1.5))
+        model.crashes.append(task)
+        model.crash()
+
+
+@fault
+async def worker_shrinks(soak: 'Soak') -> None:
+    """Take accelerators from a worker and give them back, once or more."""
+    name = soak.workers.draw()
+    for _ in range(soak.random.choice((1, 3))):
+        soak.workers.resize(name, soak.random.randrange(ROOM.gpus))
+        await asyncio.sleep(soak.random.uniform(0.05, 2.0))
+        soak.workers.resize(name, ROOM.gpus)
+        await asyncio.sleep(soak.random.uniform(0.05, 0.5))
+
+
 @fault
 async def bad_entry(soak: 'Soak') -> None:
     """Write what no worker writes, for a worker or for nobody."""
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -3,7 +3,9 @@
 The store and the workers are stand-ins inside this process; hosts reach them
 through proxies. Hosts are killed, paused, stopped and told to reload by
 signals, the store loses and delays writes, workers are replaced, start again
-under their ids and fail what they run, and entries come that no worker wrote.
+under their ids, fail what they run, crash under chosen tasks and lose room, and
+entries come that no worker wrote. A host can't be suspended from outside: a
+pause by a signal is one that every clock counts.
 Faults come singly and in series. All the while callers hand in jobs, some over
 one connection for as long as it stays open, and the promises are checked from
 what callers and workers see.
@@ -14,6 +16,8 @@
 import random
 import sys
 import tempfile
+from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from signal import SIGCONT, Signals
 from typing import Annotated, Any, Final
@@ -37,6 +41,9 @@
 #: Runs of one task that may fail.
 ATTEMPTS: Final = 3
 
+#: Workers that crashed under a task before it may be given up.
+CRASHES_ALLOWED: Final = 2
+
 #: After this share of the faults the next one comes at once.
 SERIES_SHARE: Final = 0.2
 
@@ -75,6 +82,7 @@
 
     :param started: every process that was started.
     :param injected: how often each fault was injected.
+    :param faults: names of what may be injected; all by default.
     """
 
     def __init__(
@@ -84,6 +92,7 @@
         fault_s: float,
         folder: Path,
         hosts: int = HOSTS,
+        faults: Sequence[str] = (),
     ) -> None:
         """Make the stand-ins; nothing is started yet."""
         self.random = random.Random(seed)  # noqa: S311
@@ -107,6 +116,7 @@
             attempts=ATTEMPTS,
         )
         self._hosts = hosts
+        self._faults = faults or sorted(FAULTS)
         self._fault_s = fault_s
         self._folder = folder
         self._revision = 0
@@ -221,7 +231,7 @@
     async def _inject(self) -> None:
         until = asyncio.get_running_loop().time() + self._fault_s
         while asyncio.get_running_loop().time() < until:
-            self._inject_one(self.random.choice(sorted(FAULTS)))
+            self._inject_one(self.random.choice(self._faults))
             in_series = self.random.random() < SERIES_SHARE
             longest_s = SERIES_PAUSE_S if in_series else PAUSE_S
             await asyncio.sleep(self.random.uniform(0.0, longest_s))
@@ -274,7 +284,9 @@
         if row is None:
             return False
         state = decode(row.content, JobProgress).state
-        if state == FAILED and self._failures(job_id) < ATTEMPTS:
+        caused = self._failures(job_id) >= ATTEMPTS
+        caused = caused or self._crashes(job_id) >= CRASHES_ALLOWED
+        if state == FAILED and not caused:
             self._watch.faults.append(f'{job_id} has failed without cause')
         return state in {COMPLETED, FAILED}
 
@@ -289,6 +301,16 @@
             },
         )
 
+    def _crashes(self, job_id: str) -> int:
+        """Return the most workers that went down under a task of a job."""
+        lost = Counter(
+            task
+            for model in self.workers.models
+            for task in model.lost_runs
+            if task.job_id == job_id
+        )
+        return max(lost.values(), default=0)
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/bench/soak_workers.py
+++ b/bench/soak_workers.py
@@ -1,5 +1,6 @@
 """The workers of a soak: stand-ins behind proxies, and what befalls them."""
 
+import asyncio
 import random
 from typing import Final
 
@@ -9,12 +10,15 @@
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.storage.rows import RowPut, RowRemoval
-from curranthill.tasks import Resources
+from curranthill.tasks import Resources, TaskKey
 from tests.platform_standin import WorkerServer, serve, worker_row
 
 WORKERS: Final = 5
 ROOM: Final = Resources(cpu_millis=8000, memory_mb=8192, gpus=8)
 
+#: Crashed workers that come back under another id.
+REPLACED_SHARE: Final = 0.3
+
 #: Tasks that end between two faults, and tasks that outlast a lease.
 RUN_TIMES_S: Final = (0.3, 1.5, 8.0)
 
@@ -24,6 +28,7 @@
 
     :param models: every worker that there ever was.
     :param proxies: what hosts reach each worker through.
+    :param crashing: tasks that crash each worker that starts them.
     """
 
     def __init__(
@@ -36,10 +41,12 @@
         """Start without workers."""
         self.models: list[TaskWorkerModel] = []
         self.proxies: dict[str, Proxy] = {}
+        self.crashing: set[TaskKey] = set()
         self._servers: dict[str, WorkerServer] = {}
         self._rows = rows
         self._clock = clock
         self._drawn = drawn
+        self._coming_back: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
         """Start the workers."""
@@ -78,10 +85,35 @@
         self._rows.apply((), (), (RowRemoval('servers', name),))
         await self._add(f'{name}x')
 
+    def resize(self, name: str, gpus: int) -> None:
+        """Let a worker have so many accelerators from now on."""
+        if name not in self._servers:
+            return
+        model = self.model(name)
+        model.entry = model.entry._replace(room=ROOM._replace(gpus=gpus))
+        self.list_again(name)
+
+    async def _come_back(self, name: str) -> None:
+        """Start a crashed worker again, or another one in its place."""
+        await asyncio.sleep(self._drawn.uniform(0.2, 4.0))
+        if name not in self._servers:
+            return
+        if self._drawn.random() < REPLACED_SHARE:
+            await self.replace(name)
+            return
+        self.model(name).restart()
+        self.list_again(name)
+
+    def _crashed(self, model: TaskWorkerModel) -> None:
+        task = asyncio.ensure_future(self._come_back(model.entry.worker_id))
+        self._coming_back.add(task)
+        task.add_done_callback(self._coming_back.discard)
+
     def heal(self) -> None:
         """Make all workers reachable, sound and well listed."""
         for name, server in self._servers.items():
             server.model.failing = False
+            self.resize(name, ROOM.gpus)
             self.proxies[name].change('pass')
             self.list_again(name)
 
@@ -100,6 +132,8 @@
             clock=self._clock,
             run_s=self._drawn.choice(RUN_TIMES_S),
         )
+        model.crashing = self.crashing
+        model.on_crash = self._crashed
         server = WorkerServer(model=model)
         _, address = await serve(server.handle)
         proxy = Proxy(target=address)
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -64,6 +64,7 @@
     :param crashing: tasks under which the worker crashes.
     :param crash_after_s: how long after the start of such a task.
     :param crashes: how often the worker crashed, by the task that did it.
+    :param lost_runs: the task of each run that a crash or restart ended.
     :param lost_s: seconds of run time that crashes cost tasks that are not
         among those.
     :param down: crashed and not back yet; each call breaks off.
@@ -102,6 +103,7 @@
         self.crashing: set[TaskKey] = set()
         self.crash_after_s = 0.0
         self.crashes: list[TaskKey] = []
+        self.lost_runs: list[TaskKey] = []
         self.lost_s = 0.0
         self.down = False
         self.on_crash: Callable[[TaskWorkerModel], None] | None = None
@@ -126,7 +128,7 @@
         self._token = 0
         self._deadline_s = 0.0
         self._ended.clear()
-        self.runs.clear()
+        self._lose_runs()
         self.ends = []
 
     def crash(self) -> None:
@@ -138,11 +140,15 @@
             for run in self.runs.values()
             if run.task not in self.crashing
         )
-        self.runs.clear()
+        self._lose_runs()
         self.ends = []
         if self.on_crash is not None:
             self.on_crash(self)
 
+    def _lose_runs(self) -> None:
+        self.lost_runs.extend(run.task for run in self.runs.values())
+        self.runs.clear()
+
     async def start(self, order: StartOrder) -> float:
         """Start a task and return the clock."""
         await self._pass('start')
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -14,7 +14,7 @@
     StartOrder,
     WorkerGoneError,
 )
-from curranthill.errors import WorkerReplyLostError
+from curranthill.errors import WorkerReplyLostError, WorkerUnreachableError
 from curranthill.placement import WorkerEntry
 from curranthill.standin.rows import RowModel
 from curranthill.standin.tasks import TaskWorkerModel
@@ -163,7 +163,7 @@
             return _answer(409, clock_ms=0, reason=rejected.reason)
         except WorkerGoneError:
             return web.Response(status=421)
-        except WorkerReplyLostError:
+        except (WorkerReplyLostError, WorkerUnreachableError):
             # The caller has given up by now, or the worker starts again.
             if request.transport is not None:
                 request.transport.abort()
--- a/tests/promises.py
+++ b/tests/promises.py
@@ -3,10 +3,16 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from itertools import chain
+from typing import Final
 
 from curranthill.standin.tasks import TaskWorkerModel
 from curranthill.tasks import TaskKey
 
+#: Workers that a task may have crashed before its starts are counted, and how
+#: often it may be started after that: what the platform allows.
+CRASHES_KNOWN: Final = 3
+STARTS_AFTER: Final = 2
+
 
 class PromiseWatch:
     """Looks at all workers and remembers what must never happen.
@@ -27,6 +33,7 @@
         self._workers = workers
         self._attempts = attempts
         self._spent: dict[TaskKey, int] = {}
+        self._crashing: dict[TaskKey, int] = {}
 
     def look(self) -> None:
         """Check the runs of this moment and the starts since the last."""
@@ -41,6 +48,23 @@
             if task in noted:
                 self.faults.append(f'{task} runs after its end')
         self._look_at_failures(workers)
+        self._look_at_crashes(workers)
+
+    def _look_at_crashes(self, workers: list[TaskWorkerModel]) -> None:
+        """Check that a task starts twice at most after three crashes."""
+        crashes = Counter(
+            chain.from_iterable(worker.crashes for worker in workers)
+        )
+        if not crashes:
+            return
+        orders = chain.from_iterable(worker.starts for worker in workers)
+        starts = Counter(order.task for order in orders)
+        for task, count in crashes.items():
+            if count < CRASHES_KNOWN:
+                continue
+            before = self._crashing.setdefault(task, starts[task])
+            if starts[task] > before + STARTS_AFTER:
+                self.faults.append(f'{task} goes on crashing workers')
 
     def _look_at_failures(self, workers: list[TaskWorkerModel]) -> None:
         """Check that nothing starts after its last allowed failure."""
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -10,7 +10,7 @@
 
 from curranthill.errors import RefusedError
 from curranthill.standin.tasks import TaskWorkerModel
-from curranthill.tasks import Step
+from curranthill.tasks import Step, TaskKey
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 from tests.promises import PromiseWatch
 
@@ -36,7 +36,7 @@
         self.submitted: list[str] = []
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
-        self.failed = False
+        self.may_fail = False
         self._hosts = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -124,7 +124,7 @@
         """Replace some worker by another life of its machine."""
         name = f'w{pick % WORKERS}'
         worker = domain.workers[name]
-        if worker.gone:
+        if worker.gone or worker.down:
             return
         worker.gone = True
         worker.runs.clear()
@@ -136,7 +136,7 @@
     async def restart_worker(self, domain: Domain, pick: int) -> None:
         """Let some worker start again under its id, listed at once or not."""
         worker = domain.workers[f'w{pick % WORKERS}']
-        if worker.gone:
+        if worker.gone or worker.down:
             return
         worker.restart()
         if pick % 2:
@@ -146,12 +146,20 @@
         """Have some worker fail all that it runs, or no longer."""
         worker = domain.workers[f'w{pick % WORKERS}']
         worker.failing = not worker.failing
-        self.failed = True
+        self.may_fail = True
+
+    async def crash_by_task(self, domain: Domain, pick: int) -> None:
+        """Have a task crash each worker that starts it from now on."""
+        for job_id in self.submitted[pick % JOBS : pick % JOBS + 1]:
+            domain.crashing.add(TaskKey(job_id, 0, 0, pick % 2))
+            domain.same_id = pick % 3 > 0
+            domain.away_s = 0.2 + pick % 4
+            self.may_fail = True
 
     def relist_all(self, domain: Domain) -> None:
         """Have every worker that lives write its entry."""
         for worker in domain.workers.values():
-            if not worker.gone:
+            if not (worker.gone or worker.down):
                 self._relist(domain, worker)
 
     def _relist(self, domain: Domain, worker: TaskWorkerModel) -> None:
@@ -192,6 +200,7 @@
     'restart_worker',
     'fail_tasks',
     'late_starts',
+    'crash_by_task',
 )
 
 STEPS = st.lists(
@@ -236,6 +245,17 @@
         ],
         9.0,
     )
+    @example(
+        [
+            ('accept', 1, 0.0),
+            ('crash_by_task', 1, 2.6),
+            ('kill_leader', 0, 2.6),
+            ('cut_worker', 1, 2.6),
+            ('cut_worker', 1, 2.6),
+            ('kill_leader', 0, 2.6),
+        ],
+        9.0,
+    )
     @example(
         [
             ('accept', 1, 0.3),
@@ -282,7 +302,7 @@
                 wanted = {'completed'}
                 if job_id in faults.cancelled:
                     wanted.add('cancelled')
-                if faults.failed:
+                if faults.may_fail:
                     wanted.add('failed')
                 self.assertIn(domain.state(job_id), wanted, job_id)
 
--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -8,11 +8,30 @@
 from bench.soak_faults import kill
 from bench.soak_hosts import Soak
 
+#: The faults that there were when a seed failed: with more of them it would
+#: draw others.
+FORMER_FAULTS = (
+    'bad_entry',
+    'configuration',
+    'kill',
+    'pause',
+    'reload_settings',
+    'stop',
+    'store_away',
+    'store_history',
+    'store_link',
+    'worker_fails',
+    'worker_link',
+    'worker_replaced',
+    'worker_restarts',
+    'worker_restarts_behind_a_cut',
+)
+
 #: Seeds that are played, with seconds of faults: the first ones, and each that
-#: ever failed. 3002: more work than the workers do in the 45 s that the soak
-#: waited after the last fault; 36 to 40 of 40 accelerators were in use all the
+#: ever failed, with the faults of its time. 3002: more work than the workers do
+#: in the 45 s that the soak waited after the last fault; 36 to 40 of 40 accelerators were in use all the
 #: time, so it now waits as long as jobs go on ending.
-SEEDS = ((1, 6.0), (2, 6.0), (3002, 10.0))
+SEEDS = ((1, 6.0, ()), (2, 6.0, ()), (3002, 10.0, FORMER_FAULTS))
 
 
 class EndedDuringRestarts(Soak):
@@ -40,12 +59,13 @@
 
     def test_promises_hold_under_seeded_faults(self) -> None:
         """From what callers and workers see."""
-        for seed, fault_s in SEEDS:
+        for seed, fault_s, faults in SEEDS:
             with tempfile.TemporaryDirectory() as folder:
                 soak = Soak(
                     seed=seed,
                     fault_s=fault_s,
                     folder=Path(folder),
+                    faults=faults,
                 )
                 report = asyncio.run(soak.run())
             self.assertEqual(report['faults'], [], f'seed {seed}')
