--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -29,8 +29,9 @@
 
 #: Seeds that are played, with seconds of faults: the first ones, and each that
 #: ever failed, with the faults of its time. 3002: more work than the workers do
-#: in the 45 s that the soak waited after the last fault; 36 to 40 of 40 accelerators were in use all the
-#: time, so it now waits as long as jobs go on ending.
+#: in the 45 s that the soak waited after the last fault; 36 to 40 of 40
+#: accelerators were in use all the time, so it now waits as long as jobs go on
+#: ending.
 SEEDS = ((1, 6.0, ()), (2, 6.0, ()), (3002, 10.0, FORMER_FAULTS))
 
 
