A mark says in which life of its worker the task was started

Cause, found reading the change: a new leader told a run of a former life of its worker only by an accident (a session opened before the entry was read took its first word of an incarnation for a restart), which also counted runs that were never sent and workers that were only unlisted. Suspects of one job that last waited for each other for ever. Change: the stored mark keeps the worker's incarnation; a run is of a former life if that differs from the one that answers. The first word of an incarnation tells nothing of one before. Lasting suspects wait 0.5 s and not for each other; others of one job wait for one that has worked for less than 5 s. Before: 2 of 3 new tests fail, the third (a crash that no leader saw) fails without the stored incarnation. After: 135 tests of the leader pass.

--- a/src/curranthill/dispatch/crashes.py
+++ b/src/curranthill/dispatch/crashes.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple
+from typing import Final
 
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.owner import SessionOwner
@@ -44,48 +44,39 @@
 CLEARED_AFTER_S: Final = 600.0
 
 
-class DoubtfulLoss(NamedTuple):
-    """A run whose lease lapsed while its worker was silent.
-
-    :param incarnation: that of the worker at the time, 0 if not told.
-    """
-
-    run: Run
-    incarnation: int
-
-
 class DoubtfulLosses:
-    """Losses at one worker of which it is not known whether it crashed."""
+    """Runs that lapsed at one silent worker; it may have crashed or not."""
 
     def __init__(self, *, owner: SessionOwner) -> None:
         """Start without doubt."""
-        self._losses: list[DoubtfulLoss] = []
+        self._runs: list[Run] = []
         self._owner = owner
 
-    def add(self, run: Run, incarnation: int) -> None:
-        """Keep a loss until the worker answers or is known to be gone."""
-        self._losses.append(DoubtfulLoss(run, incarnation))
+    def add(self, run: Run) -> None:
+        """Keep a run until the worker answers or is known to be gone."""
+        self._runs.append(run)
 
     def take_over(self, former: 'DoubtfulLosses') -> None:
         """Go on with what a former session of the worker left open."""
-        self._losses.extend(former.taken())
+        self._runs.extend(former.taken())
 
     def settle(self, *, crashed: bool) -> None:
-        """Tell of all losses that the worker crashed, or that it did not."""
-        for loss in self.taken():
-            self._owner.loss_settled(loss.run, crashed=crashed)
+        """Tell of all runs that the worker crashed, or that it did not."""
+        for run in self.taken():
+            self._owner.loss_settled(run, crashed=crashed)
 
     def settle_by(self, incarnation: int) -> None:
-        """Tell of all losses, by the incarnation that answers now."""
-        for loss in self.taken():
-            other = loss.incarnation != incarnation
-            self._owner.loss_settled(loss.run, crashed=other)
+        """Tell of all runs, by the incarnation that answers now."""
+        for run in self.taken():
+            told = run.incarnation and incarnation
+            crashed = bool(told) and run.incarnation != incarnation
+            self._owner.loss_settled(run, crashed=crashed)
 
-    def taken(self) -> list[DoubtfulLoss]:
-        """Return all losses and forget them."""
-        losses = self._losses
-        self._losses = []
-        return losses
+    def taken(self) -> list[Run]:
+        """Return all runs and forget them."""
+        runs = self._runs
+        self._runs = []
+        return runs
 
 
 class LossCounts:
@@ -202,7 +193,6 @@
     'PROMPT_S',
     'WORKER_GONE',
     'WORKER_RESTARTED',
-    'DoubtfulLoss',
     'DoubtfulLosses',
     'LossCounts',
     'is_given_up',
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -238,12 +238,9 @@
             task = job.progress.task(key)
             task.attempt = attempt
             task.worker = worker_id
-            run = self._work.new_run(
-                job,
-                key,
-                attempt,
-                self._work.sessions[worker_id],
-            )
+            session = self._work.sessions[worker_id]
+            task.incarnation = session.incarnation
+            run = self._work.new_run(job, key, attempt, session)
             run.checkpoint = checkpoint if gang else task.checkpoint
             run.ticket = (placement.ready.tickets or {}).get(worker_id, '')
             runs.append(run)
--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -70,16 +70,19 @@
         if self.runs.get(run.name) is run:
             self.unproven.add(run.name)
 
-    def begin_anew(self) -> None:
+    def begin_anew(self, *, restarted: bool = True) -> None:
         """Forget the numbers of ends: another incarnation counts anew.
 
         Taken for those of the former one, its first ends would pass for known
         and be acknowledged unread: tasks that are done would run again. Runs
         are judged by the lists of the new incarnation.
+
+        :param restarted: whether there was a former one that was known.
         """
         self.ends.close()
         self.ends = EndLog(saved=self._owner.ends_saved, clock=self._clock)
-        self._outlived.update(self.runs)
+        if restarted:
+            self._outlived.update(self.runs)
 
     def take(
         self,
@@ -166,7 +169,7 @@
 
     def _check_absent(self, run: Run, order: LeaseOrder, sent_s: float) -> None:
         """Give up a run that an answer should have listed and did not."""
-        outlived = run.name in self._outlived
+        outlived = self._is_outlived(run)
         if run.state == UNKNOWN:
             if run.ordered_token < order.token:
                 reason = WORKER_RESTARTED if outlived else 'never started'
@@ -174,6 +177,12 @@
         elif run.state == RUNNING and run.settled_s < sent_s:
             self.vanish(run, WORKER_RESTARTED if outlived else 'not listed')
 
+    def _is_outlived(self, run: Run) -> bool:
+        """Return whether a run was placed in a former life of the worker."""
+        if run.incarnation and self._session.incarnation:
+            return run.incarnation != self._session.incarnation
+        return run.name in self._outlived
+
     def _tell_passed_over(self, ends: tuple[EndReport, ...]) -> None:
         """Tell of an end that passes for known though its run is not over."""
         for end in ends:
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -403,7 +403,7 @@
             return
         for run in self.runs.values():
             if is_lost(run, LEASE_LAPSED, leaving=self.entry.leaving):
-                self.doubtful.add(run, self.incarnation)
+                self.doubtful.add(run)
         self._list.vanish_all(LEASE_LAPSED)
         if not self.listed:
             self.end_life()
@@ -460,11 +460,14 @@
             runs=[str(run.key) for run in self.runs.values()],
         )
         metrics.workers_restarted.add(1)
+        # The first word of an incarnation tells nothing of one before.
+        known = bool(self.incarnation) or not report.incarnation
         self.incarnation = report.incarnation or self.incarnation
         self.troubles_s.clear()
         self.stalled_runs = 0
-        self.doubtful.settle(crashed=True)
-        self._list.begin_anew()
+        if known:
+            self.doubtful.settle(crashed=True)
+        self._list.begin_anew(restarted=known)
 
     def end_life(self, *, replaced: bool = False) -> None:
         """Take the worker as gone for good.
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -280,6 +280,7 @@
             incarnation=session.incarnation,
         )
         run.alone = job.is_alone(key)
+        job.end_wait(key)
         session.runs[run.name] = run
         job.runs[key] = run
         return run
@@ -294,6 +295,7 @@
         task = job.progress.task(key)
         run = self.new_run(job, key, task.attempt, session)
         run.state = UNKNOWN
+        run.incarnation = task.incarnation
         run.checkpoint = task.checkpoint
         session.wake()
 
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -4,7 +4,12 @@
 from typing import NamedTuple
 
 from curranthill.placement.runs import Run
-from curranthill.placement.suspects import ALONE_PATIENCE_S, is_suspect
+from curranthill.placement.suspects import (
+    ALONE_PATIENCE_S,
+    LASTING_PATIENCE_S,
+    TRIED_S,
+    is_suspect,
+)
 from curranthill.tasks import (
     COMPLETED,
     ENDED,
@@ -148,7 +153,6 @@
 
     def note_losses(self, key: TaskKey) -> None:
         """Take note of what a task's losses make it."""
-        self._waits_since_s.pop(key, None)
         if is_suspect(self.progress.task(key)):
             self.suspects.add(key)
         else:
@@ -176,15 +180,30 @@
         others = tuple(key for key in ready.tasks if key not in self.suspects)
         if others:
             yield ready._replace(tasks=others)
-        if not self.suspects.isdisjoint(self.runs):
+        if self._is_trying() and not ready.step.perpetual:
             return
         alone = self._waits_alone(suspects[0], now_s)
         yield ready._replace(tasks=(suspects[0],), alone=alone)
 
+    def _is_trying(self) -> bool:
+        """Return whether a suspect runs that may yet crash its worker."""
+        return any(
+            run.age_s < TRIED_S
+            for key, run in self.runs.items()
+            if key in self.suspects
+        )
+
+    def end_wait(self, key: TaskKey) -> None:
+        """Have a suspect wait anew the next time."""
+        self._waits_since_s.pop(key, None)
+
     def _waits_alone(self, key: TaskKey, now_s: float) -> bool:
         """Return whether a suspect still waits for a worker of its own."""
+        patience_s = ALONE_PATIENCE_S
+        if self.step_of(key).perpetual:
+            patience_s = LASTING_PATIENCE_S
         since_s = self._waits_since_s.setdefault(key, now_s)
-        return now_s - since_s < ALONE_PATIENCE_S
+        return now_s - since_s < patience_s
 
     def _note_step_done(self, place: tuple[int, int]) -> None:
         self._done_steps.add(place)
--- a/src/curranthill/placement/suspects.py
+++ b/src/curranthill/placement/suspects.py
@@ -18,6 +18,13 @@
 #: innocent one under full load.
 ALONE_PATIENCE_S: Final = 5.0
 
+#: The same for a task that lasts, in seconds: its users wait meanwhile.
+LASTING_PATIENCE_S: Final = 0.5
+
+#: A suspect that has worked for so long holds up no other one of its job, in
+#: seconds: most crashes come sooner, and many innocent ones must go on.
+TRIED_S: Final = 5.0
+
 #: A suspect that has worked for so long may have others beside it, in
 #: seconds: by far longer than from a start to a crash.
 ALONE_S: Final = 60.0
@@ -28,4 +35,11 @@
     return bool(task.prompt_crashes) or task.losses >= SUSPECT_LOSSES
 
 
-__all__ = ('ALONE_PATIENCE_S', 'ALONE_S', 'SUSPECT_LOSSES', 'is_suspect')
+__all__ = (
+    'ALONE_PATIENCE_S',
+    'ALONE_S',
+    'LASTING_PATIENCE_S',
+    'SUSPECT_LOSSES',
+    'TRIED_S',
+    'is_suspect',
+)
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -42,6 +42,8 @@
     :param losses: runs that were lost with their worker.
     :param prompt_crashes: of these, the ones whose worker crashed for certain
         and right after the start.
+    :param incarnation: that of the worker when the run was marked there, 0 if
+        not told.
     """
 
     attempt: int = 0
@@ -52,6 +54,7 @@
     failed_attempt: int = 0
     losses: int = 0
     prompt_crashes: int = 0
+    incarnation: int = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -90,6 +90,30 @@
         in_domain(case, workers=6)
 
 
+class SameIdTest(unittest.TestCase):
+    """Workers that are back under their ids before a new leader looks."""
+
+    def test_a_crash_that_no_leader_saw_is_counted(self) -> None:
+        """The mark says in which life of the worker the task started."""
+
+        async def case(domain: Domain) -> None:
+            domain.away_s = 0.2
+            domain.start_host('h0')
+            await domain.leader()
+            domain.crashing.add(FIRST)
+            await domain.hosts['h0'].accept(make_spec('a1', WHOLE))
+            for number in range(1, 12):
+                await crashed_once_more(domain)
+                await domain.leading()[0].kill()
+                await domain.clock.advance(1)
+                domain.start_host(f'h{number}')
+                await domain.leader()
+            self.assertEqual(domain.state('a1'), 'failed')
+            self.assertLessEqual(len(domain.starts(FIRST)), MOST_CRASHES)
+
+        in_domain(case, workers=6)
+
+
 class InnocentTest(unittest.TestCase):
     """Tasks that have nothing to do with a crash are not counted for it."""
 
@@ -148,6 +172,30 @@
 
         in_domain(case, run_s=60)
 
+    def test_a_worker_of_which_no_life_was_known_has_not_crashed(self) -> None:
+        """A new leader finds its entry missing, and then the worker alive."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', WHOLE))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            worker = domain.workers['w0']
+            domain.delist_worker('w0')
+            await host.kill()
+            domain.start_host('h2')
+            await domain.leader()
+            await domain.clock.until(
+                lambda: domain.progress('a1').task(FIRST).losses == 1,
+                within_s=30,
+            )
+            domain.list_worker(worker.entry)
+            await domain.clock.advance(2)
+            task = domain.progress('a1').task(FIRST)
+            self.assertEqual((task.losses, task.prompt_crashes), (0, 0))
+
+        in_domain(case, run_s=100)
+
     def test_a_worker_that_leaves_counts_for_nothing(self) -> None:
         """It had said so, and what ran there ended with it."""
 
@@ -241,6 +289,23 @@
 
         in_domain(case, workers=8)
 
+    def test_suspects_that_last_do_not_wait_for_each_other(self) -> None:
+        """Both are at work again soon after their worker is gone."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            step = Step(width=2, needs=ONE_GPU, perpetual=True)
+            await host.accept(make_spec('a1', step))
+            await domain.clock.until(lambda: bool(domain.starts(FIRST)))
+            domain.workers['w0'].crash()
+            await domain.clock.advance(AWAY_S + 3)
+            for rank in range(2):
+                starts = domain.starts(FIRST._replace(rank=rank))
+                self.assertEqual(len(starts), 2)
+
+        in_domain(case, workers=3, run_s=10_000)
+
     def test_a_suspect_waits_only_so_long_for_a_worker_of_its_own(
         self,
     ) -> None:
