A leader that cannot read the operators' rows yields to a host that can

Cause: its row went on changing, so no standby looked further, and it started nothing. Ruled out: giving the row back at once, which leaves nobody to renew leases where no host can read (test of two such hosts); stepping down by age alone, since after an outage of the store all hosts have read nothing for a while (age counts from the return). Change: the leader's row says that its holder yields; a host that can read takes over at once, one that cannot waits 0.7 s longer for a silent leader. A bound that the settings do not name is none: nothing waits for a reading there.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, Protocol
 
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.journal import HEARTBEAT_S
 from curranthill.dispatch.leadership import (
+    LeaderRow,
     Leadership,
     LeadershipLostError,
     leader_row_of,
@@ -39,15 +40,33 @@
 #: store's return, and some seven calls a second of each host meanwhile.
 FAILED_POLL_S: Final = 0.15
 
+#: A leader whose writes apply, and that has read nothing that it must obey for
+#: so long, asks for a successor, in seconds: two readings that were lost, and
+#: no more, since it may start nothing soon.
+BLIND_S: Final = 1.8
+
+#: A host that cannot read what a leader must obey takes over a silent leader's
+#: place so much later, in seconds: hosts that can come first.
+BLIND_DELAY_S: Final = 0.7
+
 #: Two readings further apart than this say nothing of the time between.
 READING_GAP_S: Final = 1.2
 
 
+class OrdersSource(Protocol):
+    """What the operators have asked for, which a leader must obey."""
+
+    @property
+    def read_s(self) -> float:
+        """Return as of when it is known, in seconds of the clock."""
+
+
 class Election:
     """Follows the leader's row; leads when it wins it.
 
     :param lead: runs one term and returns when it is over.
     :param health: is told of each reading.
+    :param orders: a host that cannot read them leads only if nobody else does.
     """
 
     def __init__(
@@ -58,8 +77,10 @@
         holder: str,
         lead: Callable[[Leadership], Awaitable[None]],
         health: StoreHealth,
+        orders: OrdersSource,
     ) -> None:
         """Start with no row seen."""
+        self._orders = orders
         self._store = store
         self._clock = clock
         self._holder = holder
@@ -69,6 +90,7 @@
         self._seen_since_s = 0.0
         self._unchanged_since_s = 0.0
         self._read_s = 0.0
+        self._steady_since_s = 0.0
         self._silence_s = SILENCE_S
         self._resigned = False
 
@@ -101,6 +123,8 @@
         now_s = self._clock.monotonic_s()
         version = row.version if row else 0
         gap_s = now_s - self._read_s
+        if gap_s > READING_GAP_S:
+            self._steady_since_s = now_s
         if version != self._version:
             self._seen_since_s = now_s
         if version != self._version:
@@ -118,16 +142,17 @@
         if self._resigned:
             return
         try:
-            holder = leader_row_of(row).holder if row else ''
+            leader = leader_row_of(row) if row else LeaderRow()
         except StorageError as error:
             events.log('takeover_failed', error=str(error))
             return
+        holder = leader.holder
         # A row of this host's own name is that of an earlier process, or was
         # won without a reply: nobody else waits for it.
         held = holder not in {'', self._holder}
-        if held and self.leader_silent_s < self._silence_s:
+        if held and not self._may_replace(leader):
             return
-        if not holder:
+        if not holder or leader.yields:
             # A vacancy is seen by all at once.
             await self._clock.sleep(random.uniform(0, JITTER_S / 3))
         try:
@@ -148,6 +173,21 @@
             return
         await self._run_term(leadership)
 
+    def _may_replace(self, leader: LeaderRow) -> bool:
+        """Return whether a leader is silent, or asks for one that can read."""
+        if self._is_blind(self._steady_since_s):
+            return self.leader_silent_s >= self._silence_s + BLIND_DELAY_S
+        return leader.yields or self.leader_silent_s >= self._silence_s
+
+    def _is_blind(self, steady_since_s: float) -> bool:
+        """Return whether the operators' orders have gone unread for long.
+
+        :param steady_since_s: since when the store has answered this host; an
+            outage of the store is none of readings alone.
+        """
+        known_s = max(self._orders.read_s, steady_since_s)
+        return self._clock.monotonic_s() - known_s > BLIND_S
+
     async def _run_term(self, leadership: Leadership) -> None:
         term = asyncio.ensure_future(self._lead(leadership))
         try:
@@ -155,11 +195,25 @@
                 # The leader's own writes tell whether the store answers.
                 if leadership.age_s < UNREACHABLE_S:
                     self._health.answered()
+                self._ask_for_successor(leadership)
                 await wait_at_most(term, timeout_s=POLL_S, clock=self._clock)
         finally:
             term.cancel()
             await _end(term)
 
+    def _ask_for_successor(self, leadership: Leadership) -> None:
+        blind = self._is_blind(leadership.steady_since_s)
+        if blind != leadership.yields:
+            leadership.yields = blind
+            events.log(
+                'leader_yields' if blind else 'leader_stays',
+                epoch=leadership.epoch,
+                orders_age_s=round(
+                    self._clock.monotonic_s() - self._orders.read_s,
+                    2,
+                ),
+            )
+
 
 async def _give_back(leadership: Leadership) -> None:
     """Vacate a row that was won while this host was told to stop.
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -42,6 +42,10 @@
 #: for seconds is then tried some ten times a second by the one leader.
 RETRY_DELAY_S: Final = 0.1
 
+#: Writes further apart than this tell of an outage between them, in seconds:
+#: three heartbeats.
+STEADY_GAP_S: Final = 1.0
+
 
 class LeaderRow(msgspec.Struct, array_like=True):
     """The leader's row.
@@ -51,12 +55,15 @@
     :param operation: unique to each write, so that a lost reply is found.
     :param former_s: for how long from this write those who led before the
         holder may go on renewing leases, in seconds.
+    :param yields: the holder cannot read what it must obey; it leads on until
+        a host that can takes over.
     """
 
     holder: str = ''
     epoch: int = 0
     operation: str = ''
     former_s: float = 0.0
+    yields: bool = False
 
     def former_after_s(self, seen_for_s: float) -> float:
         """Return how long anyone up to this row's writer may go on renewing.
@@ -96,6 +103,8 @@
     :param row: the leader's row as this process wrote it.
     :param version: the version of that row.
     :param began_s: the clock just before that write.
+    :param yields: whether the next writes ask for a successor.
+    :param steady_since_s: since when writes have applied without a gap.
     """
 
     def __init__(
@@ -117,6 +126,8 @@
         self._version = version
         self._lost = False
         self.confirmed_s = began_s
+        self.steady_since_s = began_s
+        self.yields = False
 
     @property
     def epoch(self) -> int:
@@ -169,6 +180,7 @@
             epoch=self._row.epoch,
             operation=uuid.uuid4().hex,
             former_s=self.former_s,
+            yields=self.yields,
         )
         own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
         # A try that turns out to have applied may be any of them, and others
@@ -179,12 +191,17 @@
             if version:
                 self._version = version
                 self._row = row
-                self.confirmed_s = first_s
+                self._note_applied(first_s)
                 metrics.commit_s.record(self._clock.monotonic_s() - first_s)
                 return
             await self._clock.sleep(RETRY_DELAY_S)
         raise LeadershipLostError('This process leads no more.', step='write')
 
+    def _note_applied(self, first_s: float) -> None:
+        if first_s - self.confirmed_s > STEADY_GAP_S:
+            self.steady_since_s = first_s
+        self.confirmed_s = first_s
+
     def abandon(self) -> None:
         """Let every later write fail."""
         self._lost = True
--- a/src/curranthill/entry/closures.py
+++ b/src/curranthill/entry/closures.py
@@ -5,6 +5,7 @@
 a host that has not read the operators' rows of late starts nothing anywhere.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -17,6 +18,10 @@
 #: rest is for orders on their way, which are given up after 0.6 s.
 KNOWN_SHARE: Final = 0.6
 
+#: How old the knowledge of a host is that has read nothing yet, in seconds:
+#: above every bound.
+NEVER_READ_AGE_S: Final = 86_400.0
+
 ClosureDecoder = Callable[[StoredRow], str | None]
 
 
@@ -35,11 +40,13 @@
 class Closures:
     """Which data centres are closed, as far as this host knows.
 
+    :param read_s: as of when all rows are known, in seconds of the clock.
     :param decode: returns the data centre that a row closes, or nothing for
         other rows; raises :class:`MalformedRecordError` for one that closes
         none that can be told.
     :param cease_s: in how many seconds after its closing no task may start in
-        a data centre any more.
+        a data centre any more; 0 for no bound, so that only what was read to
+        be closed is.
     """
 
     def __init__(
@@ -49,18 +56,18 @@
         decode: ClosureDecoder,
         cease_s: float,
     ) -> None:
-        """Start with nothing read, so that nothing is allowed."""
+        """Start with nothing read: with a bound, nothing is allowed."""
         self.closed: dict[str, ClosedDataCentre] = {}
         self._clock = clock
         self._decode = decode
-        self._fresh_s = KNOWN_SHARE * cease_s
-        self._read_s = -self._fresh_s
+        self._fresh_s = KNOWN_SHARE * cease_s or math.inf
+        self.read_s = clock.monotonic_s() - NEVER_READ_AGE_S
         self._was_known = False
 
     @property
     def age_s(self) -> float:
         """Return how old the knowledge is, in seconds."""
-        return self._clock.monotonic_s() - self._read_s
+        return self._clock.monotonic_s() - self.read_s
 
     def allows_starts(self, data_centre: str) -> bool:
         """Return whether a task may start in a data centre now."""
@@ -71,7 +78,7 @@
 
         :param asked_s: when the reading that was answered was asked for.
         """
-        self._read_s = max(self._read_s, asked_s)
+        self.read_s = max(self.read_s, asked_s)
 
     def take_all(self, rows: tuple[StoredRow, ...]) -> None:
         """Take the operators' rows in place of all before."""
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -91,7 +91,8 @@
         far_factor=bounds.get('far_x', plain.far_factor),
         restore_s=bounds.get('restore_ms', plain.restore_s * 1000) / 1000,
         grace_s=bounds.get('grace_s', plain.grace_s),
-        evacuate_s=bounds.get('evacuate_ms', plain.evacuate_s * 1000) / 1000,
+        # Only a bound that the platform names is in force.
+        evacuate_s=bounds.get('evacuate_ms', 0.0) / 1000,
     )
 
 
--- a/src/curranthill/tasks/records.py
+++ b/src/curranthill/tasks/records.py
@@ -244,7 +244,7 @@
     :param far_factor: how much longer work takes away from its data.
     :param restore_s: what resuming from a checkpoint takes.
     :param evacuate_s: how soon after its closing no task starts in a data
-        centre any more.
+        centre any more; 0 if nobody asks for a bound.
     """
 
     lease_s: float = 6.0
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -472,17 +472,18 @@
             clock=self.clock,
             health=self.health,
         )
+        self.closures = Closures(
+            clock=self.clock,
+            decode=decode_closure,
+            cease_s=Timing().evacuate_s,
+        )
         self.election = Election(
             store=self._store,
             clock=self.clock,
             holder=name,
             lead=self._lead,
             health=self.health,
-        )
-        self.closures = Closures(
-            clock=self.clock,
-            decode=decode_closure,
-            cease_s=Timing().evacuate_s,
+            orders=self.closures,
         )
         self._tasks = (
             asyncio.ensure_future(self.election.run()),
