Failing test: a stopping host outlives its grace where requests are open

Its servers were closed one after another, each with up to 1 s for what is open, after up to 0.6 of the grace for handing over. Conclusion: listed as red until the mend.

--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -92,6 +92,11 @@
         """Return where callers' requests arrive, for a port chosen freely."""
         return _bound_address(self._callers)
 
+    @property
+    def relay_address(self) -> str:
+        """Return where peers' calls arrive, for a port chosen freely."""
+        return _bound_address(self._relay)
+
     async def _start(self) -> None:
         settings = self._settings
         clock = self.app.clock
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -90,6 +90,10 @@
 }
 
 
+#: What the platform leaves for a planned stop in a test, in seconds.
+GRACE_S = 4.0
+
+
 class Bench:
     """A store and one worker behind real ports, and clients of both."""
 
@@ -540,6 +544,51 @@
 
         on_bench(case)
 
+    def test_open_requests_do_not_outlast_the_grace(self) -> None:
+        """The store is silent, a caller and a peer send half of a request."""
+
+        async def case(bench: Bench) -> None:
+            content = json.dumps(CONFIGURATION).encode()
+            bench.rows.apply((), (RowPut('op', 'config', content),), ())
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / 'local.json'
+                settings = settings_of(bench)
+                settings['bounds']['grace_s'] = GRACE_S
+                path.write_text(json.dumps(settings), 'utf-8')
+                host = HostDaemon(
+                    read_settings=lambda: read_platform_settings(path),
+                )
+                await host.app.start()
+                await until(lambda: bool(leader_of(bench)))
+                bench.store_server.connections.paused = True
+                bench.store_server.connections.silence()
+                halves = [
+                    await send_half(address)
+                    for address in (host.callers_address, host.relay_address)
+                ]
+                began_s = bench.clock.monotonic_s()
+                await host.app.stop()
+                took_s = bench.clock.monotonic_s() - began_s
+                for writer in halves:
+                    writer.close()
+            self.assertLess(took_s, GRACE_S)
+
+        on_bench(case)
+
+
+async def send_half(address: str) -> asyncio.StreamWriter:
+    """Send a request whose body never comes."""
+    ip, port = address.split(':')
+    _, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(
+        b'POST /quick/2222222222222222 HTTP/1.1\r\n'
+        b'Host: jobs.example\r\n'
+        b'Authorization: Bearer key-of-alpha\r\n'
+        b'Content-Length: 100\r\n\r\n{',
+    )
+    await writer.drain()
+    return writer
+
 
 def leader_of(bench: Bench) -> str:
     """Return who leads as the store says; empty for nobody."""
