A stopping host closes its servers side by side

Cause: see the failing test. Ruled out: a shorter hand-over, since leadership would not be given back after a short outage (its test needs it). Change: one gather.

--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -194,10 +194,13 @@
             self.app.clock.sleep(min(TURN_AWAY_S, most_s)),
             self._hand_over(most_s),
         )
-        await self._callers.cleanup()
-        await self._readiness.cleanup()
-        await self._metrics.cleanup()
-        await self._relay.cleanup()
+        # Side by side: each waits for what is open, and the grace is one.
+        await asyncio.gather(
+            self._callers.cleanup(),
+            self._readiness.cleanup(),
+            self._metrics.cleanup(),
+            self._relay.cleanup(),
+        )
         await self._caller.close()
         events.log('stopped')
 
