Drawn faults hide the operators' rows from hosts

Cause: the tests of a leader that cannot read them bring one fault about each. Change: the drawn series let some host, or all, not read those rows, beside kills, cuts and outages.

--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -101,8 +101,15 @@
         names = [*domain.hosts, '*']
         domain.rows.refusing.add(names[pick % len(names)])
 
+    async def hide_orders(self, domain: Domain, pick: int) -> None:
+        """Let some host, or all, not read the operators' rows."""
+        names = [*domain.hosts, *domain.hosts]
+        some = names[pick % len(names) :] if names else []
+        domain.unreadable.update(some[: 1 + pick % 2])
+
     async def heal_store(self, domain: Domain, pick: int) -> None:
         """Give the store back to all."""
+        domain.unreadable.clear()
         domain.rows.down.clear()
         domain.rows.refusing.clear()
 
@@ -191,6 +198,7 @@
     'stop_leader',
     'cut_store',
     'refuse_store',
+    'hide_orders',
     'heal_store',
     'lose_writes',
     'drop_history',
