Failing test: a leader in good health yields again and again

Ruled out: the machine's load alone, since the code before the change ended all jobs beside it. Change: the test (20 s, two hosts in good health).

--- a/tests/test_unread_operators.py
+++ b/tests/test_unread_operators.py
@@ -48,6 +48,20 @@
 
         in_domain(case, run_s=60)
 
+    def test_a_leader_whose_readings_wait_for_news_leads_on(self) -> None:
+        """Nothing changes, so each reading is answered after its wait."""
+
+        async def case(domain: Domain) -> None:
+            domain.start_host('h1')
+            await domain.leader()
+            domain.start_host('h2')
+            for _ in range(100):
+                await domain.clock.advance(0.2)
+                leading = [one.name for one in domain.leading()]
+                self.assertEqual(leading, ['h1'])
+
+        in_domain(case)
+
     def test_what_runs_goes_on_through_the_change(self) -> None:
         """No run is stopped or lapses."""
 
