A leader asks for a successor only after four waits of its readings

Cause: see the failing test. Ruled out: counting knowledge from the answer in place of from when it was asked for, which closed data centres forbid.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -15,6 +15,7 @@
     take_over,
 )
 from curranthill.errors import StorageError
+from curranthill.storage.follower import FEED_WAIT_S
 from curranthill.storage.health import UNREACHABLE_S, StoreHealth
 from curranthill.storage.rows import RowStore, StoredRow
 from curranthill.tasks import tables
@@ -41,9 +42,9 @@
 FAILED_POLL_S: Final = 0.15
 
 #: A leader whose writes apply, and that has read nothing that it must obey for
-#: so long, asks for a successor, in seconds: two readings that were lost, and
-#: no more, since it may start nothing soon.
-BLIND_S: Final = 1.8
+#: so long, asks for a successor, in seconds: a reading that waits for news
+#: leaves it with what it knew two waits before, so two more were lost.
+BLIND_S: Final = 4 * FEED_WAIT_S
 
 #: A host that cannot read what a leader must obey takes over a silent leader's
 #: place so much later, in seconds: hosts that can come first.
--- a/src/curranthill/storage/follower.py
+++ b/src/curranthill/storage/follower.py
@@ -148,4 +148,4 @@
         self._failures = 0
 
 
-__all__ = ('RowsTaker', 'TableFollower', 'TableSource')
+__all__ = ('FEED_WAIT_S', 'RowsTaker', 'TableFollower', 'TableSource')
