An urgent run without a sign of progress starts elsewhere within a second

Cause: see the failing test before. Ruled out: a lower bound for all runs, since work that is not urgent can wait and each look is a call; judging a gang by its oldest member (a member whose fellow's start was on its way for 0.5 s was moved, seen in the test). Change: a worker's reports come every 0.35 s while an urgent run there has shown no progress, and 0.65 s without any is a stall, counted from when all its gang runs.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -50,6 +50,10 @@
 #: renewals then fall into the shortest lease of six seconds.
 RENEWAL_WAIT_S: Final = 1.5
 
+#: The same while an urgent run has shown no progress yet: two reports then
+#: tell within a second that it stands still.
+FIRST_SIGN_WAIT_S: Final = 0.35
+
 #: The pause after a renewal without an answer, in seconds.
 MISSED_DELAY_S: Final = 0.25
 
@@ -364,6 +368,8 @@
         """
         if not self.synced or not self._list.ends.all_stored:
             return 0.0
+        if any(run.awaits_sign for run in self.runs.values()):
+            return FIRST_SIGN_WAIT_S
         return RENEWAL_WAIT_S if self.runs else 0.0
 
     def _number_to_acknowledge(self) -> int:
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -239,7 +239,8 @@
             stalled = [run for run in session.runs.values() if run.stalled_s]
             session.stalled_runs = len(stalled)
             for run in stalled:
-                if run.pays_to_move and not run.stop_wanted:
+                job = self.jobs.get(run.key.job_id)
+                if job is not None and job.stands_still(run):
                     self._move_stalled(session, run)
 
     def forget(self, job_id: str) -> None:
--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -12,9 +12,8 @@
 from typing import Final, NamedTuple
 
 from curranthill.placement.losses import Losses
-from curranthill.placement.order import URGENT
 from curranthill.placement.rooms import Room, room_needed
-from curranthill.placement.runs import RUNNING, Run
+from curranthill.placement.runs import RUNNING, URGENT, Run
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: What a worker in doubt costs for each run that failed or stood still there,
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from curranthill.placement.runs import Run
+from curranthill.placement.runs import RUNNING, Run
 from curranthill.placement.suspects import (
     ALONE_PATIENCE_S,
     LASTING_PATIENCE_S,
@@ -158,6 +158,21 @@
         else:
             self.suspects.discard(key)
 
+    def stands_still(self, run: Run) -> bool:
+        """Return whether a run should start elsewhere, as its worker holds it.
+
+        A gang works only once all its members run.
+        """
+        if run.stop_wanted or not run.pays_to_move:
+            return False
+        whole_s = 0.0
+        for key in self.members_of(run.key):
+            fellow = self.runs.get(key)
+            if fellow is None or fellow.state != RUNNING:
+                return False
+            whole_s = max(whole_s, fellow.settled_s)
+        return run.reported_s - whole_s >= run.shortest_stall_s
+
     def is_alone(self, key: TaskKey) -> bool:
         """Return whether a task's run is to have its worker for itself."""
         if not self.suspects:
--- a/src/curranthill/placement/order.py
+++ b/src/curranthill/placement/order.py
@@ -5,12 +5,9 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Final
 
 from curranthill.placement.jobs import ActiveJob
-
-#: Priority 0 may preempt the others.
-URGENT: Final = 0
+from curranthill.placement.runs import URGENT
 
 
 def is_urgent(job: ActiveJob) -> bool:
@@ -62,4 +59,4 @@
     )
 
 
-__all__ = ('URGENT', 'covered_jobs', 'in_order', 'is_urgent')
+__all__ = ('covered_jobs', 'in_order', 'is_urgent')
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -16,6 +16,9 @@
 SERVING: Final = 'serving'
 FILLING: Final = 'filling'
 
+#: Priority 0 may preempt the others.
+URGENT: Final = 0
+
 MARKED: Final = 'marked'
 ORDERED: Final = 'ordered'
 UNKNOWN: Final = 'unknown'
@@ -33,6 +36,10 @@
 #: just under the interval of reports when nothing ends.
 SHORTEST_STALL_S: Final = 1.4
 
+#: The same for an urgent run that has shown no progress at all, in seconds:
+#: early enough for quick work to start elsewhere and still be in time.
+FIRST_SIGN_S: Final = 0.65
+
 #: The same, as a share of the estimated run time: far from its data and on a
 #: slow worker a task still shows one percent more in that time.
 STALL_SHARE: Final = 0.1
@@ -144,10 +151,25 @@
         watched = self.estimate_s and self.done_percent < ALL_DONE_PERCENT
         if self.state != RUNNING or not watched:
             return 0.0
-        reported_s = self.started_s + self.age_s
-        stalled_s = reported_s - self.percent_changed_s
-        shortest_s = max(SHORTEST_STALL_S, STALL_SHARE * self.estimate_s)
-        return stalled_s if stalled_s >= shortest_s else 0.0
+        stalled_s = self.reported_s - self.percent_changed_s
+        return stalled_s if stalled_s >= self.shortest_stall_s else 0.0
+
+    @property
+    def shortest_stall_s(self) -> float:
+        """Return how long without progress a run that works may be."""
+        shortest_s = FIRST_SIGN_S if self.awaits_sign else SHORTEST_STALL_S
+        return max(shortest_s, STALL_SHARE * self.estimate_s)
+
+    @property
+    def reported_s(self) -> float:
+        """Return when the newest report came, in seconds of the clock."""
+        return self.started_s + self.age_s
+
+    @property
+    def awaits_sign(self) -> bool:
+        """Return whether an urgent run has shown no progress yet."""
+        quick = self.priority == URGENT and self.estimate_s > 0
+        return quick and not self.done_percent and not self.stop_wanted
 
     @property
     def pays_to_move(self) -> bool:
@@ -179,6 +201,7 @@
     'RUNNING',
     'SERVING',
     'UNKNOWN',
+    'URGENT',
     'Run',
     'RunKind',
     'RunState',
--- a/tests/test_first_signs.py
+++ b/tests/test_first_signs.py
@@ -1,7 +1,7 @@
 """Urgent runs that show no sign of progress are found out in time.
 
-Workers whose health is good hold what starts on them for seconds. A report every
-1.5 s tells of it when an urgent job has missed its objective already.
+Workers whose health is good hold what starts on them for seconds. A report
+every 1.5 s tells of it when an urgent job has missed its objective already.
 """
 
 import unittest
