Failing test: services over TLS are refused plainly

A host speaks plain HTTP. An address that asks for TLS was taken, and each call over it failed with a message about the URL.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -386,6 +386,32 @@
             with self.assertRaisesRegex(SettingsError, 'bind_addrs'):
                 read_platform_settings(path)
 
+    def test_services_over_tls_are_refused_plainly(self) -> None:
+        """A host loads no certificates, so it must not start to try."""
+        address = '127.0.0.1:1'
+        settings = {
+            'node_name': 'front-1',
+            'ip': '127.0.0.1',
+            'zone': 'dc',
+            'bind_addrs': {'front': address, 'ready': address},
+            'port_range': [0, 0],
+            'platform': {'address': address},
+            'placement_advisor': address,
+        }
+        over_tls = f'https://{address}'
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'local.json'
+            for wrong in (
+                {'platform': {'address': over_tls}},
+                {'placement_advisor': over_tls},
+            ):
+                with self.subTest(wrong=wrong):
+                    path.write_text(json.dumps(settings), 'utf-8')
+                    read_platform_settings(path)
+                    path.write_text(json.dumps(settings | wrong), 'utf-8')
+                    with self.assertRaisesRegex(SettingsError, 'plain HTTP'):
+                        read_platform_settings(path)
+
 
 class HostTest(unittest.TestCase):
     """One whole host between callers, store and worker."""
