--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -390,6 +390,38 @@
             with self.assertRaisesRegex(SettingsError, 'bind_addrs'):
                 read_platform_settings(path)
 
+    def test_services_over_tls_are_refused_plainly(self) -> None:
+        """A host loads no certificates, so it must not start to try."""
+        address = '127.0.0.1:1'
+        settings = {
+            'node_name': 'front-1',
+            'ip': '127.0.0.1',
+            'zone': 'dc',
+            'bind_addrs': {'front': address, 'ready': address},
+            'port_range': [0, 0],
+            'platform': {'address': address},
+            'placement_advisor': address,
+        }
+        over_tls = f'https://{address}'
+        self.assertIn(address, reading_of(settings))
+        for wrong in (
+            {'platform': {'address': over_tls}},
+            {'placement_advisor': over_tls},
+        ):
+            with self.subTest(wrong=wrong):
+                self.assertIn('plain HTTP', reading_of(settings | wrong))
+
+
+def reading_of(settings: dict[str, Any]) -> str:
+    """Return what becomes of settings: the store's address, or the error."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'local.json'
+        path.write_text(json.dumps(settings), 'utf-8')
+        try:
+            return read_platform_settings(path).store_address
+        except SettingsError as error:
+            return error.message
+
 
 class HostTest(unittest.TestCase):
     """One whole host between callers, store and worker."""
