Replayed loads of memory-bound gangs and of new leaders

Change: kinds, room, workspaces' shares and takeovers belong to a load; stops, late gangs and the worst workspace are printed.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -161,6 +161,26 @@
 )
 
 
+#: Work that memory binds more often than accelerators do.
+WIDE_KINDS: Final = (
+    KINDS[0]._replace(
+        per_worker_s=0.0167, cpu_millis=7500, memory_mb=31_000
+    ),  # fmt: skip
+    KINDS[1]._replace(
+        per_worker_s=0.0061,
+        run_s=6.8,
+        cpu_millis=26_000,
+        memory_mb=140_000,
+        same_rack_share=0.0,
+        slack_factor=3.0,
+    ),
+    KINDS[2]._replace(
+        per_worker_s=0.005, run_s=9.5, cpu_millis=5600, memory_mb=16_000
+    ),  # fmt: skip
+)
+WIDE_ROOM: Final = Resources(cpu_millis=64_000, memory_mb=262_144, gpus=8)
+
+
 class Load(NamedTuple):
     """What happens on a day besides the usual arrivals.
 
@@ -168,14 +188,35 @@
     :param bursts: begin, end and factor of more urgent arrivals.
     :param leaving: when and which share of the workers leaves, and how long
         before it says so, in seconds.
+    :param takeovers: when a new leader begins, and how long it looks at
+        workers before it may use the last of them, in seconds.
+    :param room: what each worker has.
+    :param together: the most accelerators of one job.
+    :param workspaces: the share of the jobs that each workspace hands in.
     """
 
     rate: float = 1.0
     bursts: tuple[tuple[float, float, float], ...] = ()
     leaving: tuple[tuple[float, float, float], ...] = ()
-
+    takeovers: tuple[tuple[float, float], ...] = ()
+    kinds: tuple[Kind, ...] = KINDS
+    room: Resources = ROOM
+    together: int = MOST_GPUS_TOGETHER
+    workspaces: tuple[float, ...] = (1.0, 1.0, 1.0, 1.0)
+
+
+WIDE: Final = Load(
+    rate=1.3,
+    kinds=WIDE_KINDS,
+    room=WIDE_ROOM,
+    together=128,
+    workspaces=(0.4, 0.2, 0.1, 0.1, 0.05, 0.05, 0.03, 0.03, 0.02, 0.02),
+)
 
 LOADS: Final = {
+    'wide': WIDE._replace(bursts=((5, 11, 2.2), (20, 24, 2.1))),
+    'wide-over': WIDE._replace(rate=2.0, bursts=((5, 11, 2.2),)),
+    'takeover': WIDE._replace(takeovers=((8, 1.5), (16, 1.5), (24, 1.5))),
     'calm': Load(),
     'over': Load(rate=2.4, bursts=((5, 11, 2.2), (20, 24, 2.1))),
     'burst': Load(rate=1.4, bursts=((5, 11, 2.2), (20, 24, 2.1))),
@@ -195,6 +236,7 @@
     run_s: float
     arrives_s: float
     fails_at: float
+    workspace: str
 
     def objective_s(self) -> float:
         """Return when it should be done, by what it truly takes."""
@@ -206,6 +248,9 @@
     """What one day brought.
 
     :param worth: credit as a share of what was owed, less waste.
+    :param stops: runs that were stopped for others.
+    :param late_middle: the share of jobs of priority 1 that were late.
+    :param worst_workspace: the least share earned of what one was owed.
     """
 
     worth: float
@@ -215,6 +260,9 @@
     low: float
     wasted_share: float
     starts_a_job: float
+    stops: float
+    late_middle: float
+    worst_workspace: float
 
 
 class Day:
@@ -230,6 +278,10 @@
     ) -> None:
         """Draw the day."""
         self._source = random.Random(seed)  # noqa: S311
+        self._load = load
+        self._workspaces = [f't{one}' for one in range(len(load.workspaces))]
+        self._stops = 0
+        self._looked_at_s: dict[str, float] = {}
         self._without = without
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -251,7 +303,7 @@
                 service=SERVICE,
                 address='',
                 data_centre='dc',
-                room=ROOM,
+                room=load.room,
                 labels=('a', f'r{number // per_rack}'),
             )
             for number in range(workers)
@@ -261,6 +313,8 @@
         self._memory: dict[str, Any] = {}
         self._draw_arrivals(load, workers)
         self._draw_leavings(load, workers)
+        for at_s, within_s in load.takeovers:
+            self._at(at_s, partial(self._take_over, within_s))
 
     def play(self) -> Outcome:
         """Play the day to its end and return what it brought."""
@@ -277,7 +331,7 @@
         heapq.heappush(self._events, (at_s, self._count, action))
 
     def _draw_arrivals(self, load: Load, workers: int) -> None:
-        for kind in KINDS:
+        for kind in load.kinds:
             at_s = 0.0
             while at_s < DAY_S:
                 rate = load.rate * kind.per_worker_s * workers
@@ -292,19 +346,21 @@
         run_s = min(source.lognormvariate(0, kind.spread) * kind.run_s, 11.0)
         gpus = source.choice(kind.gpus)
         width = min(int(source.expovariate(1 / kind.width)) + 1, MOST_WIDE)
-        fits_a_rack = width * gpus <= MOST_GPUS_TOGETHER
+        fits = width * gpus <= self._load.together
         step = Step(
-            width=width if fits_a_rack else 1,
+            width=width if fits else 1,
             needs=Resources(kind.cpu_millis, kind.memory_mb, gpus),
             estimate_s=run_s * source.lognormvariate(0, ESTIMATE_SPREAD),
             gang=kind.gang,
-            same_rack=source.random() < kind.same_rack_share,
+            same_rack=source.random() < kind.same_rack_share
+            and width * gpus <= MOST_GPUS_TOGETHER,
             checkpointable=source.random() < kind.checkpoint_share,
         )
         fails_at = source.random()
         if source.random() > kind.fails_share:
             fails_at = math.inf
-        self._drawn[job_id] = Drawn(kind, run_s, at_s, fails_at)
+        workspace = self._draw_workspace()
+        self._drawn[job_id] = Drawn(kind, run_s, at_s, fails_at, workspace)
         self._work[job_id] = step.width * step.needs.weight_cores * run_s
         queue = Queue(
             name=f'q{kind.priority}',
@@ -319,13 +375,26 @@
         spec = JobSpec(
             job_id=job_id,
             queue=queue,
-            workspace=f't{source.randrange(4)}',
+            workspace=workspace,
             payload='',
             steps=(step,),
             accepted_at_s=NOW_S + at_s,
         )
         self._at(at_s, lambda: self._accept(spec))
 
+    def _draw_workspace(self) -> str:
+        shares = self._load.workspaces
+        if len(set(shares)) == 1:
+            return self._workspaces[self._source.randrange(len(shares))]
+        return self._source.choices(self._workspaces, shares)[0]
+
+    def _take_over(self, within_s: float) -> None:
+        """Let a leader begin that has looked at no worker yet."""
+        for worker_id in self._entries:
+            at_s = self._now_s + self._source.uniform(0, within_s)
+            self._looked_at_s[worker_id] = at_s
+            self._at(at_s, self._want_round)
+
     def _draw_leavings(self, load: Load, workers: int) -> None:
         for at_s, share, notice_s in load.leaving:
             chosen = self._source.sample(
@@ -353,10 +422,11 @@
             Room(entry=self._entries[name], runs=runs, doubt=0.0)
             for name, runs in self._runs.items()
             if name not in self._leaving
+            and self._looked_at_s.get(name, 0.0) <= self._now_s
         ]
         planner = Planner(
             rooms={SERVICE: rooms},
-            guaranteed={f't{team}': 4 * len(rooms) // 4 for team in range(4)},
+            guaranteed=self._guaranteed(),
             now_s=NOW_S + self._now_s,
             tickets=lambda job, ready: {},
             without=self._without,
@@ -371,6 +441,12 @@
         if any(not job.runs for job in self._jobs.values()):
             self._at(self._now_s + WAITING_ROUND_S, self._want_round)
 
+    def _guaranteed(self) -> dict[str, int]:
+        """Return half of all accelerators, in equal parts."""
+        workers = len(self._entries) - len(self._leaving)
+        part = 4 * workers // len(self._workspaces)
+        return dict.fromkeys(self._workspaces, part)
+
     def _start(
         self, job: ActiveJob, step: Step, workers: dict[TaskKey, str]
     ) -> None:
@@ -442,6 +518,7 @@
 
     def _stop(self, run: Run) -> None:
         run.stop_wanted = True
+        self._stops += 1
         job = self._jobs[run.key.job_id]
         self._at(self._now_s + STOP_S, lambda: self._throw_away(job, run))
 
@@ -484,13 +561,18 @@
                 for job_id, drawn in self._drawn.items()
                 if drawn.kind is kind
             )
-            for kind in KINDS
+            for kind in self._load.kinds
         }
+        owed_to: dict[str, float] = defaultdict(float)
+        earned_by: dict[str, float] = defaultdict(float)
         for job_id, drawn in self._drawn.items():
             share = self._work[job_id] / means[drawn.kind.priority]
             size = min(0.3 + 0.7 * share, 4.0)
             owed[drawn.kind.priority] += size * drawn.kind.worth
-            earned[drawn.kind.priority] += size * self._earned(job_id, drawn)
+            gain = size * self._earned(job_id, drawn)
+            earned[drawn.kind.priority] += gain
+            owed_to[drawn.workspace] += size * drawn.kind.worth
+            earned_by[drawn.workspace] += gain
         total = sum(owed.values())
         waste = WASTE_PRICE * self._wasted_core_s / total
         credit = sum(earned.values()) / total
@@ -504,8 +586,21 @@
             wasted_share=self._wasted_core_s
             / (self._wasted_core_s + self._useful_core_s),
             starts_a_job=self._starts / len(self._drawn),
+            stops=self._stops,
+            late_middle=self._late_share(1),
+            worst_workspace=min(
+                earned_by[one] / owed_to[one] for one in owed_to
+            ),
         )
 
+    def _late_share(self, priority: int) -> float:
+        late = [
+            self._earned(job_id, drawn) < drawn.kind.worth
+            for job_id, drawn in self._drawn.items()
+            if drawn.kind.priority == priority
+        ]
+        return sum(late) / len(late)
+
     def _earned(self, job_id: str, drawn: Drawn) -> float:
         done_s = self._done_s.get(job_id, math.inf)
         objective_s = drawn.objective_s()
