--- a/bench/replay.py
+++ b/bench/replay.py
@@ -432,6 +432,9 @@
             without=self._without,
         )
         plan = planner.plan(self._jobs.values())
+        stopped = {run.key.job_id for run in plan.victims}
+        for job_id in stopped:
+            self._jobs[job_id].progress.stops += 1
         for victim in plan.victims:
             self._stop(victim)
         for placement in plan.placements:
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -19,6 +19,7 @@
     STALLED_MOVES,
     ActiveJob,
     Placement,
+    Plan,
     Planner,
     ReadyStep,
     Room,
@@ -125,18 +126,32 @@
         )
         plan = planner.plan(self._work.jobs.values())
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
-        for run in plan.victims:
+        self._preempt(plan)
+        for placement in plan.placements:
+            self._mark(placement)
+
+    def _preempt(self, plan: Plan) -> None:
+        """Stop the victims; a job's stops of one round count as one."""
+        stopped = {run.key.job_id for run in plan.victims}
+        for job_id in stopped:
+            job = self._work.jobs.get(job_id)
+            if job is not None:
+                job.progress.stops += 1
+        for run, for_job in zip(plan.victims, plan.stopped_for, strict=True):
             metrics.preemptions.add(1)
+            metrics.preempted_core_s.add(run.needs.weight_cores * run.lost_s)
+            job = self._work.jobs.get(run.key.job_id)
             events.log(
                 'preempted',
                 task=str(run.key),
                 attempt=run.attempt,
                 worker=run.worker_id,
                 done_percent=run.done_percent,
+                for_job=for_job,
+                workspace=job.spec.workspace if job else '',
+                stops=job.stops if job else 0,
             )
             self._work.stop_run(run)
-        for placement in plan.placements:
-            self._mark(placement)
 
     def _anything_waits(self, now_s: float) -> bool:
         """Return whether some step may start at a wall-clock time."""
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -81,6 +81,11 @@
         """Return whether any task ever started."""
         return bool(self.progress.tasks or self.progress.done_steps)
 
+    @property
+    def stops(self) -> int:
+        """Return how often runs of it were stopped for others."""
+        return self.progress.stops
+
     def ready_steps(self, now_s: float) -> Iterator[ReadyStep]:
         """Yield what may start at a wall-clock time in seconds."""
         if self.ended:
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -46,10 +46,15 @@
 
 
 class Plan(NamedTuple):
-    """What one round decided."""
+    """What one round decided.
+
+    :param stopped_for: for each of the victims, the id of the job that its
+        room goes to.
+    """
 
     placements: tuple[Placement, ...]
     victims: tuple[Run, ...]
+    stopped_for: tuple[str, ...] = ()
 
 
 class Planner:
@@ -89,6 +94,7 @@
         self._evictions = Evictions(losses=Losses(jobs=()))
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
+        self._stopped_for: list[str] = []
         self._covered: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
@@ -109,7 +115,11 @@
                 break
             for ready in ready_steps:
                 self._place_step(job, self._with_tickets(job, ready))
-        return Plan(tuple(self._placements), tuple(self._victims))
+        return Plan(
+            tuple(self._placements),
+            tuple(self._victims),
+            tuple(self._stopped_for),
+        )
 
     def _with_tickets(self, job: ActiveJob, ready: ReadyStep) -> ReadyStep:
         if not job.spec.queue.advisor:
@@ -173,7 +183,7 @@
             if best is None:
                 # The tasks that are left need the same.
                 return
-            self._evict(best, room_needed(ready.step))
+            self._evict(best, job, room_needed(ready.step))
 
     def _best_eviction(
         self,
@@ -201,9 +211,15 @@
         work_core_s = tasks * step.needs.weight_cores * step.estimate_s
         return MOST_LOSS_SHARE * work_core_s
 
-    def _evict(self, eviction: Eviction, needs: Resources) -> None:
+    def _evict(
+        self,
+        eviction: Eviction,
+        job: ActiveJob,
+        needs: Resources,
+    ) -> None:
         for run in eviction.victims:
             self._victims.append(run)
+            self._stopped_for.append(job.spec.job_id)
             room = self._rooms.get(run.worker_id)
             if room is not None:
                 room.evict(run)
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -65,6 +65,7 @@
     :param done_steps: occurrence and step, joined by a dot, of steps all of
         whose tasks are done; these are listed no more.
     :param reason: why the job failed, as a sentence; else empty.
+    :param stops: how often runs of it were stopped for others.
     """
 
     queue: str
@@ -73,6 +74,7 @@
     ended_at_s: float = 0.0
     done_steps: list[str] = []
     reason: str = ''
+    stops: int = 0
 
     def note_step_done(self, occurrence: int, step: int, width: int) -> None:
         """Keep of a step only that all its tasks are done."""
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -31,6 +31,7 @@
         self.retries = meter.create_counter('retries')
         self.placements = meter.create_counter('placements')
         self.preemptions = meter.create_counter('preemptions')
+        self.preempted_core_s = meter.create_counter('preempted_core_s')
         self.takeovers = meter.create_counter('takeovers')
         self.guarantees_at_risk = meter.create_gauge('guarantees_at_risk')
         self.revision = meter.create_gauge('revision_in_force')
