Work that is of no more use to anyone waits for what still is

Cause: within a priority the earliest objective goes first also when it passed long ago, so a job that earns nothing any more takes the room of one that still would. Ruled out: the job's priority as the reason (it holds for one priority alone too). Change: a job past three times its objective, or sure to be (half of what is left by its estimates), goes after all others and stops nothing; 30 s later it is served in its turn again, so that whatever was accepted ends (property test). Covered and lasting jobs, and jobs without an objective, are as before. Switched off by hopeless-last.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -216,6 +216,7 @@
 LOADS: Final = {
     'wide': WIDE._replace(bursts=((5, 11, 2.2), (20, 24, 2.1))),
     'wide-over': WIDE._replace(rate=2.0, bursts=((5, 11, 2.2),)),
+    'wide-flood': WIDE._replace(rate=3.0, bursts=((5, 11, 2.2),)),
     'takeover': WIDE._replace(takeovers=((8, 1.5), (16, 1.5), (24, 1.5))),
     'calm': Load(),
     'over': Load(rate=2.4, bursts=((5, 11, 2.2), (20, 24, 2.1))),
--- /dev/null
+++ b/src/curranthill/placement/earnings.py
@@ -0,0 +1,94 @@
+"""What a job can still earn for its callers.
+
+Answers a backlog in which much is past its objective: what comes too late for
+anyone would take the room of what could still be in time.
+"""
+
+from typing import Final, Literal
+
+from curranthill.placement.jobs import ActiveJob
+
+#: What a job may still be: in time, late, or of no more use to its callers.
+Prospect = Literal[0, 1, 2]
+
+IN_TIME: Final = 0
+LATE: Final = 1
+HOPELESS: Final = 2
+
+#: A late job is still of use until so many times its objective.
+LATE_UNTIL: Final = 3.0
+
+#: For how long hopeless work goes after all other, in seconds; then it is
+#: served in its turn again, since whatever was accepted must end.
+HOPELESS_WAIT_S: Final = 30.0
+
+#: A task is taken to need at least so much of its estimate: what only seems
+#: hopeless must not be given up.
+SURE_SHARE: Final = 0.5
+
+
+def prospect(job: ActiveJob, done_s: float) -> Prospect:
+    """Return what a job will have been if it is done at a wall-clock time.
+
+    A job without an objective is always in time.
+    """
+    allowed_s = job.objective_s - job.first_due_s
+    if done_s <= job.objective_s or not allowed_s:
+        # Most jobs end here.
+        return IN_TIME
+    took_s = done_s - _counts_from_s(job)
+    if took_s > LATE_UNTIL * allowed_s:
+        return HOPELESS
+    return LATE if took_s > allowed_s else IN_TIME
+
+
+def is_hopeless(job: ActiveJob, now_s: float) -> bool:
+    """Return whether a waiting job goes after what is still of use.
+
+    :param now_s: wall-clock seconds.
+    """
+    if prospect(job, now_s + job.chain_s) != HOPELESS:
+        # Most jobs end here.
+        return False
+    if prospect(job, now_s - HOPELESS_WAIT_S) == HOPELESS:
+        return False
+    soonest_s = now_s + SURE_SHARE * _left_s(job)
+    return prospect(job, soonest_s) == HOPELESS
+
+
+def _counts_from_s(job: ActiveJob) -> float:
+    """Return when the occurrence that is under way was due."""
+    if not job.spec.times:
+        return job.first_due_s
+    return max(job.first_due_s, job.spec.due_s(_occurrence(job)))
+
+
+def _left_s(job: ActiveJob) -> float:
+    """Return the longest chain of steps that are not done yet, in seconds."""
+    occurrence = _occurrence(job)
+    ends_s: list[float] = []
+    for number, step in enumerate(job.spec.steps):
+        before_s = max((ends_s[one] for one in step.after), default=0.0)
+        own_s = 0.0 if job.step_done(occurrence, number) else step.run_s
+        ends_s.append(before_s + own_s)
+    return max(ends_s, default=0.0)
+
+
+def _occurrence(job: ActiveJob) -> int:
+    """Return the first occurrence that is not done yet."""
+    steps = range(len(job.spec.steps))
+    for occurrence in range(job.spec.occurrences - 1):
+        if not all(job.step_done(occurrence, number) for number in steps):
+            return occurrence
+    return job.spec.occurrences - 1
+
+
+__all__ = (
+    'HOPELESS',
+    'HOPELESS_WAIT_S',
+    'IN_TIME',
+    'LATE',
+    'Prospect',
+    'is_hopeless',
+    'prospect',
+)
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -51,6 +51,8 @@
     :param runs: the newest run of each task that may exist.
     :param lasting: whether tasks of it run until it is cancelled.
     :param objective_s: when it should be done, in wall-clock seconds.
+    :param first_due_s: from when on that counts, in wall-clock seconds.
+    :param chain_s: the estimated longest chain of its steps, in seconds.
     :param gpus: the accelerators that all its tasks take together.
     :param suspects: tasks that may be what crashed their workers.
     """
@@ -62,6 +64,8 @@
         self.runs: dict[TaskKey, Run] = {}
         self.lasting = any(step.perpetual for step in spec.steps)
         self.objective_s = spec.objective_s
+        self.first_due_s = max(spec.accepted_at_s, spec.due_s(0))
+        self.chain_s = spec.chain_s
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
         self._waits_since_s: dict[TaskKey, float] = {}
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -17,12 +17,14 @@
 DOUBT: Final = 'doubt'
 BOUNDED_LOSS: Final = 'bounded-loss'
 STALLED_MOVES: Final = 'stalled-moves'
+HOPELESS_LAST: Final = 'hopeless-last'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
 mechanisms.register(DOUBT)('Workers at which runs failed are taken last.')
 mechanisms.register(BOUNDED_LOSS)('Uncovered urgent jobs stop little work.')
 mechanisms.register(STALLED_MOVES)('Runs that stand still start elsewhere.')
+mechanisms.register(HOPELESS_LAST)('Work of no more use to anyone goes last.')
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -43,6 +45,7 @@
     'ALL_ON',
     'BOUNDED_LOSS',
     'DOUBT',
+    'HOPELESS_LAST',
     'RACK_PATIENCE',
     'RESERVATION',
     'STALLED_MOVES',
--- a/src/curranthill/placement/order.py
+++ b/src/curranthill/placement/order.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from curranthill.placement.earnings import is_hopeless
 from curranthill.placement.jobs import ActiveJob
 
 #: Priority 0 may preempt the others.
@@ -42,9 +43,29 @@
     return covered
 
 
+def hopeless_jobs(
+    jobs: Iterable[ActiveJob],
+    covered: set[str],
+    now_s: float,
+) -> set[str]:
+    """Return the ids of jobs that wait until all others are served.
+
+    :param covered: ids of jobs that a guarantee covers: it goes first.
+    :param now_s: wall-clock seconds.
+    """
+    return {
+        job.spec.job_id
+        for job in jobs
+        if not job.lasting
+        and job.spec.job_id not in covered
+        and is_hopeless(job, now_s)
+    }
+
+
 def in_order(
     jobs: Iterable[ActiveJob],
     covered: set[str],
+    hopeless: set[str],
 ) -> list[ActiveJob]:
     """Return jobs as they are served: guarantees, what lasts, then by need.
 
@@ -55,6 +76,7 @@
         jobs,
         key=lambda job: (
             job.spec.job_id not in covered,
+            job.spec.job_id in hopeless,
             not job.lasting,
             job.spec.queue.priority,
             job.objective_s,
@@ -62,4 +84,4 @@
     )
 
 
-__all__ = ('URGENT', 'covered_jobs', 'in_order', 'is_urgent')
+__all__ = ('URGENT', 'covered_jobs', 'hopeless_jobs', 'in_order', 'is_urgent')
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -11,10 +11,16 @@
 from curranthill.placement.mechanisms import (
     ALL_ON,
     BOUNDED_LOSS,
+    HOPELESS_LAST,
     RACK_PATIENCE,
     RESERVATION,
 )
-from curranthill.placement.order import covered_jobs, in_order, is_urgent
+from curranthill.placement.order import (
+    covered_jobs,
+    hopeless_jobs,
+    in_order,
+    is_urgent,
+)
 from curranthill.placement.reservations import RESERVATIONS, reserve
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
@@ -96,6 +102,7 @@
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
         self._covered: set[str] = set()
+        self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
@@ -105,8 +112,14 @@
         waiting = [job for job in known if not job.ended]
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
+        if HOPELESS_LAST not in self._without:
+            self._hopeless = hopeless_jobs(
+                waiting,
+                self._covered,
+                self._now_s,
+            )
         looked_at = 0
-        for job in in_order(waiting, self._covered):
+        for job in in_order(waiting, self._covered, self._hopeless):
             ready_steps = list(job.ready_steps(self._now_s))
             if not ready_steps:
                 continue
@@ -128,7 +141,7 @@
 
     def _place_step(self, job: ActiveJob, ready: ReadyStep) -> None:
         # A task that lasts must be at work again soon, however full all is.
-        urgent = is_urgent(job) or ready.step.perpetual
+        urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
         if not (urgent or advised) and shape in self._too_large:
@@ -150,6 +163,10 @@
             self._reservations -= 1
             reserve(ready, groups)
 
+    def _makes_room(self, job: ActiveJob) -> bool:
+        """Return whether runs may be stopped for a job."""
+        return is_urgent(job) and job.spec.job_id not in self._hopeless
+
     def _groups(
         self,
         job: ActiveJob,
--- a/tests/test_fair_room.py
+++ b/tests/test_fair_room.py
@@ -4,8 +4,11 @@
 from collections.abc import Sequence
 
 import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
 
 from curranthill.placement import ActiveJob, Run
+from curranthill.placement.order import hopeless_jobs, in_order
 from curranthill.tasks import JobProgress, Step, TaskKey, decode
 from tests.domain import Domain, in_domain, make_spec
 from tests.test_planner import (
@@ -106,6 +109,46 @@
         )
         self.assertEqual(placed(decided), {'old': ['a1']})
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.floats(0.1, 10.0),
+                st.floats(0.0, 500.0),
+            ),
+            min_size=1,
+            max_size=12,
+        ),
+    )
+    def test_nobody_waits_for_ever(
+        self,
+        drawn: list[tuple[int, float, float]],
+    ) -> None:
+        """In the end the oldest objective of the first priority is served.
+
+        Whatever comes meanwhile, no newer job of its priority goes first.
+        """
+        jobs = [
+            make_job(
+                make_spec(
+                    f'j{number}',
+                    WHOLE._replace(estimate_s=estimate_s),
+                    priority=priority,
+                    accepted_at_s=NOW_S - age_s,
+                ),
+            )
+            for number, (priority, estimate_s, age_s) in enumerate(drawn)
+        ]
+        later_s = NOW_S + 300.0
+        newer = make_job(make_spec('new', WHOLE, accepted_at_s=later_s))
+        known = [*jobs, newer]
+        hopeless = hopeless_jobs(known, set(), later_s)
+        order = in_order(known, set(), hopeless)
+        after = order[order.index(newer) :]
+        for job in jobs:
+            if job.spec.queue.priority <= newer.spec.queue.priority:
+                self.assertNotIn(job, after)
+
 
 class StopPriceTest(unittest.TestCase):
     """Whose run is stopped: a stop costs more than the work thrown away."""
