What can be in time goes before what is late, within a priority

Cause: late work earns the same from its objective to three times that, yet by the earliest objective it goes before work that would still be in time, which then is late too. Ruled out: lateness before priority (a priority is the operators' word). Change: within a priority jobs that miss their objective by their own estimates go after the others; it ends at the latest when hopeless work is served in its turn again (property test). Switched off by in-time-first.

--- a/src/curranthill/placement/earnings.py
+++ b/src/curranthill/placement/earnings.py
@@ -50,12 +50,31 @@
     if prospect(job, now_s + job.chain_s) != HOPELESS:
         # Most jobs end here.
         return False
-    if prospect(job, now_s - HOPELESS_WAIT_S) == HOPELESS:
+    if is_served_again(job, now_s):
         return False
     soonest_s = now_s + SURE_SHARE * _left_s(job)
     return prospect(job, soonest_s) == HOPELESS
 
 
+def is_served_again(job: ActiveJob, now_s: float) -> bool:
+    """Return whether a job has been hopeless for so long that it is due.
+
+    :param now_s: wall-clock seconds.
+    """
+    return prospect(job, now_s - HOPELESS_WAIT_S) == HOPELESS
+
+
+def is_late(job: ActiveJob, now_s: float) -> bool:
+    """Return whether a waiting job misses its objective, by its estimates.
+
+    :param now_s: wall-clock seconds.
+    """
+    if now_s + job.chain_s <= job.objective_s:
+        # Most jobs end here.
+        return False
+    return prospect(job, now_s + _left_s(job)) != IN_TIME
+
+
 def _counts_from_s(job: ActiveJob) -> float:
     """Return when the occurrence that is under way was due."""
     if not job.spec.times:
@@ -90,5 +109,7 @@
     'LATE',
     'Prospect',
     'is_hopeless',
+    'is_late',
+    'is_served_again',
     'prospect',
 )
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -18,6 +18,7 @@
 BOUNDED_LOSS: Final = 'bounded-loss'
 STALLED_MOVES: Final = 'stalled-moves'
 HOPELESS_LAST: Final = 'hopeless-last'
+IN_TIME_FIRST: Final = 'in-time-first'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
@@ -25,6 +26,9 @@
 mechanisms.register(BOUNDED_LOSS)('Uncovered urgent jobs stop little work.')
 mechanisms.register(STALLED_MOVES)('Runs that stand still start elsewhere.')
 mechanisms.register(HOPELESS_LAST)('Work of no more use to anyone goes last.')
+mechanisms.register(IN_TIME_FIRST)(
+    'What can be in time goes before what is late.'
+)
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -46,6 +50,7 @@
     'BOUNDED_LOSS',
     'DOUBT',
     'HOPELESS_LAST',
+    'IN_TIME_FIRST',
     'RACK_PATIENCE',
     'RESERVATION',
     'STALLED_MOVES',
--- a/src/curranthill/placement/order.py
+++ b/src/curranthill/placement/order.py
@@ -7,7 +7,11 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from curranthill.placement.earnings import is_hopeless
+from curranthill.placement.earnings import (
+    is_hopeless,
+    is_late,
+    is_served_again,
+)
 from curranthill.placement.jobs import ActiveJob
 
 #: Priority 0 may preempt the others.
@@ -62,15 +66,37 @@
     }
 
 
+def late_jobs(jobs: Iterable[ActiveJob], now_s: float) -> set[str]:
+    """Return the ids of jobs that will miss their objective in any case.
+
+    What they still earn they earn for long: until three times the objective.
+    Work that can be in time goes first meanwhile, but nobody waits so for
+    longer than what is hopeless does.
+
+    :param now_s: wall-clock seconds.
+    """
+    return {
+        job.spec.job_id
+        for job in jobs
+        if not job.lasting
+        and is_late(job, now_s)
+        and not is_served_again(job, now_s)
+    }
+
+
 def in_order(
     jobs: Iterable[ActiveJob],
     covered: set[str],
     hopeless: set[str],
+    late: set[str],
 ) -> list[ActiveJob]:
     """Return jobs as they are served: guarantees, what lasts, then by need.
 
     Within a priority the earliest objective goes first: it has the least time
     left to earn its worth.
+
+    :param hopeless: ids of jobs that go after all others.
+    :param late: ids of jobs that go after the others of their priority.
     """
     return sorted(
         jobs,
@@ -79,9 +105,17 @@
             job.spec.job_id in hopeless,
             not job.lasting,
             job.spec.queue.priority,
+            job.spec.job_id in late,
             job.objective_s,
         ),
     )
 
 
-__all__ = ('URGENT', 'covered_jobs', 'hopeless_jobs', 'in_order', 'is_urgent')
+__all__ = (
+    'URGENT',
+    'covered_jobs',
+    'hopeless_jobs',
+    'in_order',
+    'is_urgent',
+    'late_jobs',
+)
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -12,6 +12,7 @@
     ALL_ON,
     BOUNDED_LOSS,
     HOPELESS_LAST,
+    IN_TIME_FIRST,
     RACK_PATIENCE,
     RESERVATION,
 )
@@ -20,6 +21,7 @@
     hopeless_jobs,
     in_order,
     is_urgent,
+    late_jobs,
 )
 from curranthill.placement.reservations import RESERVATIONS, reserve
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
@@ -112,14 +114,8 @@
         waiting = [job for job in known if not job.ended]
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
-        if HOPELESS_LAST not in self._without:
-            self._hopeless = hopeless_jobs(
-                waiting,
-                self._covered,
-                self._now_s,
-            )
         looked_at = 0
-        for job in in_order(waiting, self._covered, self._hopeless):
+        for job in self._in_order(waiting):
             ready_steps = list(job.ready_steps(self._now_s))
             if not ready_steps:
                 continue
@@ -134,6 +130,18 @@
             tuple(self._stopped_for),
         )
 
+    def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
+        late: set[str] = set()
+        if HOPELESS_LAST not in self._without:
+            self._hopeless = hopeless_jobs(
+                waiting,
+                self._covered,
+                self._now_s,
+            )
+        if IN_TIME_FIRST not in self._without:
+            late = late_jobs(waiting, self._now_s)
+        return in_order(waiting, self._covered, self._hopeless, late)
+
     def _with_tickets(self, job: ActiveJob, ready: ReadyStep) -> ReadyStep:
         if not job.spec.queue.advisor:
             return ready
--- a/tests/test_fair_room.py
+++ b/tests/test_fair_room.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from curranthill.placement import ActiveJob, Run
-from curranthill.placement.order import hopeless_jobs, in_order
+from curranthill.placement.order import hopeless_jobs, in_order, late_jobs
 from curranthill.tasks import JobProgress, Step, TaskKey, decode
 from tests.domain import Domain, in_domain, make_spec
 from tests.test_planner import (
@@ -75,6 +75,24 @@
         )
         self.assertEqual(placed(decided), {'new': ['a1']})
 
+    def test_what_can_be_in_time_goes_before_what_is_late(self) -> None:
+        """Late work earns the same for long after its objective."""
+        decided = plan(
+            [make_room('a1', 'r1')],
+            make_spec('late', WHOLE, accepted_at_s=NOW_S - 4),
+            make_spec('new', WHOLE),
+        )
+        self.assertEqual(placed(decided), {'new': ['a1']})
+
+    def test_late_work_goes_before_lower_work(self) -> None:
+        """A priority holds between work that still earns."""
+        decided = plan(
+            [make_room('a1', 'r1')],
+            make_spec('late', WHOLE, accepted_at_s=NOW_S - 4),
+            make_spec('new', WHOLE, priority=2),
+        )
+        self.assertEqual(placed(decided), {'late': ['a1']})
+
     def test_hopeless_work_is_served_in_turn_again(self) -> None:
         """Whoever was accepted ends."""
         decided = plan(
@@ -143,7 +161,8 @@
         newer = make_job(make_spec('new', WHOLE, accepted_at_s=later_s))
         known = [*jobs, newer]
         hopeless = hopeless_jobs(known, set(), later_s)
-        order = in_order(known, set(), hopeless)
+        late = late_jobs(known, later_s)
+        order = in_order(known, set(), hopeless, late)
         after = order[order.index(newer) :]
         for job in jobs:
             if job.spec.queue.priority <= newer.spec.queue.priority:
