--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -11,10 +11,18 @@
 from curranthill.placement.mechanisms import (
     ALL_ON,
     BOUNDED_LOSS,
+    HOPELESS_LAST,
+    IN_TIME_FIRST,
     RACK_PATIENCE,
     RESERVATION,
 )
-from curranthill.placement.order import covered_jobs, in_order, is_urgent
+from curranthill.placement.order import (
+    covered_jobs,
+    hopeless_jobs,
+    in_order,
+    is_urgent,
+    late_jobs,
+)
 from curranthill.placement.reservations import RESERVATIONS, reserve
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
@@ -46,10 +54,15 @@
 
 
 class Plan(NamedTuple):
-    """What one round decided."""
+    """What one round decided.
+
+    :param stopped_for: for each of the victims, the id of the job that its
+        room goes to.
+    """
 
     placements: tuple[Placement, ...]
     victims: tuple[Run, ...]
+    stopped_for: tuple[str, ...] = ()
 
 
 class Planner:
@@ -89,7 +102,9 @@
         self._evictions = Evictions(losses=Losses(jobs=()))
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
+        self._stopped_for: list[str] = []
         self._covered: set[str] = set()
+        self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
@@ -100,7 +115,7 @@
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
         looked_at = 0
-        for job in in_order(waiting, self._covered):
+        for job in self._in_order(waiting):
             ready_steps = list(job.ready_steps(self._now_s))
             if not ready_steps:
                 continue
@@ -109,7 +124,23 @@
                 break
             for ready in ready_steps:
                 self._place_step(job, self._with_tickets(job, ready))
-        return Plan(tuple(self._placements), tuple(self._victims))
+        return Plan(
+            tuple(self._placements),
+            tuple(self._victims),
+            tuple(self._stopped_for),
+        )
+
+    def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
+        late: set[str] = set()
+        if HOPELESS_LAST not in self._without:
+            self._hopeless = hopeless_jobs(
+                waiting,
+                self._covered,
+                self._now_s,
+            )
+        if IN_TIME_FIRST not in self._without:
+            late = late_jobs(waiting, self._now_s)
+        return in_order(waiting, self._covered, self._hopeless, late)
 
     def _with_tickets(self, job: ActiveJob, ready: ReadyStep) -> ReadyStep:
         if not job.spec.queue.advisor:
@@ -118,7 +149,7 @@
 
     def _place_step(self, job: ActiveJob, ready: ReadyStep) -> None:
         # A task that lasts must be at work again soon, however full all is.
-        urgent = is_urgent(job) or ready.step.perpetual
+        urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
         if not (urgent or advised) and shape in self._too_large:
@@ -140,6 +171,10 @@
             self._reservations -= 1
             reserve(ready, groups)
 
+    def _makes_room(self, job: ActiveJob) -> bool:
+        """Return whether runs may be stopped for a job."""
+        return is_urgent(job) and job.spec.job_id not in self._hopeless
+
     def _groups(
         self,
         job: ActiveJob,
@@ -173,7 +208,7 @@
             if best is None:
                 # The tasks that are left need the same.
                 return
-            self._evict(best, room_needed(ready.step))
+            self._evict(best, job, room_needed(ready.step))
 
     def _best_eviction(
         self,
@@ -201,9 +236,15 @@
         work_core_s = tasks * step.needs.weight_cores * step.estimate_s
         return MOST_LOSS_SHARE * work_core_s
 
-    def _evict(self, eviction: Eviction, needs: Resources) -> None:
+    def _evict(
+        self,
+        eviction: Eviction,
+        job: ActiveJob,
+        needs: Resources,
+    ) -> None:
         for run in eviction.victims:
             self._victims.append(run)
+            self._stopped_for.append(job.spec.job_id)
             room = self._rooms.get(run.worker_id)
             if room is not None:
                 room.evict(run)
