Learn each worker's lasting speed from the paces of its runs

Cause: nothing tells how fast a worker is, so urgent gangs are put on workers on which a member cannot meet its objective. Change: the leader notes each run's pace (estimated work done in a second of the worker's own clock) and parts it into a step's, a worker's and a task's own: a two-way estimate with bounded pulls and priors. Ends of single tasks count too; those of gangs do not, whose members wait for each other. Nothing is decided by it yet. Checked by properties over drawn speeds, long tasks, lying workers, spells, delayed reports and restarts.

--- /dev/null
+++ b/src/curranthill/dispatch/learning.py
@@ -0,0 +1,70 @@
+"""What the leader learns of workers and of work from the runs' progress."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Final
+
+from curranthill.placement import (
+    ActiveJob,
+    DurationBook,
+    Observation,
+    Run,
+    Speed,
+    SpeedBook,
+)
+
+if TYPE_CHECKING:
+    from curranthill.dispatch.session import WorkerSession
+
+
+#: How often what was noted is worked out, in seconds: reports come every 1.5 s
+#: when nothing ends.
+REFRESH_INTERVAL_S: Final = 0.5
+
+
+class Learning:
+    """Keeps what is learnt in a term.
+
+    :param durations: how long the work of each queue takes.
+    :param speeds: how fast each worker is.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.durations = DurationBook()
+        self.speeds = SpeedBook(durations=self.durations)
+        self._refreshed_s = 0.0
+
+    def note(self, session: 'WorkerSession', job: ActiveJob, run: Run) -> None:
+        """Learn from a run's pace, if its report tells of one."""
+        if not run.pace or run.incarnation != session.incarnation:
+            return
+        self.speeds.note(
+            Observation(
+                worker_id=session.worker_id,
+                incarnation=session.incarnation,
+                queue=job.spec.queue.name,
+                task=run.key,
+                pace=run.pace,
+            ),
+        )
+
+    def refresh(
+        self,
+        sessions: Iterable['WorkerSession'],
+        now_s: float,
+    ) -> None:
+        """Work out what was noted, every now and then."""
+        if now_s - self._refreshed_s < REFRESH_INTERVAL_S:
+            return
+        self._refreshed_s = now_s
+        self.speeds.refresh()
+        self.speeds.forget_except(
+            session.worker_id for session in sessions if not session.gone
+        )
+
+    def speed_of(self, session: 'WorkerSession') -> Speed:
+        """Return the speed of the present life of a worker."""
+        return self.speeds.speed_of(session.worker_id, session.incarnation)
+
+
+__all__ = ('Learning',)
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -111,6 +111,10 @@
             self._stalls_seen_s = began_s
             if STALLED_MOVES not in self._without:
                 self._work.look_for_stalled_runs()
+            self._work.learning.refresh(
+                self._work.sessions.values(),
+                began_s,
+            )
         now_s = self._clock.wall_s()
         if not self._anything_waits(now_s):
             # Most rounds end here: reports and ends cause rounds too, and
--- a/src/curranthill/dispatch/runlist.py
+++ b/src/curranthill/dispatch/runlist.py
@@ -22,6 +22,10 @@
 #: How soon an unanswered stop is sent again, in seconds.
 STOP_REPEAT_S: Final = 0.5
 
+#: An end tells how long a run took only if the report before is no older, in
+#: seconds: twice as long as a renewal waits for an end.
+PROMPT_S: Final = 3.0
+
 
 class RunList:
     """All runs that may exist at a worker, and which of its ends are noted.
@@ -42,6 +46,7 @@
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         self.unproven: set[tuple[TaskKey, int]] = set()
         self._outlived: set[tuple[TaskKey, int]] = set()
+        self._clock_s = 0.0
         self._session = session
         self._owner = owner
         self._clock = clock
@@ -98,11 +103,11 @@
         self.unproven.difference_update(seen)
         self._outlived.difference_update(seen)
         for one in report.runs:
-            self._take_run(one)
+            self._take_run(one, report.clock_s)
         for run in list(self.runs.values()):
             if run.name not in seen:
                 self._check_absent(run, order, sent_s)
-        self._take_ends(new_ends)
+        self._take_ends(new_ends, report.clock_s)
 
     def doubt_ordered(self) -> None:
         """Take it as unknown whether starts under way took effect."""
@@ -124,7 +129,7 @@
         for run in list(self.runs.values()):
             self.vanish(run, reason)
 
-    def _take_run(self, report: RunReport) -> None:
+    def _take_run(self, report: RunReport, clock_s: float) -> None:
         run = self.runs.get((report.task, report.attempt))
         now_s = self._clock.monotonic_s()
         if run is None:
@@ -138,6 +143,7 @@
         run.age_s = now_s - run.started_s
         if report.checkpoint:
             run.checkpoint = report.checkpoint
+        run.read_pace(clock_s)
         if run.stop_wanted:
             if now_s - run.stop_sent_s > STOP_REPEAT_S:
                 run.stop_sent_s = now_s
@@ -198,10 +204,15 @@
                     noted=self.ends.noted,
                 )
 
-    def _take_ends(self, ends: list[EndReport]) -> None:
+    def _take_ends(self, ends: list[EndReport], clock_s: float) -> None:
+        prompt = clock_s - self._clock_s < PROMPT_S
+        self._clock_s = clock_s
         if not ends:
             return
         for end in ends:
+            run = self.runs.get((end.task, end.attempt))
+            if run is not None and prompt:
+                run.read_end(clock_s)
             self._owner.run_ended(self._session, end)
             self.runs.pop((end.task, end.attempt), None)
             self.ends.note(end)
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -259,6 +259,7 @@
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
+            run.begin(clock_s)
             self._list.start_answered(run)
             metrics.start_order_s.record(run.settled_s - sent_s)
             run.percent_changed_s = run.settled_s
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -11,6 +11,7 @@
 from curranthill.dispatch.cleanup import IntakeCleanup
 from curranthill.dispatch.crashes import LossCounts
 from curranthill.dispatch.journal import Journal
+from curranthill.dispatch.learning import Learning
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S, Leadership
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
@@ -69,6 +70,7 @@
         self._leadership = leadership
         self._journal = journal
         self._spawner = spawner
+        self.learning = Learning()
         self._cancelled: set[str] = set()
         self._losses = LossCounts(
             jobs=self.jobs,
@@ -105,6 +107,7 @@
             return
         if run.checkpoint:
             task.checkpoint = run.checkpoint
+        self.learning.note(session, job, run)
         self._losses.clear_if_lasting(run)
 
     def fenced(self, session: WorkerSession) -> None:
@@ -140,6 +143,8 @@
         run = job.runs.get(end.task)
         if run is not None and run.attempt == end.attempt:
             job.runs.pop(end.task)
+            if end.kind == DONE and not job.step_of(end.task).gang:
+                self.learning.note(session, job, run)
         if counts:
             self._note_end(job, end)
             self._journal.note(job)
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -3,6 +3,7 @@
 Decisions only: no input or output, no clock, no event loop, no log lines.
 """
 
+from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
@@ -26,6 +27,7 @@
     RunState,
     kind_of,
 )
+from curranthill.placement.speeds import Observation, Speed, SpeedBook
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -40,14 +42,19 @@
     'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
+    'DurationBook',
+    'Observation',
     'Placement',
     'Plan',
     'Planner',
+    'Ratio',
     'ReadyStep',
     'Room',
     'Run',
     'RunKind',
     'RunState',
+    'Speed',
+    'SpeedBook',
     'WorkerEntry',
     'checked',
     'checkpoint_of',
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -40,6 +40,13 @@
 #: What a run reports that has done all its work.
 ALL_DONE_PERCENT: Final = 100
 
+#: A run's pace is told from this progress on, in percent: they come in whole
+#: numbers.
+LEAST_PROGRESS_PERCENT: Final = 5
+
+#: It is told again each time the run has worked so many times as long.
+PACE_EVERY: Final = 2.0
+
 
 class Run:
     """One run of one task on one worker; it takes room until its end is known.
@@ -55,12 +62,19 @@
     :param incarnation: that of the worker when it was placed there.
     :param alone: nothing else may run on its worker.
     :param age_s: how long it has run, as of the newest report.
+    :param began_clock_s: its worker's clock at the first known progress; 0 as
+        long as none is known.
+    :param began_percent: that progress.
+    :param pace: the estimated work done in a second, if the newest report
+        tells anything new of it, else 0.
     """
 
     __slots__ = (
         'age_s',
         'alone',
         'attempt',
+        'began_clock_s',
+        'began_percent',
         'checkpoint',
         'checkpointable',
         'done_percent',
@@ -70,6 +84,8 @@
         'ordered_token',
         'kind',
         'lasting',
+        'pace',
+        'paced_s',
         'percent_changed_s',
         'priority',
         'settled_s',
@@ -115,6 +131,10 @@
         self.checkpoint = ''
         self.ticket = ''
         self.done_percent = 0.0
+        self.began_clock_s = 0.0
+        self.began_percent = 0.0
+        self.pace = 0.0
+        self.paced_s = 0.0
         self.started_s = now_s
         self.percent_changed_s = now_s
         self.settled_s = now_s
@@ -158,6 +178,48 @@
         """
         return self.stalled_s > max(0.0, self.lost_s - self.stalled_s)
 
+    def begin(self, clock_s: float) -> None:
+        """Take its worker's clock at its start, if it starts with no work done.
+
+        One with a checkpoint begins with its first report.
+        """
+        if not self.checkpoint and not self.began_clock_s:
+            self.began_clock_s = clock_s
+
+    def read_pace(self, clock_s: float) -> None:
+        """Set the pace by the newest report; to 0 if it tells nothing new.
+
+        Both ends are read off the worker's clock, so it does not matter how
+        long a report was on its way.
+
+        :param clock_s: the worker's clock at that report.
+        """
+        self.pace = 0.0
+        done = self.done_percent
+        if not self.began_clock_s:
+            self.began_clock_s = clock_s
+            self.began_percent = done
+        worked_s = clock_s - self.began_clock_s
+        gained = done - self.began_percent
+        known = self.estimate_s > 0 and done < ALL_DONE_PERCENT
+        if not known or gained < LEAST_PROGRESS_PERCENT:
+            return
+        if worked_s > 0 and worked_s >= PACE_EVERY * self.paced_s:
+            self.paced_s = worked_s
+            share = gained / ALL_DONE_PERCENT
+            self.pace = share * self.estimate_s / worked_s
+
+    def read_end(self, clock_s: float) -> None:
+        """Set the pace of a run that is done; a gang's members wait.
+
+        :param clock_s: the worker's clock right after the end.
+        """
+        self.pace = 0.0
+        worked_s = clock_s - self.began_clock_s
+        if self.began_clock_s and self.estimate_s > 0 and worked_s > 0:
+            share = 1 - self.began_percent / ALL_DONE_PERCENT
+            self.pace = share * self.estimate_s / worked_s
+
     @property
     def name(self) -> tuple[TaskKey, int]:
         """Return what tells this run from all others."""
