Place work by where it ends in time on workers of unlike speed

Cause: a gang is as late as its slowest member, and nothing kept urgent ones off workers on which they can't meet their objective. Change: a room has its worker's learnt speed. Workers on which a task would end too late come after all others, by how much; work with slack takes slow workers first as far as it still ends in time there; a gang's members are put on workers that are alike where these have room. Where all speeds are alike, plans are what they were (a property says so).

--- a/src/curranthill/dispatch/learning.py
+++ b/src/curranthill/dispatch/learning.py
@@ -62,6 +62,10 @@
             session.worker_id for session in sessions if not session.gone
         )
 
+    def ratio_of(self, queue: str) -> float:
+        """Return run time over estimate in a queue."""
+        return self.durations.ratio_of(queue).factor
+
     def speed_of(self, session: 'WorkerSession') -> Speed:
         """Return the speed of the present life of a worker."""
         return self.speeds.speed_of(session.worker_id, session.incarnation)
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -16,6 +16,7 @@
 from curranthill.placement import (
     ALL_ON,
     DOUBT,
+    SPEEDS,
     STALLED_MOVES,
     ActiveJob,
     Placement,
@@ -126,6 +127,7 @@
             now_s=now_s,
             tickets=self._tickets,
             without=self._without,
+            ratio_of=self._work.learning.ratio_of,
         )
         plan = planner.plan(self._work.jobs.values())
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
@@ -189,10 +191,17 @@
                 entry=session.entry,
                 runs=session.runs.values(),
                 doubt=self._doubt(session),
+                speed=self._speed(session),
             )
             rooms.setdefault(session.entry.service, []).append(room)
         return rooms
 
+    def _speed(self, session: WorkerSession) -> float:
+        """Return a worker's speed, 1.0 if it is not known to differ."""
+        if SPEEDS in self._without:
+            return 1.0
+        return self._work.learning.speed_of(session).factor
+
     def _doubt(self, session: WorkerSession) -> float:
         """Return how many runs failed or stood still at a worker of late."""
         if DOUBT in self._without:
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -8,6 +8,7 @@
 from curranthill.placement.mechanisms import (
     ALL_ON,
     DOUBT,
+    SPEEDS,
     STALLED_MOVES,
     checked,
     mechanisms,
@@ -39,6 +40,7 @@
     'PLAIN',
     'RUNNING',
     'SERVING',
+    'SPEEDS',
     'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -1,19 +1,21 @@
 """Where the tasks of a step fit without stopping anything.
 
-Answers ordinary load: trusted workers first, then those that a task fills
-best, so that whole workers and racks stay free for large gangs.
+Answers ordinary load: trusted workers first, then those on which a task ends in
+time, then those that it fills best, so that whole workers and racks stay free
+for large gangs.
 """
 
 import heapq
 from collections.abc import Sequence
 
 from curranthill.placement.jobs import ReadyStep
+from curranthill.placement.paces import ANY, Pace, level_of
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
 #: A worker's rank among those that a task fits on, the least first: doubt,
-#: accelerators left over, processor left, place in the list.
-_Rank = tuple[float, int, int, int]
+#: that of its speed, accelerators left over, processor left, place in the list.
+_Rank = tuple[float, int, int, int, int]
 
 Fit = list[tuple[TaskKey, Room]]
 
@@ -40,29 +42,59 @@
     return groups
 
 
-def choose_group(ready: ReadyStep, groups: Sequence[Sequence[Room]]) -> Fit:
-    """Take rooms of one group: the first without doubt, or the least doubted.
+def alike(
+    groups: Sequence[Sequence[Room]],
+    pace: Pace,
+) -> list[Sequence[Room]]:
+    """Return for a gang, before each group, those of its rooms that are alike.
+
+    Its members end together: on fast workers they would wait for those on slow
+    ones. An urgent gang minds that only where it makes it late.
+    """
+    found: list[Sequence[Room]] = []
+    for group in groups:
+        slow = [room for room in group if _holds_up(room, pace)]
+        if slow and len(slow) < len(group):
+            usual = [room for room in group if not _holds_up(room, pace)]
+            in_time = [room for room in slow if not pace.lateness(room.speed)]
+            if in_time:
+                found.append(in_time)
+            found.append(usual)
+        found.append(group)
+    return found
+
+
+def choose_group(
+    ready: ReadyStep,
+    groups: Sequence[Sequence[Room]],
+    pace: Pace = ANY,
+) -> Fit:
+    """Take rooms of one group: the first without fault, or the least faulty.
 
     A gang with one member on a worker that fails all it starts fails whole,
-    each time it is put there.
+    each time it is put there, and with one on a slow worker it is late whole.
     """
     best: tuple[float, Sequence[Room]] | None = None
     for group in groups:
-        chosen = choose_rooms(ready, group)
-        doubt = sum(room.doubt for _, room in chosen)
-        if chosen and not doubt:
+        chosen = choose_rooms(ready, group, pace)
+        fault = sum(room.doubt + pace.excess(room.speed) for _, room in chosen)
+        if chosen and not fault:
             return chosen
         _give_back(ready, chosen)
-        if chosen and (best is None or doubt < best[0]):
-            best = (doubt, group)
-    return choose_rooms(ready, best[1]) if best else []
+        if chosen and (best is None or fault < best[0]):
+            best = (fault, group)
+    return choose_rooms(ready, best[1], pace) if best else []
 
 
-def choose_rooms(ready: ReadyStep, rooms: Sequence[Room]) -> Fit:
+def choose_rooms(
+    ready: ReadyStep,
+    rooms: Sequence[Room],
+    pace: Pace = ANY,
+) -> Fit:
     """Take rooms for the tasks, in order; a gang takes all or none."""
     needs = room_needed(ready.step)
     queue = [
-        _rank(room, needs, index)
+        _rank(room, needs, index, pace)
         for index, room in enumerate(rooms)
         if room.fits_now(needs)
         and room.allows(ready.tasks[0], ready.step, alone=ready.alone)
@@ -81,7 +113,7 @@
             ready.step,
             alone=ready.alone,
         ):
-            heapq.heappush(queue, _rank(room, needs, index))
+            heapq.heappush(queue, _rank(room, needs, index, pace))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
         _give_back(ready, chosen)
@@ -89,9 +121,17 @@
     return chosen
 
 
-def _rank(room: Room, needs: Resources, index: int) -> _Rank:
+def _holds_up(room: Room, pace: Pace) -> bool:
+    """Return whether members on other workers would wait for one here."""
+    if pace.spares:
+        return level_of(room.speed) < 0
+    return pace.excess(room.speed) > 0
+
+
+def _rank(room: Room, needs: Resources, index: int, pace: Pace) -> _Rank:
     left_gpus = room.free.gpus - needs.gpus
-    return (room.doubt, left_gpus, room.free.cpu_millis, index)
+    rank = pace.rank(room.speed)
+    return (room.doubt, rank, left_gpus, room.free.cpu_millis, index)
 
 
 def _give_back(ready: ReadyStep, chosen: Fit) -> None:
@@ -115,4 +155,4 @@
     return None
 
 
-__all__ = ('Fit', 'choose_group', 'choose_rooms', 'groups_of')
+__all__ = ('Fit', 'alike', 'choose_group', 'choose_rooms', 'groups_of')
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -17,12 +17,14 @@
 DOUBT: Final = 'doubt'
 BOUNDED_LOSS: Final = 'bounded-loss'
 STALLED_MOVES: Final = 'stalled-moves'
+SPEEDS: Final = 'speeds'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
 mechanisms.register(DOUBT)('Workers at which runs failed are taken last.')
 mechanisms.register(BOUNDED_LOSS)('Uncovered urgent jobs stop little work.')
 mechanisms.register(STALLED_MOVES)('Runs that stand still start elsewhere.')
+mechanisms.register(SPEEDS)('Tasks start where they end in time.')
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -45,6 +47,7 @@
     'DOUBT',
     'RACK_PATIENCE',
     'RESERVATION',
+    'SPEEDS',
     'STALLED_MOVES',
     'checked',
     'mechanisms',
--- /dev/null
+++ b/src/curranthill/placement/paces.py
@@ -0,0 +1,99 @@
+"""How fast a task must run to end in time, and what a worker is worth to it.
+
+Answers workers of unlike speed: a gang is as late as its slowest member, so
+urgent work keeps off the workers on which it would end too late, and work with
+slack takes those first.
+"""
+
+import math
+from typing import Final, NamedTuple
+
+from curranthill.placement.jobs import ActiveJob, ReadyStep
+from curranthill.placement.order import is_urgent
+from curranthill.tasks import JobSpec
+
+#: Speeds within one level count as equal, as a logarithm: a quarter.
+LEVEL: Final = 0.22
+
+#: So many levels too late is as late as can be: nothing is earned then.
+MOST_LEVELS: Final = 5
+
+#: Above the levels of all speeds.
+LATE_RANK: Final = 100
+
+#: A task that has less than this share of its run time left is late wherever
+#: it runs.
+HOPELESS_SHARE: Final = 0.3
+
+
+class Pace(NamedTuple):
+    """What a step asks of the speed of its workers.
+
+    :param needed: a worker of this speed ends a task just in time; 0 if every
+        one does.
+    :param spares: whether it leaves fast workers to others.
+    """
+
+    needed: float = 0.0
+    spares: bool = False
+
+    def lateness(self, speed: float) -> int:
+        """Return by how many levels a worker is too slow."""
+        if speed >= self.needed:
+            return 0
+        levels = math.log(self.needed / speed) / LEVEL
+        return min(math.ceil(levels), MOST_LEVELS)
+
+    def excess(self, speed: float) -> int:
+        """Return by how many levels a worker ends later than a typical one."""
+        return max(0, self.lateness(speed) - self.lateness(1.0))
+
+    def rank(self, speed: float) -> int:
+        """Return a worker's rank, the least first; all late ones come last."""
+        late = self.lateness(speed)
+        if late:
+            return LATE_RANK + late
+        return level_of(speed) if self.spares else 0
+
+
+#: Any speed is as good as another.
+ANY: Final = Pace()
+
+
+def pace_of(
+    job: ActiveJob,
+    ready: ReadyStep,
+    ratio: float,
+    now_s: float,
+) -> Pace:
+    """Return what a step that starts now asks of its workers.
+
+    :param ratio: run time over estimate in the job's queue.
+    """
+    spec = job.spec
+    expected_s = ready.step.run_s * ratio
+    if spec.times or not expected_s:
+        return ANY
+    left_s = job.objective_s - now_s - _after_s(spec, ready.number)
+    spares = not is_urgent(job)
+    if left_s < HOPELESS_SHARE * expected_s:
+        return Pace(0.0, spares)
+    return Pace(expected_s / left_s, spares)
+
+
+def level_of(speed: float) -> int:
+    """Return a speed in levels above that of a typical worker."""
+    return round(math.log(speed) / LEVEL)
+
+
+def _after_s(spec: JobSpec, number: int) -> float:
+    """Return the estimated longest chain of steps that wait for a step."""
+    ends_s: dict[int, float] = {number: 0.0}
+    for later, step in enumerate(spec.steps):
+        before_s = [ends_s[one] for one in step.after if one in ends_s]
+        if before_s:
+            ends_s[later] = max(before_s) + step.estimate_s
+    return max(ends_s.values())
+
+
+__all__ = ('ANY', 'Pace', 'level_of', 'pace_of')
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from curranthill.placement.evictions import Eviction, Evictions
-from curranthill.placement.fitting import choose_group, groups_of
+from curranthill.placement.fitting import Fit, alike, choose_group, groups_of
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
 from curranthill.placement.mechanisms import (
@@ -16,6 +16,7 @@
 )
 from curranthill.placement.order import covered_jobs, in_order, is_urgent
 from curranthill.placement.reservations import RESERVATIONS, reserve
+from curranthill.placement.paces import ANY, Pace, pace_of
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
 from curranthill.tasks import Resources, Step, TaskKey
@@ -52,6 +53,11 @@
     victims: tuple[Run, ...]
 
 
+def as_estimated(queue: str) -> float:
+    """Return the ratio of run time to estimate of which nothing is known."""
+    return 1.0
+
+
 class Planner:
     """One round of decisions over a snapshot.
 
@@ -61,6 +67,7 @@
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
     :param without: mechanisms that are switched off.
+    :param ratio_of: returns run time over estimate in a queue, by its name.
     """
 
     def __init__(
@@ -71,8 +78,10 @@
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
         without: frozenset[str] = ALL_ON,
+        ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
         """Keep the snapshot."""
+        self._ratio_of = ratio_of
         self._tickets = tickets
         self._without = without
         self._services = {
@@ -84,6 +93,7 @@
             for found in rooms.values()
             for room in found
         }
+        self._unlike = len({one.speed for one in self._rooms.values()}) > 1
         self._guaranteed = guaranteed
         self._now_s = now_s
         self._evictions = Evictions(losses=Losses(jobs=()))
@@ -124,7 +134,7 @@
         if not (urgent or advised) and shape in self._too_large:
             return
         groups = self._groups(job, ready)
-        chosen = choose_group(ready, groups)
+        chosen = self._choose(ready, groups, self._pace(job, ready))
         if chosen:
             workers = tuple((key, room.entry.worker_id) for key, room in chosen)
             self._placements.append(Placement(job, ready, workers))
@@ -140,6 +150,24 @@
             self._reservations -= 1
             reserve(ready, groups)
 
+    def _pace(self, job: ActiveJob, ready: ReadyStep) -> Pace:
+        """Return what a step asks of its workers, if they differ at all."""
+        if not self._unlike:
+            return ANY
+        ratio = self._ratio_of(job.spec.queue.name)
+        return pace_of(job, ready, ratio, self._now_s)
+
+    def _choose(
+        self,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+        pace: Pace,
+    ) -> Fit:
+        """Return rooms for a step's tasks without stopping anything."""
+        if self._unlike and ready.step.gang:
+            return choose_group(ready, alike(groups, pace), pace)
+        return choose_group(ready, groups, pace)
+
     def _groups(
         self,
         job: ActiveJob,
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -32,6 +32,7 @@
     :param soon: what will be free once the runs being stopped have ended,
         less what waiting urgent tasks have claimed of it.
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
+    :param speed: of a typical worker's; 1.0 if it is not known to differ.
     :param runs: what runs here, less what this round stops.
     :param version: grows with each change of this room.
     """
@@ -45,6 +46,7 @@
         'free',
         'runs',
         'soon',
+        'speed',
         'version',
     )
 
@@ -54,11 +56,13 @@
         entry: WorkerEntry,
         runs: Iterable[Run],
         doubt: float,
+        speed: float = 1.0,
     ) -> None:
         """Add up the runs that take room."""
         self.entry = entry
         self.runs = list(runs)
         self.doubt = doubt
+        self.speed = speed
         self.version = 0
         self._keys = [run.key for run in self.runs]
         self._alone = any(
--- a/tests/test_unlike_workers.py
+++ b/tests/test_unlike_workers.py
@@ -1,11 +1,17 @@
 """What a leader makes of workers of unlike speed."""
 
 import unittest
+from copy import deepcopy
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from curranthill.dispatch.session import WorkerSession
-from curranthill.placement import Speed
-from curranthill.tasks import Step
-from tests.domain import ONE_GPU, Domain, in_domain, make_spec
+from curranthill.placement import Room, Run, Speed
+from curranthill.tasks import JobSpec, Step
+from tests.domain import ONE_GPU, Domain, in_domain, make_queue, make_spec
+from tests.test_planner import NOW_S, make_room, make_run, needs, placed, plan
+from tests.test_planner_properties import CASES, Case
 
 #: How long a task takes, in seconds, on a usual worker and on a slow one.
 USUAL_S = 2.0
@@ -74,3 +80,119 @@
             self.assertEqual(speed_of(domain, 'w3').factor, 1.0)
 
         in_domain(case, workers=8, run_s=USUAL_S)
+
+
+def unlike_room(worker_id: str, speed: float, *runs: Run) -> Room:
+    """Return the room of a worker of a speed; all stand in one rack."""
+    room = make_room(worker_id, 'r1', *runs)
+    room.speed = speed
+    return room
+
+
+#: An urgent gang that starts in time earns its worth on workers of 0.65 of a
+#: typical speed and faster.
+HASTY = Step(width=3, needs=needs(2), estimate_s=4.0, gang=True)
+
+
+def urgent(job_id: str, step: Step = HASTY) -> JobSpec:
+    """Return an urgent job that was accepted just now."""
+    return make_spec(job_id, step, priority=0)._replace(
+        queue=make_queue(0)._replace(slack_factor=1.5, target_s=0.2),
+        accepted_at_s=NOW_S,
+    )
+
+
+def patient(job_id: str, step: Step) -> JobSpec:
+    """Return a job of low priority with slack, accepted just now."""
+    return make_spec(job_id, step, priority=2)._replace(
+        queue=make_queue(2)._replace(slack_factor=3.0, target_s=1.0),
+        accepted_at_s=NOW_S,
+    )
+
+
+class FittingTest(unittest.TestCase):
+    """Where the tasks of a step start when workers differ."""
+
+    def test_an_urgent_gang_keeps_off_workers_that_make_it_late(self) -> None:
+        """The slow worker has just the room that it fills best."""
+        slow = unlike_room('a', 0.45, make_run('a', 6))
+        usual = [unlike_room('b', 1.0), unlike_room('c', 1.0)]
+        decided = plan([slow, *usual], urgent('j'))
+        self.assertEqual(set(placed(decided)['j']) - {'b', 'c'}, set())
+
+    def test_a_worker_that_is_fast_enough_is_filled_best(self) -> None:
+        """It is slower than others, and the gang is in time there."""
+        slower = unlike_room('a', 0.8, make_run('a', 2))
+        usual = [unlike_room('b', 1.0), unlike_room('c', 1.25)]
+        decided = plan([*usual, slower], urgent('j'))
+        self.assertEqual(placed(decided)['j'], ['a', 'a', 'a'])
+
+    def test_late_on_a_slow_worker_is_better_than_no_room(self) -> None:
+        """There is no other one."""
+        rooms = [
+            unlike_room('a', 0.45),
+            unlike_room('b', 1.0, make_run('b', 8)),
+        ]
+        rooms[1].runs[0].priority = 0
+        decided = plan(rooms, urgent('j'))
+        self.assertEqual(placed(decided)['j'], ['a', 'a', 'a'])
+
+    def test_work_with_slack_leaves_fast_workers_to_others(self) -> None:
+        """Its objective is three times its run time away."""
+        rooms = [
+            unlike_room('a', 1.0, make_run('a', 6)),
+            unlike_room('b', 0.45),
+            unlike_room('c', 1.3),
+        ]
+        step = Step(width=8, needs=needs(1), estimate_s=6.0)
+        decided = plan(rooms, patient('j', step))
+        self.assertEqual(set(placed(decided)['j']), {'b'})
+
+    def test_work_with_slack_takes_no_worker_that_is_too_slow(self) -> None:
+        """It has waited for long."""
+        rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0)]
+        step = Step(width=4, needs=needs(1), estimate_s=6.0)
+        spec = patient('j', step)._replace(accepted_at_s=NOW_S - 10)
+        decided = plan(rooms, spec)
+        self.assertEqual(set(placed(decided)['j']), {'b'})
+
+    def test_a_gang_with_slack_is_put_on_workers_that_are_alike(self) -> None:
+        """Two of four members would fit on the slow worker."""
+        slow = unlike_room('a', 0.45, make_run('a', 4))
+        rooms = [slow, unlike_room('b', 1.0), unlike_room('c', 1.0)]
+        step = Step(width=4, needs=needs(2), estimate_s=6.0, gang=True)
+        decided = plan(rooms, patient('j', step))
+        self.assertNotIn('a', placed(decided)['j'])
+
+    def test_a_later_step_has_less_time(self) -> None:
+        """What follows it takes as long again."""
+        step = Step(width=1, needs=needs(8), estimate_s=6.0)
+        spec = patient('j', step)
+        spec = spec._replace(
+            steps=(step, step._replace(after=(0,), estimate_s=60.0)),
+            accepted_at_s=NOW_S - 128,
+        )
+        rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0)]
+        self.assertEqual(placed(plan(rooms, spec))['j'], ['b'])
+
+
+class AlikeTest(unittest.TestCase):
+    """Where no speed is known to differ, plans are what they were."""
+
+    @settings(max_examples=50, deadline=None)
+    @given(case=CASES, speed=st.sampled_from((0.3, 1.0, 2.0)))
+    def test_one_speed_for_all_changes_nothing(
+        self,
+        case: Case,
+        speed: float,
+    ) -> None:
+        """Whatever it is."""
+        before = plan(deepcopy(case.rooms), *case.specs)
+        for room in case.rooms:
+            room.speed = speed
+        after = plan(case.rooms, *case.specs)
+        self.assertEqual(placed(after), placed(before))
+        self.assertEqual(
+            [run.name for run in after.victims],
+            [run.name for run in before.victims],
+        )
