Stop little work for an urgent gang that slow workers would make late

Cause: a gang took free slow workers, on which it can't meet its objective, although little was running on faster ones. Change: what it would do in vain there, its own work, is what may be thrown away for it on workers that make it in time, once for a step; where nothing is free, room is made on those first. Urgent gangs that are late anyway stop nobody more than before.

--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -42,6 +42,16 @@
     return groups
 
 
+def in_time(
+    groups: Sequence[Sequence[Room]],
+    pace: Pace,
+) -> list[Sequence[Room]]:
+    """Return of each group the rooms that hold up no urgent gang."""
+    return [
+        [room for room in group if not pace.holds_up(room)] for group in groups
+    ]
+
+
 def choose_group(
     ready: ReadyStep,
     groups: Sequence[Sequence[Room]],
@@ -58,7 +68,7 @@
         fault = sum(room.doubt + pace.excess(room) for _, room in chosen)
         if chosen and not fault:
             return chosen
-        _give_back(ready, chosen)
+        give_back(ready, chosen)
         if chosen and (best is None or fault < best[0]):
             best = (fault, group)
     return _choose_alike(ready, best[1], pace) if best else []
@@ -94,7 +104,7 @@
             heapq.heappush(queue, _rank(room, needs, index, pace))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
-        _give_back(ready, chosen)
+        give_back(ready, chosen)
         return []
     return chosen
 
@@ -113,15 +123,15 @@
     held_up = {pace.holds_up(room) for _, room in chosen}
     if len(held_up) < 2 or not ready.step.gang:
         return chosen
-    _give_back(ready, chosen)
-    in_time = [
+    give_back(ready, chosen)
+    slow = [
         room
         for room in rooms
         if pace.holds_up(room) and room.speed >= pace.needed
     ]
     usual = [room for room in rooms if not pace.holds_up(room)]
     return (
-        choose_rooms(ready, in_time, pace)
+        choose_rooms(ready, slow, pace)
         or choose_rooms(ready, usual, pace)
         or choose_rooms(ready, rooms, pace)
     )
@@ -133,7 +143,8 @@
     return (room.doubt, rank, left_gpus, room.free.cpu_millis, index)
 
 
-def _give_back(ready: ReadyStep, chosen: Fit) -> None:
+def give_back(ready: ReadyStep, chosen: Fit) -> None:
+    """Give back the rooms that were taken for tasks."""
     for key, room in chosen:
         room.unplace(key, ready.step)
 
@@ -154,4 +165,11 @@
     return None
 
 
-__all__ = ('Fit', 'choose_group', 'choose_rooms', 'groups_of')
+__all__ = (
+    'Fit',
+    'choose_group',
+    'choose_rooms',
+    'give_back',
+    'groups_of',
+    'in_time',
+)
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -65,6 +65,7 @@
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
         self._waits_since_s: dict[TaskKey, float] = {}
+        self._made_way: set[tuple[int, int]] = set()
         self._done_steps: set[tuple[int, int]] = set()
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
         for name, task in progress.tasks.items():
@@ -193,6 +194,14 @@
             if key in self.suspects
         )
 
+    def may_make_way(self, ready: ReadyStep) -> bool:
+        """Return once for a step that others may be stopped to end in time."""
+        place = (ready.occurrence, ready.number)
+        if place in self._made_way:
+            return False
+        self._made_way.add(place)
+        return True
+
     def end_wait(self, key: TaskKey) -> None:
         """Have a suspect wait anew the next time."""
         self._waits_since_s.pop(key, None)
--- a/src/curranthill/placement/paces.py
+++ b/src/curranthill/placement/paces.py
@@ -35,6 +35,11 @@
     needed: float = 0.0
     spares: bool = False
 
+    @property
+    def is_met_somewhere(self) -> bool:
+        """Return whether a task ends in time on a typical worker."""
+        return 0 < self.needed <= 1
+
     def lateness(self, speed: float) -> int:
         """Return by how many levels a worker is too slow."""
         if speed >= self.needed:
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -5,7 +5,13 @@
 from typing import Final, NamedTuple
 
 from curranthill.placement.evictions import Eviction, Evictions
-from curranthill.placement.fitting import choose_group, groups_of
+from curranthill.placement.fitting import (
+    Fit,
+    choose_group,
+    give_back,
+    groups_of,
+    in_time,
+)
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
 from curranthill.placement.mechanisms import (
@@ -134,15 +140,19 @@
         if not (urgent or advised) and shape in self._too_large:
             return
         groups = self._groups(job, ready)
-        chosen = choose_group(ready, groups, self._pace(job, ready))
-        if chosen:
-            workers = tuple((key, room.entry.worker_id) for key, room in chosen)
-            self._placements.append(Placement(job, ready, workers))
+        pace = self._pace(job, ready)
+        chosen = choose_group(ready, groups, pace)
+        if urgent and _is_held_up(ready, chosen, pace):
+            give_back(ready, chosen)
+            if self._make_way(job, ready, in_time(groups, pace)):
+                return
+            chosen = choose_group(ready, groups, pace)
+        self._place(job, ready, chosen)
         missing = ready.tasks[len(chosen) :]
         if not missing or ready.alone:
             return
         if urgent:
-            self._make_room(job, ready, missing, groups)
+            self._make_room(job, ready, missing, groups, pace)
             return
         if not advised:
             self._too_large.add(shape)
@@ -150,6 +160,11 @@
             self._reservations -= 1
             reserve(ready, groups)
 
+    def _place(self, job: ActiveJob, ready: ReadyStep, chosen: Fit) -> None:
+        if chosen:
+            workers = tuple((key, room.entry.worker_id) for key, room in chosen)
+            self._placements.append(Placement(job, ready, workers))
+
     def _pace(self, job: ActiveJob, ready: ReadyStep) -> Pace:
         """Return what a step asks of its workers, if they differ at all."""
         if not self._unlike:
@@ -175,18 +190,49 @@
         waited_s = self._now_s - job.spec.accepted_at_s
         return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
 
+    def _make_way(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+    ) -> bool:
+        """Stop others so that an urgent gang ends in time, once for a step.
+
+        On the slow workers that are free it would run in vain, so that is what
+        may be thrown away for it. Afterwards it waits only for what is being
+        stopped already.
+        """
+        step = ready.step
+        tasks = len(ready.tasks)
+        most_loss = min(
+            _work(step, tasks),
+            self._most_loss(job, step, tasks),
+        )
+        best = self._best_eviction(ready.tasks, step, groups, most_loss)
+        if best is None or (best.victims and not job.may_make_way(ready)):
+            return False
+        self._evict(best, room_needed(step))
+        return True
+
     def _make_room(
         self,
         job: ActiveJob,
         ready: ReadyStep,
         missing: tuple[TaskKey, ...],
         groups: list[Sequence[Room]],
+        pace: Pace,
     ) -> None:
         """Stop what is needed for urgent tasks, and keep what gets free."""
+        usual = in_time(groups, pace) if pace.is_met_somewhere else []
         needed = [missing] if ready.step.gang else [(key,) for key in missing]
         for tasks in needed:
             most_loss = self._most_loss(job, ready.step, len(tasks))
-            best = self._best_eviction(tasks, ready.step, groups, most_loss)
+            best = self._best_eviction(
+                tasks,
+                ready.step,
+                usual,
+                min(most_loss, MOST_LOSS_SHARE * _work(ready.step, len(tasks))),
+            ) or self._best_eviction(tasks, ready.step, groups, most_loss)
             if best is None:
                 # The tasks that are left need the same.
                 return
@@ -215,8 +261,7 @@
             return math.inf
         if BOUNDED_LOSS in self._without:
             return math.inf
-        work_core_s = tasks * step.needs.weight_cores * step.estimate_s
-        return MOST_LOSS_SHARE * work_core_s
+        return MOST_LOSS_SHARE * _work(step, tasks)
 
     def _evict(self, eviction: Eviction, needs: Resources) -> None:
         for run in eviction.victims:
@@ -228,4 +273,16 @@
             claimed.claim(needs)
 
 
+def _work(step: Step, tasks: int) -> float:
+    """Return the work of so many tasks of a step, in core-seconds."""
+    return tasks * step.needs.weight_cores * step.estimate_s
+
+
+def _is_held_up(ready: ReadyStep, chosen: Fit, pace: Pace) -> bool:
+    """Return whether slow workers make a gang late that could be in time."""
+    if not ready.step.gang or not pace.is_met_somewhere:
+        return False
+    return any(pace.holds_up(room) for _, room in chosen)
+
+
 __all__ = ('Placement', 'Plan', 'Planner')
--- a/tests/test_unlike_workers.py
+++ b/tests/test_unlike_workers.py
@@ -10,7 +10,15 @@
 from curranthill.placement import Room, Run, Speed
 from curranthill.tasks import JobSpec, Step
 from tests.domain import ONE_GPU, Domain, in_domain, make_queue, make_spec
-from tests.test_planner import NOW_S, make_room, make_run, needs, placed, plan
+from tests.test_planner import (
+    NOW_S,
+    make_job,
+    make_room,
+    make_run,
+    needs,
+    placed,
+    plan,
+)
 from tests.test_planner_properties import CASES, Case
 
 #: How long a task takes, in seconds, on a usual worker and on a slow one.
@@ -186,6 +194,52 @@
         )
 
 
+class MakingWayTest(unittest.TestCase):
+    """A slow free worker against stopping somebody on a faster one."""
+
+    def test_little_work_is_stopped_for_a_gang_that_would_be_late(self) -> None:
+        """What runs on the usual worker has only just begun."""
+        fresh = make_run('b', 8, age_s=0.5)
+        rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0, fresh)]
+        decided = plan(rooms, urgent('j'))
+        self.assertEqual(decided.victims, (fresh,))
+        self.assertEqual(placed(decided), {})
+
+    def test_more_work_than_its_own_is_not_stopped(self) -> None:
+        """It has run for long."""
+        old = make_run('b', 8, age_s=60.0)
+        rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0, old)]
+        decided = plan(rooms, urgent('j'))
+        self.assertEqual(decided.victims, ())
+        self.assertEqual(placed(decided)['j'], ['a', 'a', 'a'])
+
+    def test_others_are_stopped_once_for_a_step(self) -> None:
+        """The room went to somebody else meanwhile."""
+        job = make_job(urgent('j'))
+        for victims, starts in ((1, 0), (0, 1)):
+            fresh = make_run('b', 8, age_s=0.5)
+            rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0, fresh)]
+            decided = plan(rooms, running=[job])
+            self.assertEqual(len(decided.victims), victims)
+            self.assertEqual(len(decided.placements), starts)
+
+    def test_room_is_made_where_a_gang_ends_in_time(self) -> None:
+        """The slow worker's run has done less, but the gang would be late."""
+        fresh = make_run('a', 8, age_s=0.1)
+        older = make_run('b', 8, age_s=4.0)
+        rooms = [unlike_room('a', 0.45, fresh), unlike_room('b', 1.0, older)]
+        self.assertEqual(plan(rooms, urgent('j')).victims, (older,))
+
+    def test_a_gang_that_is_late_anyway_stops_nobody(self) -> None:
+        """It has waited for too long."""
+        fresh = make_run('b', 8, age_s=0.5)
+        rooms = [unlike_room('a', 0.45), unlike_room('b', 1.0, fresh)]
+        spec = urgent('j')._replace(accepted_at_s=NOW_S - 3)
+        decided = plan(rooms, spec)
+        self.assertEqual(decided.victims, ())
+        self.assertEqual(placed(decided)['j'], ['a', 'a', 'a'])
+
+
 class AlikeTest(unittest.TestCase):
     """Where no speed is known to differ, plans are what they were."""
 
