--- a/tests/test_unlike_workers.py
+++ b/tests/test_unlike_workers.py
@@ -8,7 +8,7 @@
 
 from curranthill.dispatch.session import WorkerSession
 from curranthill.placement import Room, Run, Speed
-from curranthill.tasks import JobSpec, Step
+from curranthill.tasks import JobSpec, Step, TaskKey
 from tests.domain import ONE_GPU, Domain, in_domain, make_queue, make_spec
 from tests.test_planner import (
     NOW_S,
@@ -258,3 +258,47 @@
             [run.name for run in after.victims],
             [run.name for run in before.victims],
         )
+
+
+class NeverEndingTest(unittest.TestCase):
+    """A task that stands still wherever it runs."""
+
+    def test_it_is_not_moved_for_ever(self) -> None:
+        """Once is enough to see that it is not its worker's doing."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for worker in domain.workers.values():
+                worker.stalled = True
+            await host.accept(make_spec())
+            await domain.clock.advance(60)
+            first = TaskKey('a1', 0, 0, 0)
+            self.assertEqual(domain.starts(first), [1, 2])
+            for worker in domain.workers.values():
+                worker.stalled = False
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(domain.starts(first), [1, 2])
+
+        in_domain(case, workers=4)
+
+    def test_a_takeover_moves_it_no_second_time(self) -> None:
+        """The next leader reads that it was moved."""
+
+        async def case(domain: Domain) -> None:
+            hosts = {name: domain.start_host(name) for name in ('h1', 'h2')}
+            leading = await domain.leader()
+            for worker in domain.workers.values():
+                worker.stalled = True
+            await leading.accept(make_spec())
+            first = TaskKey('a1', 0, 0, 0)
+            await domain.clock.until(
+                lambda: domain.starts(first) == [1, 2],
+                within_s=10,
+            )
+            await leading.kill()
+            self.assertIn(await domain.leader(), hosts.values())
+            await domain.clock.advance(30)
+            self.assertEqual(domain.starts(first), [1, 2])
+
+        in_domain(case, workers=4)
