--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -3,10 +3,12 @@
 Decisions only: no input or output, no clock, no event loop, no log lines.
 """
 
+from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
     DOUBT,
+    SPEEDS,
     STALLED_MOVES,
     checked,
     mechanisms,
@@ -26,6 +28,7 @@
     RunState,
     kind_of,
 )
+from curranthill.placement.speeds import Observation, Speed, SpeedBook
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -37,17 +40,23 @@
     'PLAIN',
     'RUNNING',
     'SERVING',
+    'SPEEDS',
     'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
+    'DurationBook',
+    'Observation',
     'Placement',
     'Plan',
     'Planner',
+    'Ratio',
     'ReadyStep',
     'Room',
     'Run',
     'RunKind',
     'RunState',
+    'Speed',
+    'SpeedBook',
     'WorkerEntry',
     'checked',
     'checkpoint_of',
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -1,19 +1,21 @@
 """Where the tasks of a step fit without stopping anything.
 
-Answers ordinary load: trusted workers first, then those that a task fills
-best, so that whole workers and racks stay free for large gangs.
+Answers ordinary load: trusted workers first, then those on which a task ends in
+time, then those that it fills best, so that whole workers and racks stay free
+for large gangs.
 """
 
 import heapq
 from collections.abc import Sequence
 
 from curranthill.placement.jobs import ReadyStep
+from curranthill.placement.paces import ANY, Pace
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
 #: A worker's rank among those that a task fits on, the least first: doubt,
-#: accelerators left over, processor left, place in the list.
-_Rank = tuple[float, int, int, int]
+#: that of its speed, accelerators left over, processor left, place in the list.
+_Rank = tuple[float, int, int, int, int]
 
 Fit = list[tuple[TaskKey, Room]]
 
@@ -40,29 +42,47 @@
     return groups
 
 
-def choose_group(ready: ReadyStep, groups: Sequence[Sequence[Room]]) -> Fit:
-    """Take rooms of one group: the first without doubt, or the least doubted.
+def in_time(
+    groups: Sequence[Sequence[Room]],
+    pace: Pace,
+) -> list[Sequence[Room]]:
+    """Return of each group the rooms that hold up no urgent gang."""
+    return [
+        [room for room in group if not pace.holds_up(room)] for group in groups
+    ]
+
+
+def choose_group(
+    ready: ReadyStep,
+    groups: Sequence[Sequence[Room]],
+    pace: Pace = ANY,
+) -> Fit:
+    """Take rooms of one group: the first without fault, or the least faulty.
 
     A gang with one member on a worker that fails all it starts fails whole,
-    each time it is put there.
+    each time it is put there, and with one on a slow worker it is late whole.
     """
     best: tuple[float, Sequence[Room]] | None = None
     for group in groups:
-        chosen = choose_rooms(ready, group)
-        doubt = sum(room.doubt for _, room in chosen)
-        if chosen and not doubt:
+        chosen = _choose_alike(ready, group, pace)
+        fault = sum(room.doubt + pace.excess(room) for _, room in chosen)
+        if chosen and not fault:
             return chosen
-        _give_back(ready, chosen)
-        if chosen and (best is None or doubt < best[0]):
-            best = (doubt, group)
-    return choose_rooms(ready, best[1]) if best else []
+        give_back(ready, chosen)
+        if chosen and (best is None or fault < best[0]):
+            best = (fault, group)
+    return _choose_alike(ready, best[1], pace) if best else []
 
 
-def choose_rooms(ready: ReadyStep, rooms: Sequence[Room]) -> Fit:
+def choose_rooms(
+    ready: ReadyStep,
+    rooms: Sequence[Room],
+    pace: Pace = ANY,
+) -> Fit:
     """Take rooms for the tasks, in order; a gang takes all or none."""
     needs = room_needed(ready.step)
     queue = [
-        _rank(room, needs, index)
+        _rank(room, needs, index, pace)
         for index, room in enumerate(rooms)
         if room.fits_now(needs)
         and room.allows(ready.tasks[0], ready.step, alone=ready.alone)
@@ -81,20 +101,50 @@
             ready.step,
             alone=ready.alone,
         ):
-            heapq.heappush(queue, _rank(room, needs, index))
+            heapq.heappush(queue, _rank(room, needs, index, pace))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
-        _give_back(ready, chosen)
+        give_back(ready, chosen)
         return []
     return chosen
 
 
-def _rank(room: Room, needs: Resources, index: int) -> _Rank:
+def _choose_alike(
+    ready: ReadyStep,
+    rooms: Sequence[Room],
+    pace: Pace,
+) -> Fit:
+    """Take rooms; for a gang ones that are alike, where these have room.
+
+    Its members end together: on fast workers they would wait for those on slow
+    ones.
+    """
+    chosen = choose_rooms(ready, rooms, pace)
+    held_up = {pace.holds_up(room) for _, room in chosen}
+    if len(held_up) < 2 or not ready.step.gang:
+        return chosen
+    give_back(ready, chosen)
+    slow = [
+        room
+        for room in rooms
+        if pace.holds_up(room) and room.speed >= pace.needed
+    ]
+    usual = [room for room in rooms if not pace.holds_up(room)]
+    return (
+        choose_rooms(ready, slow, pace)
+        or choose_rooms(ready, usual, pace)
+        or choose_rooms(ready, rooms, pace)
+    )
+
+
+def _rank(room: Room, needs: Resources, index: int, pace: Pace) -> _Rank:
     left_gpus = room.free.gpus - needs.gpus
-    return (room.doubt, left_gpus, room.free.cpu_millis, index)
+    rank = pace.rank(room)
+    return (room.doubt, rank, left_gpus, room.free.cpu_millis, index)
 
 
-def _give_back(ready: ReadyStep, chosen: Fit) -> None:
+def give_back(ready: ReadyStep, chosen: Fit) -> None:
+    """Give back the rooms that were taken for tasks."""
     for key, room in chosen:
         room.unplace(key, ready.step)
 
@@ -115,4 +165,11 @@
     return None
 
 
-__all__ = ('Fit', 'choose_group', 'choose_rooms', 'groups_of')
+__all__ = (
+    'Fit',
+    'choose_group',
+    'choose_rooms',
+    'give_back',
+    'groups_of',
+    'in_time',
+)
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -19,6 +19,7 @@
 STALLED_MOVES: Final = 'stalled-moves'
 HOPELESS_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
+SPEEDS: Final = 'speeds'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
@@ -29,6 +30,7 @@
 mechanisms.register(IN_TIME_FIRST)(
     'What can be in time goes before what is late.'
 )
+mechanisms.register(SPEEDS)('Tasks start where they end in time.')
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -53,6 +55,7 @@
     'IN_TIME_FIRST',
     'RACK_PATIENCE',
     'RESERVATION',
+    'SPEEDS',
     'STALLED_MOVES',
     'checked',
     'mechanisms',
