An outlook of what waits, and who is refused by it

Cause: an overloaded cluster accepts all, and a job that cannot earn any more by three times its objective is held to its end.

Change: admission/forecast.py makes the outlook: jobs like those that wait are put into the planner's own order as if they came now, and the work before them is divided by all room, so the forecast follows whatever the order goes by. admission/outlook.py refuses by it only what 0.6 of that wait makes too late, what fits nowhere now, what no guarantee covers, and what is no wide, timed or lasting work; a queue without an objective refuses nobody as late. The queue is bounded at 2000 waiting jobs, 1000 of one workspace.

--- /dev/null
+++ b/src/curranthill/admission/forecast.py
@@ -0,0 +1,250 @@
+"""What the leader tells all hosts of the work that waits.
+
+Answers bursts of some three times what the workers can do: a job that comes
+now starts when what goes before it has started, and that takes as long as all
+workers together need for as much work.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from curranthill.admission.outlook import (
+    MOST_OF_WORKSPACE,
+    MOST_WAITING,
+    OLD_S,
+    Outlook,
+    ServiceOutlook,
+)
+from curranthill.placement import (
+    ActiveJob,
+    covered_jobs,
+    in_order,
+    room_needed,
+)
+from curranthill.tasks import JobProgress, Resources
+
+#: Shorter waits are not told of, in seconds: what must end sooner than that
+#: after its longest chain is told by nobody.
+TOLD_FROM_S: Final = 1.0
+
+#: Steps of the wait that are told for each priority.
+TOLD_STEPS: Final = 3
+
+#: The most workspaces that are told of one by one: the rest is refused
+#: nothing for its guarantee, and the leader's row stays small.
+TOLD_WORKSPACES: Final = 8
+
+#: Jobs are told of as waiting from this share of the most on.
+TOLD_WAITING_SHARE: Final = 0.5
+
+#: Services that are told of, the longest wait first.
+TOLD_SERVICES: Final = 2
+
+#: Seconds of each kind of room.
+_Work = tuple[float, float, float]
+
+_NO_WORK: Final[_Work] = (0.0, 0.0, 0.0)
+
+#: Objectives in seconds from now, and the waits of jobs that have them.
+_Steps = tuple[tuple[float, float], ...]
+
+#: The id of what stands for a job that comes now.
+PROBE: Final = 'probe'
+
+
+class ServiceRoom(NamedTuple):
+    """The room of one service's workers.
+
+    :param total: all of it, used or not.
+    :param free: returns the most that is free on one worker, part by part.
+    """
+
+    total: Resources
+    free: Callable[[], Resources]
+
+
+def outlook_of(
+    jobs: Iterable[ActiveJob],
+    *,
+    rooms: Mapping[str, ServiceRoom],
+    guaranteed: Mapping[str, int],
+    now_s: float,
+    number: int,
+) -> Outlook | None:
+    """Return what hosts should know, or nothing while nothing waits long.
+
+    :param guaranteed: guaranteed accelerators by workspace.
+    :param now_s: wall-clock seconds.
+    :param number: grows with each outlook of one leader.
+    """
+    open_jobs = [job for job in jobs if not job.ended]
+    unbegun = [job for job in open_jobs if not job.begun]
+    waiting = Counter(job.spec.workspace for job in unbegun)
+    covered = covered_jobs(open_jobs, guaranteed)
+    services = _services(open_jobs, rooms, covered, now_s)
+    many = len(unbegun) >= TOLD_WAITING_SHARE * MOST_WAITING
+    if not services and not many:
+        return None
+    return Outlook(
+        number=number,
+        waiting=len(unbegun),
+        services=services,
+        uncovered=_uncovered(open_jobs, guaranteed, covered),
+        full=tuple(
+            workspace
+            for workspace, count in waiting.most_common(TOLD_WORKSPACES)
+            if count >= MOST_OF_WORKSPACE
+        ),
+    )
+
+
+def _services(
+    jobs: list[ActiveJob],
+    rooms: Mapping[str, ServiceRoom],
+    covered: set[str],
+    now_s: float,
+) -> tuple[ServiceOutlook, ...]:
+    """Return the services for which something waits long."""
+    waiting: dict[str, list[ActiveJob]] = defaultdict(list)
+    for job in jobs:
+        if job.spec.queue.service in rooms and _waits_whole(job):
+            waiting[job.spec.queue.service].append(job)
+    told = []
+    for name, queue in waiting.items():
+        waits = _waits(queue, rooms[name].total, covered, now_s)
+        if waits:
+            told.append((_longest_s(waits), name, waits))
+    told.sort(key=lambda one: -one[0])
+    return tuple(
+        ServiceOutlook(name, rooms[name].total, rooms[name].free(), waits)
+        for _, name, waits in told[:TOLD_SERVICES]
+    )
+
+
+def _waits_whole(job: ActiveJob) -> bool:
+    """Return whether all of a job waits that has to end.
+
+    What runs in part or comes back at set times says nothing for sure.
+    """
+    return not (job.runs or job.lasting or job.spec.times)
+
+
+def _waits(
+    waiting: list[ActiveJob],
+    total: Resources,
+    covered: set[str],
+    now_s: float,
+) -> dict[int, _Steps]:
+    """Return the steps of the wait for each priority with a long one."""
+    probes = _probes(waiting, now_s)
+    ahead = _NO_WORK
+    waits: dict[int, list[tuple[float, float]]] = defaultdict(list)
+    for job in in_order((*waiting, *probes), covered):
+        if job in probes:
+            wait_s = _drained_s(ahead, total)
+            if wait_s >= TOLD_FROM_S:
+                due_s = round(job.objective_s - now_s, 1)
+                step = (due_s, round(wait_s, 1))
+                waits[job.spec.queue.priority].append(step)
+        else:
+            ahead = _plus(ahead, _work_of(job))
+    return {
+        priority: tuple(sorted(set(steps))) for priority, steps in waits.items()
+    }
+
+
+def _probes(waiting: list[ActiveJob], now_s: float) -> list[ActiveJob]:
+    """Return jobs like those that wait, as if they came now.
+
+    Where these stand in the order tells what goes before one that comes now,
+    whatever the order goes by.
+    """
+    by_priority: dict[int, list[ActiveJob]] = defaultdict(list)
+    for job in waiting:
+        by_priority[job.spec.queue.priority].append(job)
+    probes = []
+    for alike in by_priority.values():
+        alike.sort(key=_patience_s)
+        last = len(alike) - 1
+        for part in range(TOLD_STEPS):
+            model = alike[last * part // (TOLD_STEPS - 1)].spec
+            spec = model._replace(job_id=PROBE, accepted_at_s=now_s)
+            probes.append(ActiveJob(spec=spec, progress=JobProgress('')))
+    return probes
+
+
+def _work_of(job: ActiveJob) -> _Work:
+    """Return the work of a job of which nothing runs."""
+    work = _NO_WORK
+    for number, step in enumerate(job.spec.steps):
+        if job.begun and job.step_done(0, number):
+            continue
+        needs = room_needed(step)
+        work_s = step.width * step.estimate_s
+        work = _plus(
+            work,
+            (
+                needs.cpu_millis * work_s,
+                needs.memory_mb * work_s,
+                needs.gpus * work_s,
+            ),
+        )
+    return work
+
+
+def _uncovered(
+    jobs: list[ActiveJob],
+    guaranteed: Mapping[str, int],
+    covered: set[str],
+) -> dict[str, int]:
+    """Return what is unused of guarantees beyond which urgent jobs wait."""
+    used: Counter[str] = Counter()
+    beyond: Counter[str] = Counter()
+    for job in jobs:
+        workspace = job.spec.workspace
+        if job.spec.job_id in covered:
+            used[workspace] += 0 if _ends_soon(job) else job.gpus
+        elif not job.begun and not job.spec.queue.priority:
+            beyond[workspace] += 1
+    return {
+        workspace: max(guaranteed.get(workspace, 0) - used[workspace], 0)
+        for workspace, _ in beyond.most_common(TOLD_WORKSPACES)
+    }
+
+
+def _ends_soon(job: ActiveJob) -> bool:
+    """Return whether a job may have ended while an outlook is gone by."""
+    left_s = [
+        run.estimate_s * (1 - run.done_percent / 100)
+        for run in job.runs.values()
+    ]
+    return bool(left_s) and max(left_s) <= OLD_S
+
+
+def _patience_s(job: ActiveJob) -> float:
+    return job.objective_s - job.spec.accepted_at_s
+
+
+def _drained_s(work: _Work, total: Resources) -> float:
+    """Return how long all workers take for some work, in seconds."""
+    return max(
+        (
+            amount / have
+            for amount, have in zip(work, total, strict=True)
+            if have > 0
+        ),
+        default=0.0,
+    )
+
+
+def _plus(work: _Work, more: _Work) -> _Work:
+    cpu, memory, gpus = more
+    return (work[0] + cpu, work[1] + memory, work[2] + gpus)
+
+
+def _longest_s(waits: Mapping[int, _Steps]) -> float:
+    return max(wait_s for steps in waits.values() for _, wait_s in steps)
+
+
+__all__ = ('TOLD_FROM_S', 'ServiceRoom', 'outlook_of')
--- /dev/null
+++ b/src/curranthill/admission/outlook.py
@@ -0,0 +1,219 @@
+"""Whether a host accepts a job while more waits than there is room for.
+
+Answers bursts of some three times what the workers can do. A job that is
+accepted and cannot earn any more by its end holds its caller to the end and
+takes room from jobs that still could; one that is refused at once can be
+answered elsewhere, or later. Refused is only what is too late by a margin.
+And a hundred times the usual load: what waits is bounded, so that the
+leader's memory and a takeover's readings are.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from curranthill.placement import room_needed
+from curranthill.tasks import JobSpec, Queue, Resources, Step
+
+#: The form of the record; hosts go by no other form.
+FORM: Final = 1
+
+#: A late job earns until this multiple of its objective.
+LATE_UNTIL: Final = 3.0
+
+#: Of the wait that is expected, so much is taken for sure: estimates of run
+#: times are a third off, and some of what waits is cancelled.
+SURE_SHARE: Final = 0.6
+
+#: An older outlook refuses nobody, in seconds: one is made each second, written
+#: with a heartbeat and read with a reading of the leader's row, and one of
+#: them may be lost.
+OLD_S: Final = 2.5
+
+#: The most jobs that wait with no task begun, in all: a successor reads
+#: their rows first, some 1 KB each, and a host with 5 Mbit/s must have read
+#: them within 4 s.
+MOST_WAITING: Final = 2000
+
+#: The same of one workspace: no caller alone can fill the queue.
+MOST_OF_WORKSPACE: Final = MOST_WAITING // 2
+
+#: The shortest time after which a caller comes back, in seconds: the header
+#: has whole seconds.
+SHORTEST_RETURN_S: Final = 1.0
+
+#: Callers make some four tries more: so many fit into the time in which the
+#: job can still earn.
+TRIES: Final = 4
+
+#: Jobs with a step wider than this share of the room take longer than their
+#: longest chain says, on idle workers too.
+WIDE_SHARE: Final = 0.25
+
+#: Why a job is refused.
+TOO_LATE: Final = 'too late'
+WORKSPACE_FULL: Final = 'too many of the workspace wait'
+FULL: Final = 'too many wait'
+
+#: Priority 0 is covered by its workspace's guarantee.
+_URGENT: Final = 0
+
+
+class ServiceOutlook(msgspec.Struct, array_like=True):
+    """What waits for one service's workers.
+
+    :param room: what all its workers have.
+    :param free: the most that is free on one worker, part by part.
+    :param waits: by priority, rising steps of an objective (seconds from now)
+        and the wait expected of a job whose objective is not earlier.
+    """
+
+    name: str
+    room: Resources = Resources()
+    free: Resources = Resources()
+    waits: dict[int, tuple[tuple[float, float], ...]] = {}
+
+    def wait_s(self, priority: int, objective_s: float) -> float:
+        """Return the wait expected of a job, in seconds.
+
+        :param objective_s: its objective, in seconds from now.
+        """
+        return max(
+            (
+                wait_s
+                for due_s, wait_s in self.waits.get(priority, ())
+                if due_s <= objective_s
+            ),
+            default=0.0,
+        )
+
+
+class Outlook(msgspec.Struct, array_like=True):
+    """What the leader tells all hosts of the work that waits.
+
+    :param number: grows with each outlook of one leader.
+    :param waiting: jobs of which nothing has begun.
+    :param services: those for which something waits for long.
+    :param uncovered: accelerators of its guarantee that a workspace does not
+        use, for workspaces of which urgent jobs wait beyond it.
+    :param full: workspaces of which too many jobs wait.
+    """
+
+    form: int = FORM
+    number: int = 0
+    waiting: int = 0
+    services: tuple[ServiceOutlook, ...] = ()
+    uncovered: dict[str, int] = {}
+    full: tuple[str, ...] = ()
+
+    def covers(self, spec: JobSpec) -> bool:
+        """Return whether a guarantee may cover a job."""
+        if spec.queue.priority != _URGENT:
+            return False
+        unused = self.uncovered.get(spec.workspace)
+        return unused is None or spec.gpus <= unused
+
+
+class Refusal(NamedTuple):
+    """Why a job is not accepted.
+
+    :param wait_s: the wait that is expected of it.
+    :param return_s: when its caller should come back at the earliest.
+    :param spread_s: how much later some callers should, so that they do not
+        come back together.
+    """
+
+    reason: str
+    wait_s: float
+    return_s: float
+    spread_s: float
+
+
+def may_accept(
+    spec: JobSpec,
+    outlook: Outlook | None,
+    age_s: float,
+) -> Refusal | None:
+    """Return why a job is refused, or nothing if it is accepted.
+
+    :param outlook: the newest that is known, if any.
+    :param age_s: for how long it has been known, by the reader's own clock.
+    """
+    if outlook is None or outlook.form != FORM or age_s > OLD_S:
+        return None
+    if outlook.covers(spec):
+        return None
+    wait_s = _wait_s(spec, outlook)
+    reason = _reason(spec, outlook, wait_s)
+    if not reason:
+        return None
+    # The same wait for all of a queue: the earlier the objective the less of
+    # it is left, and the sooner the caller comes back.
+    latest_s = (earns_until_s(spec) - spec.chain_s) / TRIES
+    return_s = max(min(wait_s, latest_s), SHORTEST_RETURN_S)
+    return Refusal(reason, wait_s, return_s, spread_s=return_s / 2)
+
+
+def has_objective(queue: Queue) -> bool:
+    """Return whether a queue's configuration asks for ends in time."""
+    return queue.target_s > 0 or queue.slack_factor > 1
+
+
+def _reason(spec: JobSpec, outlook: Outlook, wait_s: float) -> str:
+    if outlook.waiting >= MOST_WAITING:
+        return FULL
+    if spec.workspace in outlook.full:
+        return WORKSPACE_FULL
+    least_s = SURE_SHARE * wait_s + spec.chain_s
+    if wait_s and least_s > earns_until_s(spec):
+        return TOO_LATE
+    return ''
+
+
+def _wait_s(spec: JobSpec, outlook: Outlook) -> float:
+    """Return the wait expected of a job; 0 where nothing is sure."""
+    planned = spec.times or any(step.perpetual for step in spec.steps)
+    if planned or not has_objective(spec.queue):
+        return 0.0
+    for service in outlook.services:
+        if service.name == spec.queue.service and _must_wait(spec, service):
+            objective_s = spec.objective_s - spec.accepted_at_s
+            return service.wait_s(spec.queue.priority, objective_s)
+    return 0.0
+
+
+def _must_wait(spec: JobSpec, service: ServiceOutlook) -> bool:
+    """Return whether no task can start now, and the chain tells the run."""
+    return not any(
+        _is_wide(step, service.room) or service.free.covers(room_needed(step))
+        for step in spec.steps
+    )
+
+
+def _is_wide(step: Step, room: Resources) -> bool:
+    return any(
+        step.width * need > WIDE_SHARE * have
+        for need, have in zip(room_needed(step), room, strict=True)
+    )
+
+
+def earns_until_s(spec: JobSpec) -> float:
+    """Return until when a job earns, in seconds from its acceptance."""
+    return LATE_UNTIL * (spec.objective_s - spec.accepted_at_s)
+
+
+__all__ = (
+    'FORM',
+    'FULL',
+    'MOST_OF_WORKSPACE',
+    'MOST_WAITING',
+    'OLD_S',
+    'TOO_LATE',
+    'WORKSPACE_FULL',
+    'Outlook',
+    'Refusal',
+    'ServiceOutlook',
+    'earns_until_s',
+    'has_objective',
+    'may_accept',
+)
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -11,6 +11,7 @@
     checked,
     mechanisms,
 )
+from curranthill.placement.order import covered_jobs, in_order
 from curranthill.placement.planner import Placement, Plan, Planner
 from curranthill.placement.rooms import Room, room_needed
 from curranthill.placement.runs import (
@@ -51,6 +52,8 @@
     'WorkerEntry',
     'checked',
     'checkpoint_of',
+    'covered_jobs',
+    'in_order',
     'kind_of',
     'mechanisms',
     'room_needed',
