--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,282 @@
+"""What hosts refuse while a cluster is full, and what they do not.
+
+A replayed overload: four workers, gangs that take one each for ten seconds,
+and more of them than can end within three times their objective.
+"""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from curranthill.admission import MOST_WAITING, TOO_LATE, may_accept
+from curranthill.dispatch.leadership import LeaderRow, leader_row_of
+from curranthill.errors import NOT_RUN, RefusedError
+from curranthill.storage.rows import RowPut
+from curranthill.tasks import JobSpec, Step, decode, encode, tables
+from tests.domain import ONE_GPU, Domain, TestHost, in_domain, make_spec
+
+RUN_S = 10.0
+GANG = Step(
+    width=1,
+    needs=ONE_GPU._replace(gpus=8),
+    estimate_s=RUN_S,
+    gang=True,
+)
+
+#: Four run at a time; one more would wait for 110 s, and earns for 63 s.
+OVERLOAD = 48
+
+
+def gang(job_id: str, domain: Domain, priority: int = 1) -> JobSpec:
+    """Return a gang that is handed in now."""
+    return make_spec(
+        job_id,
+        GANG,
+        priority=priority,
+        accepted_at_s=domain.clock.wall_s(),
+    )
+
+
+async def overload(domain: Domain) -> tuple[TestHost, TestHost]:
+    """Hand in more than can end in time; return the leader and another."""
+    first = domain.start_host('h1')
+    await domain.leader()
+    second = domain.start_host('h2')
+    # All at once, before anybody can know.
+    burst = asyncio.gather(
+        *(
+            first.desk.accept(gang(f'w{number}', domain), 3.0)
+            for number in range(OVERLOAD)
+        ),
+    )
+    await first.during(burst)
+    # An outlook each second, a heartbeat, a reading.
+    await domain.clock.advance(3.0)
+    return first, second
+
+
+async def is_refused(host: TestHost, spec: JobSpec) -> bool:
+    """Hand a job in; return whether it was refused as not run."""
+    try:
+        await host.accept(spec)
+    except RefusedError as refused:
+        return refused.step == 'admit' and refused.outcome == NOT_RUN
+    return False
+
+
+def told(domain: Domain) -> LeaderRow:
+    """Return the leader's row as it is stored."""
+    row = domain.rows.rows[(tables.LEADER, tables.LEADER_KEY)]
+    return leader_row_of(row)
+
+
+class OverloadTest(unittest.TestCase):
+    """More than can be served in time."""
+
+    def test_what_is_too_late_is_refused_at_once_and_stored_nowhere(
+        self,
+    ) -> None:
+        """By the leader's host and by any other."""
+
+        async def case(domain: Domain) -> None:
+            hosts = await overload(domain)
+            for host in hosts:
+                spec = gang(f'late-{host.name}', domain)
+                with self.assertRaises(RefusedError) as caught:
+                    await host.accept(spec)
+                refused = caught.exception
+                self.assertEqual(refused.status, 503)
+                self.assertEqual(refused.outcome, NOT_RUN)
+                self.assertIn(TOO_LATE, refused.message)
+                self.assertGreaterEqual(refused.retry_after_s or 0, 1.0)
+                await domain.clock.advance(1.0)
+                rows = domain.rows.rows
+                self.assertNotIn((tables.INTAKE, spec.job_id), rows)
+                self.assertNotIn((tables.PROGRESS, spec.job_id), rows)
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_a_repeat_of_an_accepted_job_is_no_refusal(self) -> None:
+        """It is stored: nobody may be told that it does not run."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            self.assertTrue(await is_refused(second, gang('new', domain)))
+            again = gang(f'w{OVERLOAD - 1}', domain)
+            self.assertFalse(await is_refused(second, again))
+            self.assertEqual(domain.state(again.job_id), 'queued')
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_what_a_guarantee_covers_is_accepted(self) -> None:
+        """Urgent, and within what its workspace is guaranteed."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            urgent = gang('urgent', domain, priority=0)
+            self.assertFalse(await is_refused(second, urgent))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_what_is_accepted_ends_and_the_door_opens_again(self) -> None:
+        """The queue drains; nothing is told of it any more."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            await domain.ended(f'w{OVERLOAD - 1}', within_s=200)
+            self.assertFalse(await is_refused(second, gang('new', domain)))
+            self.assertIsNone(told(domain).outlook)
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_the_queue_is_bounded(self) -> None:
+        """Whatever is handed in, covered work aside."""
+
+        async def case(domain: Domain) -> None:
+            first = domain.start_host('h1')
+            await domain.leader()
+            small = Step(width=1, needs=GANG.needs, estimate_s=0.01)
+            rows = [
+                make_spec(f'w{number}', small, priority=2)
+                for number in range(MOST_WAITING + 100)
+            ]
+            for worker in domain.workers.values():
+                worker.run_s = RUN_S
+            for spec in rows:
+                put = RowPut(tables.INTAKE, spec.job_id, encode(spec))
+                domain.rows.apply((), (put,), ())
+            await domain.clock.advance(4.0)
+            lasting = make_spec('last', GANG._replace(perpetual=True))
+            self.assertTrue(await is_refused(first, lasting))
+            covered = gang('urgent', domain, priority=0)
+            self.assertFalse(await is_refused(first, covered))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+
+class CalmTest(unittest.TestCase):
+    """Room for all."""
+
+    def test_nothing_is_told_and_nobody_refused(self) -> None:
+        """The leader's row is as small as before."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            for number in range(4):
+                await host.accept(gang(f'w{number}', domain))
+            await domain.clock.advance(3.0)
+            self.assertFalse(await is_refused(host, gang('new', domain)))
+            self.assertLess(len(encode(told(domain))), 120)
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+
+class FailureTest(unittest.TestCase):
+    """An outlook that may be wrong refuses nobody."""
+
+    def test_the_row_is_too_old(self) -> None:
+        """The store refuses the leader's writes only."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            self.assertTrue(await is_refused(second, gang('new', domain)))
+            second.election.resign()
+            domain.rows.refusing_partitions.add(tables.LEADERS_PARTITION)
+            await domain.clock.advance(3.0)
+            self.assertFalse(await is_refused(second, gang('new', domain)))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_the_leader_is_gone(self) -> None:
+        """Nobody leads any more."""
+
+        async def case(domain: Domain) -> None:
+            first, second = await overload(domain)
+            second.election.resign()
+            await first.kill()
+            await domain.clock.advance(3.0)
+            self.assertFalse(await is_refused(second, gang('new', domain)))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_a_new_leader_refuses_nobody_before_its_own_outlook(self) -> None:
+        """Then it knows what waits as its predecessor did."""
+
+        async def case(domain: Domain) -> None:
+            first, second = await overload(domain)
+            await first.kill()
+            await domain.leader()
+            await domain.clock.advance(0.5)
+            self.assertFalse(await is_refused(second, gang('one', domain)))
+            await domain.clock.advance(5.0)
+            self.assertTrue(await is_refused(second, gang('two', domain)))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_a_host_that_could_not_read_refuses_nobody(self) -> None:
+        """The store refused it for a moment; what came before may land."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            domain.rows.refusing.add('h2')
+            await domain.clock.advance(0.6)
+            domain.rows.refusing.clear()
+            await domain.clock.advance(0.6)
+            self.assertFalse(await is_refused(second, gang('one', domain)))
+            await domain.clock.advance(6.0)
+            self.assertTrue(await is_refused(second, gang('two', domain)))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_a_suspended_host_goes_by_no_outlook_from_before(self) -> None:
+        """Its age counts the pause."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            second.election.resign()
+            self.assertTrue(await is_refused(second, gang('one', domain)))
+            watch = second.election.outlooks
+            second.clock.suspend()
+            await domain.clock.advance(4.0)
+            second.clock.resume()
+            outlook, age_s = watch.newest()
+            self.assertGreaterEqual(age_s, 4.0)
+            self.assertIsNone(may_accept(gang('two', domain), outlook, age_s))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_another_form_of_outlook_harms_no_row(self) -> None:
+        """A newer one, one that is none at all, and a row without any."""
+        forms = (
+            [2, 5, 10, [], {}, [], 'more'],
+            [1, 5, 10, 'roster'],
+            {'waits': 3},
+            7,
+        )
+        for outlook in forms:
+            row = LeaderRow(holder='h', epoch=3, outlook=outlook)
+            read = decode(encode(row), LeaderRow)
+            self.assertEqual(read, row)
+        older = decode(msgspec.json.encode(['h', 3, 'x', 0.0]), LeaderRow)
+        self.assertIsNone(older.outlook)
+
+    def test_hosts_that_read_another_form_refuse_nobody(self) -> None:
+        """They accept as before."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            watch = host.election.outlooks
+            for number, outlook in enumerate(([2, 5, 9999], 'none', 7)):
+                watch.take(90 + number, outlook)
+                new = gang(f'new-{number}', domain)
+                with self.subTest(outlook=outlook):
+                    self.assertFalse(await is_refused(host, new))
+
+        in_domain(case)
+
+
+if __name__ == '__main__':
+    unittest.main()
