The leader tells hosts what waits, and their desks go by it

Cause: the decisions of admission were asked by nobody.

Change: the leader makes an outlook once a second, from 2 s after its term began, and puts it into its own row, which it writes and every host reads anyhow: no call more, and nothing at all while nothing waits for over a second. It stands there as plain content, so another release's form cannot make the row unreadable. A host counts the age of an outlook by its own clock from the first reading; none of another term counts, and none for 5 s after a reading of its own failed, as the store may then carry out late what an earlier try left. Before it refuses, the desk reads whether an earlier try was stored, and accepts if that cannot be read.

Each refusal is a line turned_away and a count in jobs_turned_away, by reason and by workspace, at most 16 of them by name.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -8,11 +8,13 @@
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.journal import HEARTBEAT_S
 from curranthill.dispatch.leadership import (
+    LeaderRow,
     Leadership,
     LeadershipLostError,
     leader_row_of,
     take_over,
 )
+from curranthill.dispatch.outlooks import OutlookWatch
 from curranthill.errors import StorageError
 from curranthill.storage.health import UNREACHABLE_S, StoreHealth
 from curranthill.storage.rows import RowStore, StoredRow
@@ -48,6 +50,7 @@
 
     :param lead: runs one term and returns when it is over.
     :param health: is told of each reading.
+    :param outlooks: the outlook that stands in the leader's row.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self._read_s = 0.0
         self._silence_s = SILENCE_S
         self._resigned = False
+        self.outlooks = OutlookWatch(clock=clock)
 
     @property
     def leader_silent_s(self) -> float:
@@ -88,6 +92,7 @@
                 row = await self._store.read(tables.LEADER, tables.LEADER_KEY)
             except StorageError as error:
                 self._health.failed(error)
+                self.outlooks.missed()
                 pause_s = FAILED_POLL_S
             else:
                 self._health.answered()
@@ -115,13 +120,15 @@
         self._read_s = now_s
 
     async def _consider(self, row: StoredRow | None) -> None:
-        if self._resigned:
-            return
         try:
-            holder = leader_row_of(row).holder if row else ''
+            seen = leader_row_of(row) if row else LeaderRow()
         except StorageError as error:
             events.log('takeover_failed', error=str(error))
             return
+        self.outlooks.take(seen.epoch, seen.outlook)
+        if self._resigned:
+            return
+        holder = seen.holder
         # A row of this host's own name is that of an earlier process, or was
         # won without a reply: nobody else waits for it.
         held = holder not in {'', self._holder}
@@ -155,6 +162,7 @@
                 # The leader's own writes tell whether the store answers.
                 if leadership.age_s < UNREACHABLE_S:
                     self._health.answered()
+                self.outlooks.take(leadership.epoch, leadership.outlook)
                 await wait_at_most(term, timeout_s=POLL_S, clock=self._clock)
         finally:
             term.cancel()
--- a/src/curranthill/dispatch/journal.py
+++ b/src/curranthill/dispatch/journal.py
@@ -1,7 +1,7 @@
 """Group commit of jobs' progress: one write under way, the rest gather."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.leadership import Leadership
@@ -44,6 +44,10 @@
         """Have the queue lengths written with the next write."""
         self._pending = content
 
+    def note_outlook(self, outlook: Any) -> None:
+        """Have what waits written with each write from now on."""
+        self._leadership.outlook = outlook
+
     def remove(self, removal: RowRemoval) -> None:
         """Have a row removed."""
         self._removals.append(removal)
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -7,7 +7,7 @@
 
 import uuid
 from collections.abc import Sequence
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -51,12 +51,15 @@
     :param operation: unique to each write, so that a lost reply is found.
     :param former_s: for how long from this write those who led before the
         holder may go on renewing leases, in seconds.
+    :param outlook: what waits, as plain content: another release's must not
+        make the row unreadable.
     """
 
     holder: str = ''
     epoch: int = 0
     operation: str = ''
     former_s: float = 0.0
+    outlook: Any = None
 
     def former_after_s(self, seen_for_s: float) -> float:
         """Return how long anyone up to this row's writer may go on renewing.
@@ -96,6 +99,8 @@
     :param row: the leader's row as this process wrote it.
     :param version: the version of that row.
     :param began_s: the clock just before that write.
+    :param outlook: what waits, written with each write from now on; each host
+        reads this row anyhow, so it costs no call.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
         self._version = version
         self._lost = False
         self.confirmed_s = began_s
+        self.outlook: Any = None
 
     @property
     def epoch(self) -> int:
@@ -169,6 +175,7 @@
             epoch=self._row.epoch,
             operation=uuid.uuid4().hex,
             former_s=self.former_s,
+            outlook=self.outlook if holder is None else None,
         )
         own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
         # A try that turns out to have applied may be any of them, and others
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -10,6 +10,7 @@
 from curranthill.dispatch.advice import TicketOffice
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import LeadershipLostError
+from curranthill.dispatch.outlooks import OutlookMaker
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
 from curranthill.dispatch.work import Work
@@ -86,6 +87,7 @@
         self._journal = journal
         self._spawner = spawner
         self._revision = revision
+        self._outlooks = OutlookMaker(clock=clock, work=work)
         self._shown_s = 0.0
         self._stalls_seen_s = 0.0
 
@@ -101,6 +103,7 @@
             self._work.changed.clear()
             self._plan_round()
             self._note_pending()
+            self._note_outlook()
 
     def _plan_round(self) -> None:
         if not self._work.may_order():
@@ -316,5 +319,13 @@
         self._show_waiting(waiting)
         self._journal.note_pending(msgspec.json.encode(counts))
 
+    def _note_outlook(self) -> None:
+        """Tell all hosts of what waits for long."""
+        if self._outlooks.due:
+            outlook = self._outlooks.make(self._revision.current)
+            self._journal.note_outlook(
+                msgspec.to_builtins(outlook, str_keys=True)
+            )
+
 
 __all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import random
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
-from curranthill.admission import return_after_s
+from curranthill.admission import (
+    Outlook,
+    Refusal,
+    may_accept,
+    return_after_s,
+)
 from curranthill.clock import Clock, wait_at_most
 from curranthill.errors import (
     FAILED,
@@ -33,7 +38,9 @@
     encode,
     tables,
 )
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
+from curranthill.telemetry.labels import workspace_labels
 
 #: How long a request waits for a store that refuses, in seconds: long enough
 #: for one moment over the store's rate, short enough for callers to turn to
@@ -59,6 +66,13 @@
 RETRY_AFTER_S: Final = 1.0
 
 
+class OutlookSource(Protocol):
+    """Knows what waits."""
+
+    def newest(self) -> tuple[Outlook | None, float]:
+        """Return the newest outlook, if any, and its age in seconds."""
+
+
 class Desk:
     """Callers' requests, answered from the store by any host."""
 
@@ -68,9 +82,11 @@
         store: RowStore,
         clock: Clock,
         health: StoreHealth,
+        outlooks: OutlookSource,
     ) -> None:
         """Keep the store."""
         self._health = health
+        self._outlooks = outlooks
         self._store = store
         self._clock = clock
 
@@ -87,6 +103,8 @@
         if not self._health.reachable:
             # Known to be away: refuse at once instead of after a timeout.
             raise self._refusal(spec, None, uncertain=False)
+        if await self._is_turned_away(spec):
+            return
         insertion = asyncio.ensure_future(self._insert(spec))
         try:
             stored = await wait_at_most(
@@ -221,6 +239,61 @@
                     raise self._unreadable(job_id, error) from error
                 await self._clock.sleep(RETRY_DELAY_S)
 
+    async def _is_turned_away(self, spec: JobSpec) -> bool:
+        """Return whether a job that is refused now was accepted before.
+
+        A refusal is final, so whether an earlier try was stored is read
+        first; where that cannot be read the job is taken.
+
+        :raises RefusedError: if the job is refused.
+        """
+        outlook, age_s = self._outlooks.newest()
+        refusal = may_accept(spec, outlook, age_s)
+        if refusal is None:
+            return False
+        try:
+            known = await self._progress(spec.job_id)
+        except RefusedError:
+            return False
+        if known is not None:
+            events.log('accepted_before', job=spec.job_id)
+            return True
+        raise self._turned_away(spec, refusal, age_s)
+
+    def _turned_away(
+        self,
+        spec: JobSpec,
+        refusal: Refusal,
+        age_s: float,
+    ) -> RefusedError:
+        events.log(
+            'turned_away',
+            job=spec.job_id,
+            queue=spec.queue.name,
+            priority=spec.queue.priority,
+            workspace=spec.workspace,
+            reason=refusal.reason,
+            expected_wait_s=refusal.wait_s,
+            outlook_age_s=round(age_s, 2),
+        )
+        metrics.turned_away.add(
+            1,
+            {
+                'workspace': workspace_labels.label(spec.workspace),
+                'reason': refusal.reason,
+            },
+        )
+        spread_s = random.uniform(0, refusal.spread_s)
+        return RefusedError(
+            f'Job {spec.job_id} is not accepted and does not run: '
+            f'{refusal.reason}.',
+            step='admit',
+            status=503,
+            outcome=NOT_RUN,
+            retry_after_s=refusal.return_s + spread_s,
+            peer='leader',
+        )
+
     def _refusal(
         self,
         spec: JobSpec,
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -136,6 +136,7 @@
                 store=self._store,
                 clock=clock,
                 health=self._health,
+                outlooks=self._election.outlooks,
             ),
             revisions=self._revisions,
             clock=clock,
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -28,6 +28,7 @@
         self.replies_lost = meter.create_counter('table_replies_lost')
         self.requests = meter.create_counter('requests')
         self.refusals = meter.create_counter('refusals')
+        self.turned_away = meter.create_counter('jobs_turned_away')
         self.retries = meter.create_counter('retries')
         self.placements = meter.create_counter('placements')
         self.preemptions = meter.create_counter('preemptions')
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -467,17 +467,18 @@
             clock=self.clock,
         )
         self.health = StoreHealth(clock=self.clock)
-        self.desk = Desk(
+        self.election = Election(
             store=self._store,
             clock=self.clock,
+            holder=name,
+            lead=self._lead,
             health=self.health,
         )
-        self.election = Election(
+        self.desk = Desk(
             store=self._store,
             clock=self.clock,
-            holder=name,
-            lead=self._lead,
             health=self.health,
+            outlooks=self.election.outlooks,
         )
         self.closures = Closures(
             clock=self.clock,
