--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,182 @@
+"""What operators see of jobs that wait, and of those turned away."""
+
+import unittest
+from typing import Any
+from unittest.mock import patch
+
+from curranthill.admission import FreeWorker, waits_for
+from curranthill.commands.trace import told
+from curranthill.dispatch import waiting
+from curranthill.entry import desk
+from curranthill.placement import ActiveJob
+from curranthill.tasks import JobProgress, Resources, Step
+from curranthill.telemetry import metrics
+from curranthill.telemetry.labels import OTHERS, BoundedLabels
+from tests.domain import ONE_GPU, ROOM, Domain, in_domain, make_spec
+from tests.test_door import GANG, RUN_S, gang, is_refused, overload
+
+NONE_FREE = Resources()
+
+
+def worker(gpus: int, rack: str = 'r1') -> FreeWorker:
+    """Return a worker with some accelerators free."""
+    free = ROOM._replace(gpus=gpus)
+    return FreeWorker(rack, ('a', rack), ROOM, free)
+
+
+def reason(step: Step, *workers: FreeWorker, beyond: bool = False) -> str:
+    """Return what a step waits for."""
+    spec = make_spec('a1', step)
+    job = ActiveJob(spec=spec, progress=JobProgress('q', tasks={}))
+    ready = next(job.ready_steps(spec.accepted_at_s))
+    return waits_for(ready, workers, beyond_guarantee=beyond)
+
+
+class ReasonTest(unittest.TestCase):
+    """What a step waits for."""
+
+    def test_room_that_nobody_has(self) -> None:
+        """Not even idle: too large, or of another kind."""
+        wide = GANG._replace(width=3)
+        self.assertEqual(
+            reason(wide, worker(8), worker(8)),
+            'no worker is large enough',
+        )
+        other = GANG._replace(label='b')
+        self.assertEqual(
+            reason(other, worker(8)),
+            'no worker is large enough',
+        )
+
+    def test_room_that_others_have(self) -> None:
+        """A gang needs all of it, a plain step some."""
+        step = Step(width=2, needs=ONE_GPU, estimate_s=1.0)
+        self.assertEqual(reason(step, worker(0)), 'no room')
+        self.assertEqual(
+            reason(step._replace(gang=True), worker(1), worker(0)),
+            'no room',
+        )
+        self.assertEqual(
+            reason(GANG, worker(7), beyond=True),
+            'no room, and beyond its guarantee',
+        )
+
+    def test_room_in_one_rack(self) -> None:
+        """Enough in two racks, in none of them."""
+        pair = GANG._replace(width=2, same_rack=True)
+        workers = (worker(8, 'r1'), worker(8, 'r2'))
+        idle = (worker(8, 'r1'), worker(8, 'r1'))
+        self.assertEqual(reason(pair, *workers), 'room in one rack')
+        near = GANG._replace(near_rack='r3')
+        self.assertEqual(reason(near, *workers), 'room in one rack')
+        self.assertEqual(reason(pair, *idle), 'room that is kept for others')
+
+
+class LabelsTest(unittest.TestCase):
+    """However many workspaces there are."""
+
+    def test_names_past_the_most_share_a_label(self) -> None:
+        """The first ones keep theirs."""
+        labels = BoundedLabels(most=2)
+        given = [labels.label(name) for name in ('a', 'b', 'c', 'a', 'd')]
+        self.assertEqual(given, ['a', 'b', OTHERS, 'a', OTHERS])
+
+
+class Lines:
+    """Keeps events instead of writing them."""
+
+    def __init__(self) -> None:
+        """Start without lines."""
+        self.lines: list[dict[str, Any]] = []
+
+    def log(self, kind: str, **fields: Any) -> None:
+        """Keep one."""
+        self.lines.append({'event': kind, 't_s': 0.0, 'host': 'h', **fields})
+
+    def of(self, kind: str) -> list[dict[str, Any]]:
+        """Return the lines of one kind."""
+        return [line for line in self.lines if line['event'] == kind]
+
+
+class Gauge:
+    """Keeps the newest value of each label."""
+
+    def __init__(self) -> None:
+        """Start without values."""
+        self.values: dict[str, float] = {}
+
+    def set(self, amount: float, labels: dict[str, str]) -> None:
+        """Keep one."""
+        self.values[labels['workspace']] = amount
+
+
+class BoardTest(unittest.TestCase):
+    """A full cluster as its operators see it."""
+
+    def test_the_oldest_waiting_jobs_are_told_with_their_reason(self) -> None:
+        """Two of each priority in a second; a trace tells it in words."""
+
+        async def case(domain: Domain) -> None:
+            lines = Lines()
+            with patch.object(waiting, 'events', lines):
+                await overload(domain)
+            last = lines.of('waiting')[-2:]
+            self.assertEqual(
+                [line['waits_for'] for line in last],
+                ['no room', 'no room'],
+            )
+            self.assertEqual(len({line['job'] for line in last}), 2)
+            self.assertIn('waits for no room', told(last[0], 0.0))
+            # The outlook's first second is 2 s after the term's begin.
+            self.assertLessEqual(len(lines.of('waiting')), 2 * 4)
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+    def test_workspaces_are_counted_and_forgotten(self) -> None:
+        """The largest by name, the rest as one; nobody stays on the board."""
+
+        async def case(domain: Domain) -> None:
+            gauge = Gauge()
+            with patch.object(
+                metrics,
+                'workspace_waiting_jobs',
+                gauge,
+            ):
+                host = domain.start_host('h1')
+                await domain.leader()
+                for number in range(18):
+                    spec = gang(f'w{number}', domain)
+                    # Twelve workspaces, of which four have two jobs.
+                    team = f'team-{max(number - 6, 0):02}'
+                    await host.accept(spec._replace(workspace=team))
+                await domain.clock.advance(3.0)
+                self.assertIn(OTHERS, gauge.values)
+                self.assertEqual(len(gauge.values), 11)
+                self.assertEqual(sum(gauge.values.values()), 16)
+                for number in range(18):
+                    await host.during(host.desk.cancel(f'w{number}'))
+                await domain.clock.advance(3.0)
+                self.assertEqual(sum(gauge.values.values()), 0)
+
+        in_domain(case, run_s=RUN_S)
+
+    def test_each_refusal_is_one_line(self) -> None:
+        """With the outlook's age and the expected wait."""
+
+        async def case(domain: Domain) -> None:
+            _, second = await overload(domain)
+            lines = Lines()
+            with patch.object(desk, 'events', lines):
+                self.assertTrue(await is_refused(second, gang('a1', domain)))
+            line = lines.of('turned_away')[0]
+            self.assertEqual(len(lines.of('turned_away')), 1)
+            self.assertEqual(line['reason'], 'too late')
+            self.assertGreater(line['expected_wait_s'], 90.0)
+            self.assertLess(line['outlook_age_s'], 2.5)
+            self.assertIn('turned away: too late', told(line, 0.0))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
