Operators see who waits, for how long and for what

Cause: only counts by priority were shown; a workspace that complains could not be answered.

Change: once a second the leader sets workspace_waiting_jobs and workspace_oldest_waiting_s, the ten largest workspaces by name and the rest as 'others', and logs waiting for the two oldest jobs of each priority that could start, with the reason: no room, beyond its guarantee, one rack, kept for others, no worker large enough. runs_stopped counts stops by workspace, at most 16 by name. curranthill trace tells waiting and turned_away in words.

--- a/src/curranthill/admission/__init__.py
+++ b/src/curranthill/admission/__init__.py
@@ -13,6 +13,7 @@
     ServiceOutlook,
     may_accept,
 )
+from curranthill.admission.reasons import FreeWorker, waits_for
 from curranthill.admission.returns import return_after_s
 
 __all__ = (
@@ -22,6 +23,7 @@
     'OLD_S',
     'TOO_LATE',
     'WORKSPACE_FULL',
+    'FreeWorker',
     'Outlook',
     'Refusal',
     'ServiceOutlook',
@@ -29,4 +31,5 @@
     'may_accept',
     'outlook_of',
     'return_after_s',
+    'waits_for',
 )
--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -43,6 +43,22 @@
     )
 
 
+@sentences.register('turned_away')
+def _turned_away(line: Line) -> str:
+    return (
+        f'turned away: {line["reason"]}; expected wait '
+        f'{line["expected_wait_s"]} s, known for {line["outlook_age_s"]} s'
+    )
+
+
+@sentences.register('waiting')
+def _waiting(line: Line) -> str:
+    return (
+        f'step {line["step"]} ({line["tasks"]} tasks) waits for '
+        f'{line["waits_for"]}; accepted {line["waited_s"]} s ago'
+    )
+
+
 @sentences.register('placed')
 def _placed(line: Line) -> str:
     return (
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -13,6 +13,7 @@
 from curranthill.dispatch.outlooks import OutlookMaker
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.waiting import WaitingBoard
 from curranthill.dispatch.work import Work
 from curranthill.placement import (
     ALL_ON,
@@ -88,6 +89,7 @@
         self._spawner = spawner
         self._revision = revision
         self._outlooks = OutlookMaker(clock=clock, work=work)
+        self._board = WaitingBoard(clock=clock, work=work)
         self._shown_s = 0.0
         self._stalls_seen_s = 0.0
 
@@ -320,8 +322,9 @@
         self._journal.note_pending(msgspec.json.encode(counts))
 
     def _note_outlook(self) -> None:
-        """Tell all hosts of what waits for long."""
+        """Tell all hosts and operators of what waits for long."""
         if self._outlooks.due:
+            self._board.show(self._guaranteed())
             outlook = self._outlooks.make(self._revision.current)
             self._journal.note_outlook(
                 msgspec.to_builtins(outlook, str_keys=True)
--- /dev/null
+++ b/src/curranthill/dispatch/waiting.py
@@ -0,0 +1,137 @@
+"""Shows operators who waits, for how long and for what."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from curranthill.admission import FreeWorker, waits_for
+from curranthill.clock import Clock
+from curranthill.dispatch.session import WorkerSession
+from curranthill.dispatch.work import Work
+from curranthill.placement import ActiveJob, ReadyStep, covered_jobs
+from curranthill.telemetry import metrics
+from curranthill.telemetry.events import events
+from curranthill.telemetry.labels import OTHERS
+
+#: Workspaces that the gauges tell apart, those with the most waiting jobs.
+TOLD_WORKSPACES: Final = 10
+
+#: Of each priority so many jobs are told of in one second, the oldest first.
+TOLD_JOBS: Final = 2
+
+#: Shorter waits are nobody's complaint, in seconds.
+TOLD_FROM_S: Final = 1.0
+
+
+class WaitingBoard:
+    """Sets the gauges of workspaces, and logs the oldest waiting jobs."""
+
+    def __init__(self, *, clock: Clock, work: Work) -> None:
+        """Start with nothing shown."""
+        self._clock = clock
+        self._work = work
+        self._shown: set[str] = set()
+
+    def show(self, guaranteed: Mapping[str, int]) -> None:
+        """Show who waits now.
+
+        :param guaranteed: guaranteed accelerators by workspace.
+        """
+        open_jobs = [job for job in self._work.jobs.values() if not job.ended]
+        self._set_gauges(job for job in open_jobs if not job.begun)
+        waiting = self._oldest_waiting(open_jobs)
+        if waiting:
+            covered = covered_jobs(open_jobs, guaranteed)
+            for job, ready in waiting:
+                self._tell(job, ready, covered)
+
+    def _set_gauges(self, waiting: Iterable[ActiveJob]) -> None:
+        now_s = self._clock.wall_s()
+        ages_s: dict[str, list[float]] = defaultdict(list)
+        for job in waiting:
+            waited_s = now_s - job.spec.accepted_at_s
+            ages_s[job.spec.workspace].append(waited_s)
+        largest = sorted(ages_s, key=lambda name: -len(ages_s[name]))
+        shown: dict[str, list[float]] = dict.fromkeys(self._shown, [])
+        for name in largest[:TOLD_WORKSPACES]:
+            shown[name] = ages_s[name]
+        rest = largest[TOLD_WORKSPACES:]
+        if rest:
+            shown[OTHERS] = [age for name in rest for age in ages_s[name]]
+        for name, ages in shown.items():
+            labels = {'workspace': name}
+            metrics.workspace_waiting_jobs.set(len(ages), labels)
+            oldest_s = max(ages, default=0.0)
+            metrics.workspace_oldest_waiting_s.set(oldest_s, labels)
+        # One that waits no more is shown once more, as nothing.
+        self._shown = {name for name, ages in shown.items() if ages}
+
+    def _oldest_waiting(
+        self,
+        jobs: list[ActiveJob],
+    ) -> list[tuple[ActiveJob, ReadyStep]]:
+        """Return the oldest jobs of each priority that could start."""
+        now_s = self._clock.wall_s()
+        oldest = []
+        found: dict[int, int] = defaultdict(int)
+        for job in sorted(jobs, key=_accepted_at_s):
+            if now_s - job.spec.accepted_at_s < TOLD_FROM_S:
+                break
+            if found[job.spec.queue.priority] >= TOLD_JOBS:
+                continue
+            ready = next(job.ready_steps(now_s), None)
+            if ready is not None and not job.runs:
+                found[job.spec.queue.priority] += 1
+                oldest.append((job, ready))
+        return oldest
+
+    def _tell(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        covered: set[str],
+    ) -> None:
+        spec = job.spec
+        beyond = spec.job_id not in covered and not spec.queue.priority
+        workers = [
+            _free_worker(session)
+            for session in self._work.sessions.values()
+            if session.accepts_work
+            and session.entry.service == spec.queue.service
+        ]
+        events.log(
+            'waiting',
+            job=spec.job_id,
+            priority=spec.queue.priority,
+            workspace=spec.workspace,
+            step=ready.number,
+            tasks=len(ready.tasks),
+            waits_for=waits_for(ready, workers, beyond_guarantee=beyond),
+            waited_s=round(self._clock.wall_s() - spec.accepted_at_s, 1),
+            begun=job.begun,
+        )
+
+
+def _free_worker(session: WorkerSession) -> FreeWorker:
+    cpu_millis, memory_mb, gpus = session.entry.room
+    for run in session.runs.values():
+        cpu_millis -= run.needs.cpu_millis
+        memory_mb -= run.needs.memory_mb
+        gpus -= run.needs.gpus
+    return FreeWorker(
+        rack=session.entry.rack,
+        labels=session.entry.labels,
+        room=session.entry.room,
+        free=session.entry.room._replace(
+            cpu_millis=cpu_millis,
+            memory_mb=memory_mb,
+            gpus=gpus,
+        ),
+    )
+
+
+def _accepted_at_s(job: ActiveJob) -> float:
+    return job.spec.accepted_at_s
+
+
+__all__ = ('WaitingBoard',)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -36,6 +36,7 @@
 )
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
+from curranthill.telemetry.labels import workspace_labels
 
 #: Orders are given only so long after a confirmed write, in seconds: below
 #: the silence after which another host takes over.
@@ -423,6 +424,9 @@
         if session is None or run.stop_wanted:
             return
         run.stop_wanted = True
+        job = self.jobs.get(run.key.job_id)
+        workspace = workspace_labels.label(job.spec.workspace if job else '')
+        metrics.runs_stopped.add(1, {'workspace': workspace})
         self._spawner.spawn(session.stop(run))
 
 
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -61,6 +61,13 @@
         self.jobs_ended = meter.create_counter('jobs_ended')
         self.waiting_jobs = meter.create_gauge('waiting_jobs')
         self.oldest_waiting_s = meter.create_gauge('oldest_waiting_s')
+        self.workspace_waiting_jobs = meter.create_gauge(
+            'workspace_waiting_jobs',
+        )
+        self.workspace_oldest_waiting_s = meter.create_gauge(
+            'workspace_oldest_waiting_s',
+        )
+        self.runs_stopped = meter.create_counter('runs_stopped')
         self.workers_unreachable = meter.create_gauge('workers_unreachable')
         self.workers_restarted = meter.create_counter('workers_restarted')
         self.runs_lost = meter.create_counter('runs_lost_with_worker')
