--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -14,6 +14,7 @@
     leader_row_of,
     take_over,
 )
+from curranthill.dispatch.outlooks import OutlookWatch
 from curranthill.errors import StorageError
 from curranthill.storage.follower import FEED_WAIT_S
 from curranthill.storage.health import UNREACHABLE_S, StoreHealth
@@ -68,6 +69,7 @@
     :param lead: runs one term and returns when it is over.
     :param health: is told of each reading.
     :param orders: a host that cannot read them leads only if nobody else does.
+    :param outlooks: the outlook that stands in the leader's row.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self._steady_since_s = 0.0
         self._silence_s = SILENCE_S
         self._resigned = False
+        self.outlooks = OutlookWatch(clock=clock)
 
     @property
     def leader_silent_s(self) -> float:
@@ -111,6 +114,7 @@
                 row = await self._store.read(tables.LEADER, tables.LEADER_KEY)
             except StorageError as error:
                 self._health.failed(error)
+                self.outlooks.missed()
                 pause_s = FAILED_POLL_S
             else:
                 self._health.answered()
@@ -140,13 +144,14 @@
         self._read_s = now_s
 
     async def _consider(self, row: StoredRow | None) -> None:
-        if self._resigned:
-            return
         try:
             leader = leader_row_of(row) if row else LeaderRow()
         except StorageError as error:
             events.log('takeover_failed', error=str(error))
             return
+        self.outlooks.take(leader.epoch, leader.outlook)
+        if self._resigned:
+            return
         holder = leader.holder
         # A row of this host's own name is that of an earlier process, or was
         # won without a reply: nobody else waits for it.
@@ -197,6 +202,7 @@
                 if leadership.age_s < UNREACHABLE_S:
                     self._health.answered()
                 self._ask_for_successor(leadership)
+                self.outlooks.take(leadership.epoch, leadership.outlook)
                 await wait_at_most(term, timeout_s=POLL_S, clock=self._clock)
         finally:
             term.cancel()
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -7,7 +7,7 @@
 
 import uuid
 from collections.abc import Sequence
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -57,6 +57,8 @@
         holder may go on renewing leases, in seconds.
     :param yields: the holder cannot read what it must obey; it leads on until
         a host that can takes over.
+    :param outlook: what waits, as plain content: another release's must not
+        make the row unreadable.
     """
 
     holder: str = ''
@@ -64,6 +66,7 @@
     operation: str = ''
     former_s: float = 0.0
     yields: bool = False
+    outlook: Any = None
 
     def former_after_s(self, seen_for_s: float) -> float:
         """Return how long anyone up to this row's writer may go on renewing.
@@ -105,6 +108,8 @@
     :param began_s: the clock just before that write.
     :param yields: whether the next writes ask for a successor.
     :param steady_since_s: since when writes have applied without a gap.
+    :param outlook: what waits, written with each write from now on; each host
+        reads this row anyhow, so it costs no call.
     """
 
     def __init__(
@@ -128,6 +133,7 @@
         self.confirmed_s = began_s
         self.steady_since_s = began_s
         self.yields = False
+        self.outlook: Any = None
 
     @property
     def epoch(self) -> int:
@@ -181,6 +187,7 @@
             operation=uuid.uuid4().hex,
             former_s=self.former_s,
             yields=self.yields,
+            outlook=self.outlook if holder is None else None,
         )
         own = RowPut(tables.LEADER, tables.LEADER_KEY, encode(row))
         # A try that turns out to have applied may be any of them, and others
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -13,6 +13,12 @@
     checked,
     mechanisms,
 )
+from curranthill.placement.order import (
+    covered_jobs,
+    hopeless_jobs,
+    in_order,
+    late_jobs,
+)
 from curranthill.placement.planner import Placement, Plan, Planner
 from curranthill.placement.rooms import Room, room_needed
 from curranthill.placement.runs import (
@@ -60,6 +66,10 @@
     'WorkerEntry',
     'checked',
     'checkpoint_of',
+    'covered_jobs',
+    'hopeless_jobs',
+    'in_order',
+    'late_jobs',
     'kind_of',
     'mechanisms',
     'room_needed',
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -467,11 +467,6 @@
             clock=self.clock,
         )
         self.health = StoreHealth(clock=self.clock)
-        self.desk = Desk(
-            store=self._store,
-            clock=self.clock,
-            health=self.health,
-        )
         self.closures = Closures(
             clock=self.clock,
             decode=decode_closure,
@@ -485,6 +480,12 @@
             health=self.health,
             orders=self.closures,
         )
+        self.desk = Desk(
+            store=self._store,
+            clock=self.clock,
+            health=self.health,
+            outlooks=self.election.outlooks,
+        )
         self._tasks = (
             asyncio.ensure_future(self.election.run()),
             asyncio.ensure_future(self._follow_closures()),
