Move a task once for one reason, and off a slow worker only if that saves it

Cause: a task that stands still everywhere was moved every 1.5 s for ever: the watch judged each run alone. Brought about by a test: 21 starts in 60 s. Change: one watch for runs that stand still and runs on slow workers, in a module of its own. A task's progress keeps the reasons for which it was moved; a takeover reads them. A run on a worker found to be slow is moved if it misses its job's objective there and not elsewhere, by its progress so far and the worker's speed, one at a look and only while nothing waits and a faster worker has room. A task that is long by itself is as long elsewhere and stays. Ruled out: moving whatever ends sooner elsewhere: work with slack went back to the same slow worker, which placement prefers for it (a test showed it).

--- a/src/curranthill/commands/timelines.py
+++ b/src/curranthill/commands/timelines.py
@@ -197,6 +197,7 @@
 
 @readers.register('preempted')
 @readers.register('moved_stalled')
+@readers.register('moved_slow')
 @readers.register('moved_away')
 def _stopped(job: JobTimeline, line: Line) -> None:
     job.stopped_for[line['task']] = line['event']
--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -83,6 +83,15 @@
     )
 
 
+@sentences.register('moved_slow')
+def _moved_slow(line: Line) -> str:
+    return (
+        f'{line["task"]} stopped at {line["done_percent"]}%: '
+        f'{line["here_s"]} s more at {line["worker"]}, which is slow, '
+        f'{line["elsewhere_s"]} s elsewhere'
+    )
+
+
 @sentences.register('job_completed')
 def _completed(line: Line) -> str:
     late_s = line['late_s']
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -12,12 +12,12 @@
 from curranthill.dispatch.leadership import LeadershipLostError
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.watch import RunWatch
 from curranthill.dispatch.work import Work
 from curranthill.placement import (
     ALL_ON,
     DOUBT,
     SPEEDS,
-    STALLED_MOVES,
     ActiveJob,
     Placement,
     Planner,
@@ -41,11 +41,6 @@
 #: seconds: some two times as long as workers were seen to misbehave.
 TROUBLE_MEMORY_S: Final = 10.0
 
-#: How often runs that stand still are looked for, in seconds: workers report
-#: progress every 1.5 s when nothing ends. Done in each round, it was 868,000
-#: looks at runs in 16 s of a leader with 157 workers, by its profile.
-STALLS_INTERVAL_S: Final = 0.25
-
 #: How often the gauges are set, in seconds.
 GAUGES_INTERVAL_S: Final = 1.0
 
@@ -80,6 +75,12 @@
         :param without: mechanisms that are switched off.
         """
         self._without = without
+        self._watch = RunWatch(
+            clock=clock,
+            work=work,
+            journal=journal,
+            without=without,
+        )
         self._office = office
         self._asking = False
         self._clock = clock
@@ -88,7 +89,6 @@
         self._spawner = spawner
         self._revision = revision
         self._shown_s = 0.0
-        self._stalls_seen_s = 0.0
 
     async def run(self) -> None:
         """Make a round whenever something has changed."""
@@ -108,16 +108,11 @@
             return
         self._work.empty_leaving_workers()
         began_s = self._clock.monotonic_s()
-        if began_s - self._stalls_seen_s >= STALLS_INTERVAL_S:
-            self._stalls_seen_s = began_s
-            if STALLED_MOVES not in self._without:
-                self._work.look_for_stalled_runs()
-            self._work.learning.refresh(
-                self._work.sessions.values(),
-                began_s,
-            )
         now_s = self._clock.wall_s()
-        if not self._anything_waits(now_s):
+        waits = self._anything_waits(now_s)
+        self._work.learning.refresh(self._work.sessions.values(), began_s)
+        self._watch.look(idle=not waits)
+        if not waits:
             # Most rounds end here: reports and ends cause rounds too, and
             # adding up the room of 3,000 workers takes 37 ms.
             return
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -238,15 +238,6 @@
                     )
                     self.stop_run(run)
 
-    def look_for_stalled_runs(self) -> None:
-        """Count runs that stand still; stop those better started elsewhere."""
-        for session in self.sessions.values():
-            stalled = [run for run in session.runs.values() if run.stalled_s]
-            session.stalled_runs = len(stalled)
-            for run in stalled:
-                if run.pays_to_move and not run.stop_wanted:
-                    self._move_stalled(session, run)
-
     def forget(self, job_id: str) -> None:
         """Drop the state of a job that ended long ago.
 
@@ -304,18 +295,6 @@
         run.checkpoint = task.checkpoint
         session.wake()
 
-    def _move_stalled(self, session: WorkerSession, run: Run) -> None:
-        session.troubles_s.append(self._clock.monotonic_s())
-        events.log(
-            'moved_stalled',
-            task=str(run.key),
-            attempt=run.attempt,
-            worker=session.worker_id,
-            stalled_s=round(run.stalled_s, 2),
-            done_percent=run.done_percent,
-        )
-        self.stop_run(run)
-
     # Ends.
 
     def _counts(self, job: ActiveJob, end: EndReport, worker_id: str) -> bool:
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -8,6 +8,7 @@
 from curranthill.placement.mechanisms import (
     ALL_ON,
     DOUBT,
+    SLOW_MOVES,
     SPEEDS,
     STALLED_MOVES,
     checked,
@@ -29,6 +30,13 @@
     kind_of,
 )
 from curranthill.placement.speeds import Observation, Speed, SpeedBook
+from curranthill.placement.stragglers import (
+    SLOW,
+    STALLED,
+    Move,
+    MoveReason,
+    move_of,
+)
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -40,11 +48,16 @@
     'PLAIN',
     'RUNNING',
     'SERVING',
+    'SLOW',
+    'SLOW_MOVES',
     'SPEEDS',
+    'STALLED',
     'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
     'DurationBook',
+    'Move',
+    'MoveReason',
     'Observation',
     'Placement',
     'Plan',
@@ -62,5 +75,6 @@
     'checkpoint_of',
     'kind_of',
     'mechanisms',
+    'move_of',
     'room_needed',
 )
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -18,12 +18,14 @@
 BOUNDED_LOSS: Final = 'bounded-loss'
 STALLED_MOVES: Final = 'stalled-moves'
 SPEEDS: Final = 'speeds'
+SLOW_MOVES: Final = 'slow-moves'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
 mechanisms.register(DOUBT)('Workers at which runs failed are taken last.')
 mechanisms.register(BOUNDED_LOSS)('Uncovered urgent jobs stop little work.')
 mechanisms.register(STALLED_MOVES)('Runs that stand still start elsewhere.')
+mechanisms.register(SLOW_MOVES)('Runs leave workers found to be slow.')
 mechanisms.register(SPEEDS)('Tasks start where they end in time.')
 
 
@@ -47,6 +49,7 @@
     'DOUBT',
     'RACK_PATIENCE',
     'RESERVATION',
+    'SLOW_MOVES',
     'SPEEDS',
     'STALLED_MOVES',
     'checked',
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -169,15 +169,6 @@
         shortest_s = max(SHORTEST_STALL_S, STALL_SHARE * self.estimate_s)
         return stalled_s if stalled_s >= shortest_s else 0.0
 
-    @property
-    def pays_to_move(self) -> bool:
-        """Return whether a stalled run should start again elsewhere.
-
-        It has stood still for as long as the work that a stop throws away
-        took, so moving costs at most twice what the best choice would have.
-        """
-        return self.stalled_s > max(0.0, self.lost_s - self.stalled_s)
-
     def begin(self, clock_s: float) -> None:
         """Take its worker's clock at its start, if it starts with no work done.
 
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -18,6 +18,10 @@
 
 ENDED: Final = frozenset((COMPLETED, FAILED, CANCELLED))
 
+#: Bits of a task's moves: its run stood still, its worker was slow.
+MOVED_STALLED: Final = 1
+MOVED_SLOW: Final = 2
+
 #: Records from this size on are compressed, in bytes: 64 KB must hold the
 #: progress of the widest jobs, and small rows are cheaper as they are.
 COMPRESS_FROM_BYTES: Final = 8192
@@ -44,6 +48,7 @@
         and right after the start.
     :param incarnation: that of the worker when the run was marked there, 0 if
         not told.
+    :param moves: the reasons for which it was moved elsewhere, as bits.
     """
 
     attempt: int = 0
@@ -55,6 +60,7 @@
     losses: int = 0
     prompt_crashes: int = 0
     incarnation: int = 0
+    moves: int = 0
 
 
 class JobProgress(msgspec.Struct, array_like=True):
@@ -128,6 +134,8 @@
     'COMPLETED',
     'ENDED',
     'FAILED',
+    'MOVED_SLOW',
+    'MOVED_STALLED',
     'QUEUED',
     'RUNNING',
     'JobProgress',
