--- a/src/curranthill/dispatch/learning.py
+++ b/src/curranthill/dispatch/learning.py
@@ -10,7 +10,10 @@
     Run,
     Speed,
     SpeedBook,
+    level_of,
 )
+from curranthill.telemetry import metrics
+from curranthill.telemetry.events import events
 
 if TYPE_CHECKING:
     from curranthill.dispatch.session import WorkerSession
@@ -33,6 +36,7 @@
         self.durations = DurationBook()
         self.speeds = SpeedBook(durations=self.durations)
         self._refreshed_s = 0.0
+        self._told: dict[str, int] = {}
 
     def note(self, session: 'WorkerSession', job: ActiveJob, run: Run) -> None:
         """Learn from a run's pace, if its report tells of one."""
@@ -58,9 +62,9 @@
             return
         self._refreshed_s = now_s
         self.speeds.refresh()
-        self.speeds.forget_except(
-            session.worker_id for session in sessions if not session.gone
-        )
+        present = [session for session in sessions if not session.gone]
+        self.speeds.forget_except(one.worker_id for one in present)
+        self._tell_unlike(present)
 
     def ratio_of(self, queue: str) -> float:
         """Return run time over estimate in a queue."""
@@ -70,5 +74,26 @@
         """Return the speed of the present life of a worker."""
         return self.speeds.speed_of(session.worker_id, session.incarnation)
 
+    def _tell_unlike(self, sessions: Iterable['WorkerSession']) -> None:
+        """Tell of each worker that is found to differ, or no more."""
+        unlike: dict[str, int] = {}
+        for session in sessions:
+            speed = self.speed_of(session)
+            level = level_of(speed.factor)
+            if level:
+                unlike[session.worker_id] = level
+            if level != self._told.get(session.worker_id, 0):
+                events.log(
+                    'worker_speed',
+                    worker=session.worker_id,
+                    factor=round(speed.factor, 2),
+                    spread=round(speed.spread, 2),
+                    steps=speed.steps,
+                )
+        self._told = unlike
+        slow = sum(1 for level in unlike.values() if level < 0)
+        metrics.workers_slow.set(slow)
+        metrics.workers_fast.set(len(unlike) - slow)
+
 
 __all__ = ('Learning',)
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -15,7 +15,7 @@
     mechanisms,
 )
 from curranthill.placement.planner import Placement, Plan, Planner
-from curranthill.placement.rooms import Room, room_needed
+from curranthill.placement.rooms import Room, level_of, room_needed
 from curranthill.placement.runs import (
     FILLING,
     MARKED,
@@ -74,6 +74,7 @@
     'checked',
     'checkpoint_of',
     'kind_of',
+    'level_of',
     'mechanisms',
     'move_of',
     'room_needed',
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -69,7 +69,7 @@
         self.runs = list(runs)
         self.doubt = doubt
         self.speed = speed
-        self.level = round(math.log(speed) / LEVEL)
+        self.level = level_of(speed)
         self.version = 0
         self._keys = [run.key for run in self.runs]
         self._alone = any(
@@ -230,6 +230,11 @@
         return False
 
 
+def level_of(speed: float) -> int:
+    """Return a speed in levels above that of a typical worker."""
+    return round(math.log(speed) / LEVEL)
+
+
 def copies(room: Room, step: Step) -> int:
     """Return how many tasks of a step an idle room holds."""
     if step.label and step.label not in room.entry.labels:
@@ -267,4 +272,11 @@
     return room
 
 
-__all__ = ('LEVEL', 'Room', 'ServiceRooms', 'copies', 'room_needed')
+__all__ = (
+    'LEVEL',
+    'Room',
+    'ServiceRooms',
+    'copies',
+    'level_of',
+    'room_needed',
+)
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -63,6 +63,8 @@
         self.workers_unreachable = meter.create_gauge('workers_unreachable')
         self.workers_restarted = meter.create_counter('workers_restarted')
         self.runs_lost = meter.create_counter('runs_lost_with_worker')
+        self.workers_slow = meter.create_gauge('workers_slow')
+        self.workers_fast = meter.create_gauge('workers_fast')
         self.moves = meter.create_counter('moves')
         self.tasks_given_up = meter.create_counter('tasks_given_up')
         self.data_centres_closed = meter.create_gauge('data_centres_closed')
--- a/tests/test_unlike_workers.py
+++ b/tests/test_unlike_workers.py
@@ -302,3 +302,34 @@
             self.assertEqual(domain.starts(first), [1, 2])
 
         in_domain(case, workers=4)
+
+
+class TakeoverTest(unittest.TestCase):
+    """A new leader learns from the runs that it finds."""
+
+    def test_speeds_are_known_within_seconds(self) -> None:
+        """Four reports of four steps at each worker."""
+
+        async def case(domain: Domain) -> None:
+            for name in ('h1', 'h2'):
+                domain.start_host(name)
+            leading = await domain.leader()
+            for worker in domain.workers.values():
+                worker.run_s = 20.0
+            domain.workers['w3'].run_s = 45.0
+            for number in range(4):
+                step = Step(
+                    width=16,
+                    needs=ONE_GPU,
+                    estimate_s=20.0,
+                    max_per_worker=2,
+                )
+                await leading.accept(make_spec(f'a{number}', step))
+            await domain.clock.advance(8)
+            await leading.kill()
+            await domain.leader()
+            await domain.clock.advance(6)
+            self.assertLess(speed_of(domain, 'w3').factor, 0.6)
+            self.assertEqual(speed_of(domain, 'w0').factor, 1.0)
+
+        in_domain(case, workers=8)
