--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -223,19 +223,24 @@
         pace: Pace,
     ) -> None:
         """Stop what is needed for urgent tasks, and keep what gets free."""
-        usual = in_time(groups, pace) if pace.is_met_somewhere else []
         needed = [missing] if ready.step.gang else [(key,) for key in missing]
         for tasks in needed:
             most_loss = self._most_loss(job, ready.step, len(tasks))
-            best = self._best_eviction(
-                tasks,
-                ready.step,
-                usual,
-                min(most_loss, MOST_LOSS_SHARE * _work(ready.step, len(tasks))),
-            ) or self._best_eviction(tasks, ready.step, groups, most_loss)
+            best = self._best_eviction(tasks, ready.step, groups, most_loss)
             if best is None:
                 # The tasks that are left need the same.
                 return
+            if pace.is_met_somewhere and any(map(pace.holds_up, best.rooms)):
+                work_core_s = _work(ready.step, len(tasks))
+                best = (
+                    self._best_eviction(
+                        tasks,
+                        ready.step,
+                        in_time(groups, pace),
+                        min(most_loss, MOST_LOSS_SHARE * work_core_s),
+                    )
+                    or best
+                )
             self._evict(best, room_needed(ready.step))
 
     def _best_eviction(
