--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -8,6 +8,7 @@
 from curranthill.placement.mechanisms import (
     ALL_ON,
     DOUBT,
+    SLOW_MOVES,
     SPEEDS,
     STALLED_MOVES,
     checked,
@@ -20,7 +21,7 @@
     late_jobs,
 )
 from curranthill.placement.planner import Placement, Plan, Planner
-from curranthill.placement.rooms import Room, room_needed
+from curranthill.placement.rooms import Room, level_of, room_needed
 from curranthill.placement.runs import (
     FILLING,
     MARKED,
@@ -35,6 +36,13 @@
     kind_of,
 )
 from curranthill.placement.speeds import Observation, Speed, SpeedBook
+from curranthill.placement.stragglers import (
+    SLOW,
+    STALLED,
+    Move,
+    MoveReason,
+    move_of,
+)
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -46,11 +54,16 @@
     'PLAIN',
     'RUNNING',
     'SERVING',
+    'SLOW',
+    'SLOW_MOVES',
     'SPEEDS',
+    'STALLED',
     'STALLED_MOVES',
     'UNKNOWN',
     'ActiveJob',
     'DurationBook',
+    'Move',
+    'MoveReason',
     'Observation',
     'Placement',
     'Plan',
@@ -71,6 +84,8 @@
     'in_order',
     'late_jobs',
     'kind_of',
+    'level_of',
     'mechanisms',
+    'move_of',
     'room_needed',
 )
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -1,5 +1,6 @@
 """Jobs as the leader holds them: what is ready, what runs, what is over."""
 
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -168,20 +169,18 @@
         else:
             self.suspects.discard(key)
 
-    def stands_still(self, run: Run) -> bool:
-        """Return whether a run should start elsewhere, as its worker holds it.
+    def whole_since_s(self, key: TaskKey) -> float:
+        """Return since when a task and all its fellows run, if they do.
 
-        A gang works only once all its members run.
+        A gang works only from then on. Infinite as long as one does not run.
         """
-        if run.stop_wanted or not run.pays_to_move:
-            return False
-        whole_s = 0.0
-        for key in self.members_of(run.key):
-            fellow = self.runs.get(key)
-            if fellow is None or fellow.state != RUNNING:
-                return False
-            whole_s = max(whole_s, fellow.settled_s)
-        return run.reported_s - whole_s >= run.shortest_stall_s
+        since_s = 0.0
+        for member in self.members_of(key):
+            run = self.runs.get(member)
+            if run is None or run.state != RUNNING:
+                return math.inf
+            since_s = max(since_s, run.settled_s)
+        return since_s
 
     def is_alone(self, key: TaskKey) -> bool:
         """Return whether a task's run is to have its worker for itself."""
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -20,6 +20,7 @@
 HOPELESS_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
 SPEEDS: Final = 'speeds'
+SLOW_MOVES: Final = 'slow-moves'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
@@ -30,6 +31,7 @@
 mechanisms.register(IN_TIME_FIRST)(
     'What can be in time goes before what is late.'
 )
+mechanisms.register(SLOW_MOVES)('Runs leave workers found to be slow.')
 mechanisms.register(SPEEDS)('Tasks start where they end in time.')
 
 
@@ -55,6 +57,7 @@
     'IN_TIME_FIRST',
     'RACK_PATIENCE',
     'RESERVATION',
+    'SLOW_MOVES',
     'SPEEDS',
     'STALLED_MOVES',
     'checked',
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -191,15 +191,6 @@
         quick = self.priority == URGENT and self.estimate_s > 0
         return quick and not self.done_percent and not self.stop_wanted
 
-    @property
-    def pays_to_move(self) -> bool:
-        """Return whether a stalled run should start again elsewhere.
-
-        It has stood still for as long as the work that a stop throws away
-        took, so moving costs at most twice what the best choice would have.
-        """
-        return self.stalled_s > max(0.0, self.lost_s - self.stalled_s)
-
     def begin(self, clock_s: float) -> None:
         """Take its worker's clock at its start, if it starts with no work done.
 
