A leader gathers workers' entries between two readings of their list

Change: after a reading that brought entries a follower may leave the feed alone for a moment; the leader leaves that of workers for 0.2 s. The first entry after a rest still comes at once.

Before and after (tests.test_store_calls): 200 and at most 24 readings in 4 s while an entry is written 50 times a second; an entry amid others is known within 0.25 s.

--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -1,6 +1,6 @@
 """Takes in what the store holds: jobs, cancellations and workers."""
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from curranthill.clock import Clock
 from curranthill.dispatch.leadership import Leadership
@@ -25,6 +25,11 @@
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
+#: How long entries of workers are gathered between two readings, in seconds:
+#: each worker rewrites its own every second or two, and hundreds of them would
+#: have the leader ask without a rest.
+GATHER_S: Final = 0.2
+
 
 class WorkerFeed(Protocol):
     """What the leader needs to follow the platform's list of workers."""
@@ -89,6 +94,7 @@
             self._worker_feed.table,
             self._take_workers_anew,
             self._take_workers,
+            gather_s=GATHER_S,
         )
         await workers.read()
         self._spawner.spawn(intake.follow())
@@ -99,6 +105,8 @@
         table: str,
         take_all: RowsTaker,
         take_changes: RowsTaker,
+        *,
+        gather_s: float = 0.0,
     ) -> TableFollower:
         return TableFollower(
             store=self._store,
@@ -106,6 +114,7 @@
             table=table,
             take_all=take_all,
             take_changes=take_changes,
+            gather_s=gather_s,
         )
 
     async def _read_progress(self) -> None:
--- a/src/curranthill/storage/follower.py
+++ b/src/curranthill/storage/follower.py
@@ -52,6 +52,8 @@
     :param take_all: is given all rows of the table.
     :param take_changes: is given changed and removed rows, in order.
     :param confirm: is told of each reading, once its rows are taken.
+    :param gather_s: how long changes are gathered at the store after some
+        were read, in seconds; the first change after a rest comes at once.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         take_all: RowsTaker,
         take_changes: RowsTaker,
         confirm: ReadingTaker = _pass_over,
+        gather_s: float = 0.0,
     ) -> None:
         """Start with nothing read."""
         self._store = store
@@ -71,6 +74,7 @@
         self._take_all = take_all
         self._take_changes = take_changes
         self._confirm = confirm
+        self._gather_s = gather_s
         self._version = 0
         self._readings = 0
         self._failures = 0
@@ -112,10 +116,19 @@
             if readings != self._readings:
                 # The table was read meanwhile, and may be newer than this.
                 continue
-            self._version = max(self._version, changes.version)
-            if changes.rows:
-                self._take_changes(changes.rows)
+            self._take(changes)
             self._confirm(asked_s)
+            if changes.rows:
+                await self._gather()
+
+    def _take(self, changes: RowChanges) -> None:
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            self._take_changes(changes.rows)
+
+    async def _gather(self) -> None:
+        if self._gather_s:
+            await self._clock.sleep(self._gather_s)
 
     async def _changes(self) -> RowChanges:
         return await self._store.changes(
