--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -43,17 +43,21 @@
     first = domain.start_host('h1')
     await domain.leader()
     second = domain.start_host('h2')
-    # All at once, before anybody can know.
+    await hand_in_burst(first, domain)
+    # An outlook each second, a heartbeat, a reading.
+    await domain.clock.advance(3.0)
+    return first, second
+
+
+async def hand_in_burst(host: TestHost, domain: Domain) -> None:
+    """Hand in all at once, before anybody can know."""
     burst = asyncio.gather(
         *(
-            first.desk.accept(gang(f'w{number}', domain), 3.0)
+            host.desk.accept(gang(f'w{number}', domain), 3.0)
             for number in range(OVERLOAD)
         ),
     )
-    await first.during(burst)
-    # An outlook each second, a heartbeat, a reading.
-    await domain.clock.advance(3.0)
-    return first, second
+    await host.during(burst)
 
 
 async def is_refused(host: TestHost, spec: JobSpec) -> bool:
@@ -230,6 +234,32 @@
 
         in_domain(case, workers=4, run_s=RUN_S)
 
+    def test_a_try_without_an_answer_is_not_refused_when_it_comes_again(
+        self,
+    ) -> None:
+        """It may yet be stored: the store holds it for five seconds."""
+
+        async def case(domain: Domain) -> None:
+            first = domain.start_host('h1')
+            await domain.leader()
+            second = domain.start_host('h2')
+            await domain.clock.advance(2.0)
+            await hand_in_burst(first, domain)
+            spec = gang('new', domain)
+            calm_s = domain.rows.commit_s
+            domain.rows.commit_s = 5.0
+            asked = asyncio.ensure_future(second.desk.accept(spec, 1.0))
+            await domain.clock.advance(0.0)
+            domain.rows.commit_s = calm_s
+            with self.assertRaises(RefusedError) as caught:
+                await second.during(asked)
+            self.assertEqual(caught.exception.status, 504)
+            await domain.clock.advance(3.0)
+            self.assertTrue(await is_refused(first, gang('other', domain)))
+            self.assertFalse(await is_refused(second, spec))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
     def test_a_suspended_host_goes_by_no_outlook_from_before(self) -> None:
         """Its age counts the pause."""
 
