A host that left a try without an answer refuses nobody for a while

Cause: the desk read whether an earlier try was stored, but the store may hold a try for seconds and store it after that reading.

Change: a 504 of this host begins the same calm as a reading that failed.

Left: a try that another host left so, in the same seconds, while this host's own readings were all answered.

--- a/src/curranthill/dispatch/outlooks.py
+++ b/src/curranthill/dispatch/outlooks.py
@@ -19,9 +19,9 @@
 #: have told what runs there.
 FIRST_S: Final = 2.0
 
-#: After a reading that failed nobody is refused for so long, in seconds: the
-#: store may yet carry out what was left without an answer, so that a job that
-#: came before would run though it was refused when it came again.
+#: After a call without an answer nobody is refused for so long, in seconds: the
+#: store may yet carry out what was left so, and a job that came before would
+#: run though it was refused when it came again.
 CALM_S: Final = 5.0
 
 
@@ -130,7 +130,7 @@
         self._since_s = self._clock.monotonic_s()
 
     def missed(self) -> None:
-        """Take note of a reading that failed."""
+        """Take note of a reading that failed, or a write without an answer."""
         self._missed_s = self._clock.monotonic_s()
 
 
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -72,6 +72,9 @@
     def newest(self) -> tuple[Outlook | None, float]:
         """Return the newest outlook, if any, and its age in seconds."""
 
+    def missed(self) -> None:
+        """Take note of a call of the store that had no answer."""
+
 
 class Desk:
     """Callers' requests, answered from the store by any host."""
@@ -115,6 +118,8 @@
         finally:
             insertion.cancel()
         if not stored:
+            # It may be stored yet: nobody may be told soon that it is not.
+            self._outlooks.missed()
             raise self._refusal(spec, None, uncertain=True)
         insertion.result()
 
