What a job waits for is asked of the planner's own fitting

Cause: reasons.py counted by itself what fits where; the planner's rules (racks that could never hold a gang, what may not run beside what) were left out.

Free room is added up by Room alone.

--- a/src/curranthill/admission/__init__.py
+++ b/src/curranthill/admission/__init__.py
@@ -13,7 +13,7 @@
     ServiceOutlook,
     may_accept,
 )
-from curranthill.admission.reasons import FreeWorker, waits_for
+from curranthill.admission.reasons import waits_for
 from curranthill.admission.returns import return_after_s
 
 __all__ = (
@@ -23,7 +23,6 @@
     'OLD_S',
     'TOO_LATE',
     'WORKSPACE_FULL',
-    'FreeWorker',
     'Outlook',
     'Refusal',
     'ServiceOutlook',
--- a/src/curranthill/dispatch/outlooks.py
+++ b/src/curranthill/dispatch/outlooks.py
@@ -1,5 +1,6 @@
 """How the outlook of what waits gets from the leader to the desks."""
 
+from functools import reduce
 from typing import Any, Final
 
 import msgspec
@@ -8,6 +9,7 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.work import Work
+from curranthill.placement import Room
 from curranthill.tasks import Resources, Revision
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
@@ -68,7 +70,10 @@
                 by_service.setdefault(session.entry.service, []).append(session)
         return {
             service: ServiceRoom(
-                _sum(session.entry.room for session in sessions),
+                reduce(
+                    Resources.plus,
+                    (session.entry.room for session in sessions),
+                ),
                 _FreeRoom(sessions),
             )
             for service, sessions in by_service.items()
@@ -85,9 +90,12 @@
         """Return the most that is free on one worker, part by part."""
         most = Resources()
         for session in self._sessions:
-            used = _sum(run.needs for run in session.runs.values())
-            free = session.entry.room.minus(used)
-            most = Resources(*map(max, most, free))
+            room = Room(
+                entry=session.entry,
+                runs=session.runs.values(),
+                doubt=0.0,
+            )
+            most = Resources(*map(max, most, room.free))
         return most
 
 
@@ -146,11 +154,4 @@
         return None
 
 
-def _sum(parts: Any) -> Resources:
-    total = Resources()
-    for part in parts:
-        total = total.plus(part)
-    return total
-
-
 __all__ = ('OutlookMaker', 'OutlookWatch')
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -324,7 +324,7 @@
     def _note_outlook(self) -> None:
         """Tell all hosts and operators of what waits for long."""
         if self._outlooks.due:
-            self._board.show(self._guaranteed())
+            self._board.show(self._guaranteed(), self._rooms)
             outlook = self._outlooks.make(self._revision.current)
             self._journal.note_outlook(
                 msgspec.to_builtins(outlook, str_keys=True)
--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -1,14 +1,18 @@
 """Shows operators who waits, for how long and for what."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
-from curranthill.admission import FreeWorker, waits_for
+from curranthill.admission import waits_for
 from curranthill.clock import Clock
-from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.work import Work
-from curranthill.placement import ActiveJob, ReadyStep, covered_jobs
+from curranthill.placement import (
+    ActiveJob,
+    ReadyStep,
+    Room,
+    covered_jobs,
+)
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 from curranthill.telemetry.labels import OTHERS
@@ -32,18 +36,31 @@
         self._work = work
         self._shown: set[str] = set()
 
-    def show(self, guaranteed: Mapping[str, int]) -> None:
+    def show(
+        self,
+        guaranteed: Mapping[str, int],
+        rooms_now: Callable[[], Mapping[str, list[Room]]],
+    ) -> None:
         """Show who waits now.
 
         :param guaranteed: guaranteed accelerators by workspace.
+        :param rooms_now: returns the workers that accept work, by service;
+            asked only when a job has waited for long.
         """
         open_jobs = [job for job in self._work.jobs.values() if not job.ended]
         self._set_gauges(job for job in open_jobs if not job.begun)
         waiting = self._oldest_waiting(open_jobs)
         if waiting:
             covered = covered_jobs(open_jobs, guaranteed)
+            rooms = rooms_now()
             for job, ready in waiting:
-                self._tell(job, ready, covered)
+                urgent = not job.spec.queue.priority
+                reason = waits_for(
+                    ready,
+                    rooms.get(job.spec.queue.service, []),
+                    beyond_guarantee=urgent and job.spec.job_id not in covered,
+                )
+                self._tell(job, ready, reason)
 
     def _set_gauges(self, waiting: Iterable[ActiveJob]) -> None:
         now_s = self._clock.wall_s()
@@ -85,20 +102,8 @@
                 oldest.append((job, ready))
         return oldest
 
-    def _tell(
-        self,
-        job: ActiveJob,
-        ready: ReadyStep,
-        covered: set[str],
-    ) -> None:
+    def _tell(self, job: ActiveJob, ready: ReadyStep, reason: str) -> None:
         spec = job.spec
-        beyond = spec.job_id not in covered and not spec.queue.priority
-        workers = [
-            _free_worker(session)
-            for session in self._work.sessions.values()
-            if session.accepts_work
-            and session.entry.service == spec.queue.service
-        ]
         events.log(
             'waiting',
             job=spec.job_id,
@@ -106,30 +111,12 @@
             workspace=spec.workspace,
             step=ready.number,
             tasks=len(ready.tasks),
-            waits_for=waits_for(ready, workers, beyond_guarantee=beyond),
+            waits_for=reason,
             waited_s=round(self._clock.wall_s() - spec.accepted_at_s, 1),
             begun=job.begun,
         )
 
 
-def _free_worker(session: WorkerSession) -> FreeWorker:
-    cpu_millis, memory_mb, gpus = session.entry.room
-    for run in session.runs.values():
-        cpu_millis -= run.needs.cpu_millis
-        memory_mb -= run.needs.memory_mb
-        gpus -= run.needs.gpus
-    return FreeWorker(
-        rack=session.entry.rack,
-        labels=session.entry.labels,
-        room=session.entry.room,
-        free=session.entry.room._replace(
-            cpu_millis=cpu_millis,
-            memory_mb=memory_mb,
-            gpus=gpus,
-        ),
-    )
-
-
 def _accepted_at_s(job: ActiveJob) -> float:
     return job.spec.accepted_at_s
 
