--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -12,6 +12,7 @@
 from curranthill.admission import MOST_WAITING, TOO_LATE, may_accept
 from curranthill.dispatch.leadership import LeaderRow, leader_row_of
 from curranthill.errors import NOT_RUN, RefusedError
+from curranthill.placement import checked
 from curranthill.storage.rows import RowPut
 from curranthill.tasks import JobSpec, Step, decode, encode, tables
 from tests.domain import ONE_GPU, Domain, TestHost, in_domain, make_spec
@@ -176,6 +177,16 @@
 
         in_domain(case, workers=4, run_s=RUN_S)
 
+    def test_it_can_be_switched_off(self) -> None:
+        """By name, like every mechanism."""
+
+        async def case(domain: Domain) -> None:
+            domain.without = checked(('turning-away',))
+            _, second = await overload(domain)
+            self.assertFalse(await is_refused(second, gang('new', domain)))
+
+        in_domain(case, workers=4, run_s=RUN_S)
+
 
 class FailureTest(unittest.TestCase):
     """An outlook that may be wrong refuses nobody."""
