The answer at the door can be switched off by name

Cause: every rule of fair room is to be measured by leaving it out.

Change: the mechanism turning-away; without it the leader tells nothing, so nobody is refused for what waits.

--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -19,6 +19,7 @@
     ALL_ON,
     DOUBT,
     STALLED_MOVES,
+    TURNING_AWAY,
     ActiveJob,
     Placement,
     Planner,
@@ -323,12 +324,13 @@
 
     def _note_outlook(self) -> None:
         """Tell all hosts and operators of what waits for long."""
-        if self._outlooks.due:
-            self._board.show(self._guaranteed(), self._rooms)
-            outlook = self._outlooks.make(self._revision.current)
-            self._journal.note_outlook(
-                msgspec.to_builtins(outlook, str_keys=True)
-            )
+        if not self._outlooks.due:
+            return
+        outlook = self._outlooks.make(self._revision.current)
+        if TURNING_AWAY not in self._without:
+            told = msgspec.to_builtins(outlook, str_keys=True)
+            self._journal.note_outlook(told)
+        self._board.show(self._guaranteed(), self._rooms)
 
 
 __all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -8,6 +8,7 @@
     ALL_ON,
     DOUBT,
     STALLED_MOVES,
+    TURNING_AWAY,
     checked,
     mechanisms,
 )
@@ -39,6 +40,7 @@
     'RUNNING',
     'SERVING',
     'STALLED_MOVES',
+    'TURNING_AWAY',
     'UNKNOWN',
     'ActiveJob',
     'Placement',
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -17,12 +17,14 @@
 DOUBT: Final = 'doubt'
 BOUNDED_LOSS: Final = 'bounded-loss'
 STALLED_MOVES: Final = 'stalled-moves'
+TURNING_AWAY: Final = 'turning-away'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
 mechanisms.register(DOUBT)('Workers at which runs failed are taken last.')
 mechanisms.register(BOUNDED_LOSS)('Uncovered urgent jobs stop little work.')
 mechanisms.register(STALLED_MOVES)('Runs that stand still start elsewhere.')
+mechanisms.register(TURNING_AWAY)('Hosts refuse what waiting makes too late.')
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -46,6 +48,7 @@
     'RACK_PATIENCE',
     'RESERVATION',
     'STALLED_MOVES',
+    'TURNING_AWAY',
     'checked',
     'mechanisms',
 )
