--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -11,6 +11,7 @@
     SLOW_MOVES,
     SPEEDS,
     STALLED_MOVES,
+    TURNING_AWAY,
     checked,
     mechanisms,
 )
@@ -59,6 +60,7 @@
     'SPEEDS',
     'STALLED',
     'STALLED_MOVES',
+    'TURNING_AWAY',
     'UNKNOWN',
     'ActiveJob',
     'DurationBook',
