--- a/src/curranthill/admission/forecast.py
+++ b/src/curranthill/admission/forecast.py
@@ -142,10 +142,7 @@
     probes = _probes(waiting, now_s)
     ahead = _NO_WORK
     waits: dict[int, list[tuple[float, float]]] = defaultdict(list)
-    all_jobs = (*waiting, *probes)
-    hopeless = hopeless_jobs(all_jobs, covered, now_s)
-    late = late_jobs(all_jobs, now_s)
-    for job in in_order(all_jobs, covered, hopeless, late):
+    for job in _as_served((*waiting, *probes), covered, now_s):
         if job in probes:
             wait_s = _drained_s(ahead, total)
             if wait_s >= TOLD_FROM_S:
@@ -159,6 +156,16 @@
     }
 
 
+def _as_served(
+    jobs: tuple[ActiveJob, ...],
+    covered: set[str],
+    now_s: float,
+) -> list[ActiveJob]:
+    """Return jobs in the order in which the leader serves them."""
+    hopeless = hopeless_jobs(jobs, covered, now_s)
+    return in_order(jobs, covered, hopeless, late_jobs(jobs, now_s))
+
+
 def _probes(waiting: list[ActiveJob], now_s: float) -> list[ActiveJob]:
     """Return jobs like those that wait, as if they came now.
 
