Play replays on workers of unlike speed; time that jumps changes no plan

Change: loads with speeds in the replay; a step without hope of its objective counts as any, so that a leader's jumped clock leaves plans as they were.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -24,6 +24,7 @@
 
 from curranthill.placement import (
     RUNNING,
+    SPEEDS,
     ActiveJob,
     Planner,
     Room,
@@ -168,11 +169,13 @@
     :param bursts: begin, end and factor of more urgent arrivals.
     :param leaving: when and which share of the workers leaves, and how long
         before it says so, in seconds.
+    :param speeds: those of the workers, in turn.
     """
 
     rate: float = 1.0
     bursts: tuple[tuple[float, float, float], ...] = ()
     leaving: tuple[tuple[float, float, float], ...] = ()
+    speeds: tuple[float, ...] = (1.0,)
 
 
 LOADS: Final = {
@@ -185,6 +188,17 @@
         bursts=((5, 11, 2.2),),
         leaving=((8, 0.15, 2.0), (22, 0.1, 3.0)),
     ),
+    'unlike': Load(
+        rate=1.4,
+        bursts=((5, 11, 2.2), (20, 24, 2.1)),
+        speeds=(0.55, 1.2, 1.2, 1.2),
+    ),
+    'unlike-calm': Load(speeds=(0.55, 1.2, 1.2, 1.2)),
+    'unlike-full': Load(
+        rate=1.8,
+        bursts=((5, 11, 2.2), (20, 24, 2.1)),
+        speeds=(0.55, 1.2, 1.2, 1.2),
+    ),
 }
 
 
@@ -256,6 +270,11 @@
             )
             for number in range(workers)
         }
+        self._speeds = {
+            name: load.speeds[number % len(load.speeds)]
+            for number, name in enumerate(self._entries)
+        }
+        self._typical = statistics.median(self._speeds.values())
         self._runs: dict[str, list[Run]] = {one: [] for one in self._entries}
         self._leaving: dict[str, float] = {}
         self._memory: dict[str, Any] = {}
@@ -339,6 +358,12 @@
         self._jobs[spec.job_id] = ActiveJob(spec=spec, progress=progress)
         self._want_round()
 
+    def _known_speed(self, name: str) -> float:
+        """Return a worker's speed as a leader knows it that has learnt."""
+        if SPEEDS in self._without:
+            return 1.0
+        return self._speeds[name] / self._typical
+
     def _want_round(self) -> None:
         if not self._round_due:
             self._round_due = True
@@ -350,7 +375,12 @@
             for run in runs:
                 run.age_s = max(0.0, self._now_s - run.started_s)
         rooms = [
-            Room(entry=self._entries[name], runs=runs, doubt=0.0)
+            Room(
+                entry=self._entries[name],
+                runs=runs,
+                doubt=0.0,
+                speed=self._known_speed(name),
+            )
             for name, runs in self._runs.items()
             if name not in self._leaving
         ]
@@ -408,7 +438,8 @@
         self, job: ActiveJob, runs: list[Run], drawn: Drawn, factor: float
     ) -> None:
         left_s = self._left_s.get(runs[0].key, drawn.run_s)
-        takes_s = left_s * factor
+        speed = min(self._speeds[run.worker_id] for run in runs)
+        takes_s = left_s * factor / speed
         if left_s < drawn.run_s:
             takes_s += RESTORE_S
         began_s = self._now_s + START_S
@@ -452,7 +483,8 @@
         if run.checkpointable and run.stop_wanted:
             drawn = self._drawn[job.spec.job_id]
             left_s = self._left_s.get(run.key, drawn.run_s)
-            self._left_s[run.key] = max(0.05, left_s - ran_s)
+            done_s = ran_s * self._speeds[run.worker_id]
+            self._left_s[run.key] = max(0.05, left_s - done_s)
             ran_s = min(ran_s, 0.3)
         self._wasted_core_s += run.needs.weight_cores * ran_s
         self._free(job, run)
--- a/src/curranthill/placement/paces.py
+++ b/src/curranthill/placement/paces.py
@@ -88,10 +88,9 @@
     if spec.times or not expected_s:
         return ANY
     left_s = job.objective_s - now_s - _after_s(spec, ready.number)
-    spares = not is_urgent(job)
     if left_s < HOPELESS_SHARE * expected_s:
-        return Pace(0.0, spares)
-    return Pace(expected_s / left_s, spares)
+        return ANY
+    return Pace(expected_s / left_s, not is_urgent(job))
 
 
 def _after_s(spec: JobSpec, number: int) -> float:
--- a/tests/test_unlike_workers.py
+++ b/tests/test_unlike_workers.py
@@ -171,6 +171,15 @@
         decided = plan(rooms, patient('j', step))
         self.assertNotIn('a', placed(decided)['j'])
 
+    def test_a_time_of_day_that_jumped_changes_nothing(self) -> None:
+        """Forward or back by forty minutes: urgent plans are as of old."""
+        for jump_s in (-2400, 2400):
+            spec = urgent('j')._replace(accepted_at_s=NOW_S + jump_s)
+            slow = unlike_room('a', 0.3, make_run('a', 2))
+            decided = plan([slow, unlike_room('b', 1.0)], spec)
+            self.assertEqual(placed(decided)['j'], ['a', 'a', 'a'])
+            self.assertEqual(decided.victims, ())
+
     def test_a_later_step_has_less_time(self) -> None:
         """What follows it takes as long again."""
         step = Step(width=1, needs=needs(8), estimate_s=6.0)
