Failing test: many hosts look at the leader's row less often

Eight hosts read the row 2.8 times a second each, which is the largest part of all calls. Beside it, tests that hold now and must go on holding: a lost leader is replaced within 1.9 s, and a store whose answers become slow stays reachable. The takeover benchmark has one standby more, so that hosts are many enough to share.

--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -15,7 +15,7 @@
 from tests.support import run
 
 LOSSES = 20
-STANDBYS = 6
+STANDBYS = 7
 
 Loss = Callable[[Domain, TestHost], Awaitable[None]]
 
@@ -43,6 +43,7 @@
     """Return the seconds from one loss to the next order."""
     random.seed(seed)
     domain = Domain(workers=4)
+    domain.others = STANDBYS
     for number in range(STANDBYS + 1):
         domain.start_host(f'h{number}')
     leader = await domain.leader()
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -155,6 +155,7 @@
     :param unreadable: hosts that cannot read the operators' rows.
     :param away_s: how long a crashed worker is away.
     :param same_id: whether it comes back under its id or under another.
+    :param others: how many other hosts each host is told of.
     """
 
     def __init__(self, *, workers: int = 2, run_s: float = 1.0) -> None:
@@ -172,6 +173,7 @@
         self.renewals = RenewalCount()
         self.unreadable: set[str] = set()
         self.same_id = True
+        self.others = 0
         for number in range(workers):
             self.add_worker(f'w{number}', run_s=run_s)
 
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from curranthill.standin.rows import RowClient
+from curranthill.tasks import tables
 from tests.domain import WORKER_TABLE, Domain, in_domain
 
 #: How often some worker rewrites its entry, in seconds.
@@ -20,8 +21,22 @@
 KNOWN_S = 0.25
 
 
+#: Hosts of a deployment that share the watching of the leader.
+HOSTS = 8
+
+#: Readings of the leader's row a second that each of them may make.
+LOOKS_PER_S = 2.0
+
+#: What answers of a slow store take, in seconds: those that a host waits for.
+LATE_S = 0.28
+
+#: The longest from a leader's loss to a new leader, in seconds: the silence
+#: with its spread, and the row as seen by the first of the others.
+LEADERLESS_S = 1.9
+
+
 class Readings:
-    """Counts the readings of each table's feed."""
+    """Counts the readings of each table's feed, and of its single rows."""
 
     def __init__(self) -> None:
         """Start at none."""
@@ -37,6 +52,16 @@
 
         return patch.object(RowClient, 'changes', counted)
 
+    def count_rows(self) -> Any:
+        """Return a patch under which readings of rows are counted."""
+        read = RowClient.read
+
+        async def counted(client: RowClient, table: str, key: str) -> Any:
+            self.counts[table] = self.counts.get(table, 0) + 1
+            return await read(client, table, key)
+
+        return patch.object(RowClient, 'read', counted)
+
 
 class WorkerEntriesTest(unittest.TestCase):
     """Entries of workers change all the time where there are many."""
@@ -79,3 +104,72 @@
         """Have one worker write its entry anew."""
         entry = domain.session('w0').entry
         domain.list_worker(entry._replace(labels=(f'n{number}',)))
+
+
+class LeadersRowTest(unittest.TestCase):
+    """Many hosts watch one leader, so each may look less often."""
+
+    async def start(self, domain: Domain) -> None:
+        """Start the hosts, each of which knows how many there are."""
+        domain.others = HOSTS - 1
+        for number in range(HOSTS):
+            domain.start_host(f'h{number}')
+        await domain.leader()
+        await domain.clock.advance(1.0)
+
+    def test_many_hosts_look_less_often(self) -> None:
+        """Their readings are what the store is asked most."""
+
+        async def case(domain: Domain) -> None:
+            await self.start(domain)
+            readings = Readings()
+            with readings.count_rows():
+                await domain.clock.advance(WATCHED_S)
+            looks = readings.counts[tables.LEADER]
+            self.assertLessEqual(
+                looks / WATCHED_S / (HOSTS - 1),
+                LOOKS_PER_S,
+            )
+
+        in_domain(case)
+
+    def test_a_lost_leader_is_replaced_as_soon(self) -> None:
+        """Whenever between two readings it is lost."""
+
+        async def case(domain: Domain) -> None:
+            await self.start(domain)
+            for number in range(5):
+                await domain.clock.advance(2 + number * 0.11)
+                lost = domain.leading()[0]
+                await lost.kill()
+                await domain.clock.advance(LEADERLESS_S)
+                self.assertTrue(domain.leading())
+                domain.start_host(lost.name)
+
+        in_domain(case)
+
+    def unreachable(self, domain: Domain) -> list[str]:
+        """Return the hosts that take the store for unreachable."""
+        return [
+            host.name
+            for host in domain.hosts.values()
+            if not host.health.reachable
+        ]
+
+    def test_hosts_reach_a_store_whose_answers_become_slow(self) -> None:
+        """Looking less often, none takes a late answer for an absence."""
+
+        async def case(domain: Domain) -> None:
+            await self.start(domain)
+            read = RowClient.read
+
+            async def late(client: RowClient, *names: str) -> Any:
+                await domain.clock.sleep(LATE_S)
+                return await read(client, *names)
+
+            with patch.object(RowClient, 'read', late):
+                for _ in range(200):
+                    await domain.clock.advance(0.02)
+                    self.assertEqual(self.unreachable(domain), [])
+
+        in_domain(case)
