--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -135,6 +135,7 @@
             lead=self._lead,
             health=self._health,
             orders=self._closures,
+            others=lambda: len(self._peers.addresses),
         )
         self._pauses = PauseWatch(clock=clock, on_resume=self._resumed)
         self._front = Front(
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -156,6 +156,7 @@
     :param away_s: how long a crashed worker is away.
     :param without: mechanisms that are switched off.
     :param same_id: whether it comes back under its id or under another.
+    :param others: how many other hosts each host is told of.
     """
 
     def __init__(self, *, workers: int = 2, run_s: float = 1.0) -> None:
@@ -174,6 +175,7 @@
         self.unreadable: set[str] = set()
         self.same_id = True
         self.without: frozenset[str] = ALL_ON
+        self.others = 0
         for number in range(workers):
             self.add_worker(f'w{number}', run_s=run_s)
 
@@ -481,6 +483,7 @@
             lead=self._lead,
             health=self.health,
             orders=self.closures,
+            others=lambda: domain.others,
         )
         self.desk = Desk(
             store=self._store,
