Runs that end by themselves as soon as a stop would are waited for

Cause: the price of a stop is work thrown away alone, so a short run that is nearly done is stopped although its room would be free as soon by itself. Change: for urgent work beyond its guarantee, runs without checkpoints whose reports say that they end within 0.5 s cost nothing and are not stopped; their room is kept for who waits. Not where the percentage stands still, and not for covered or lasting work, whose bound holds at any moment. Switched off by wait-for-ends. The replayed runs report how far they are.

In tests: the runs meant to end at once had not reported for ten seconds and counted as standing still; they report now.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -72,6 +72,9 @@
 MOST_GPUS_TOGETHER: Final = 40
 ESTIMATE_SPREAD: Final = 0.6
 
+#: What a run reports that has done all its work.
+ALL_DONE_PERCENT: Final = 100.0
+
 #: Jobs arrive for so long, and what is left then may end, in seconds.
 DAY_S: Final = 40.0
 DRAIN_S: Final = 40.0
@@ -283,6 +286,7 @@
         self._workspaces = [f't{one}' for one in range(len(load.workspaces))]
         self._stops = 0
         self._looked_at_s: dict[str, float] = {}
+        self._takes_s: dict[tuple[TaskKey, int], float] = {}
         self._without = without
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -418,7 +422,7 @@
         self._round_due = False
         for runs in self._runs.values():
             for run in runs:
-                run.age_s = max(0.0, self._now_s - run.started_s)
+                self._report(run)
         rooms = [
             Room(entry=self._entries[name], runs=runs, doubt=0.0)
             for name, runs in self._runs.items()
@@ -445,6 +449,15 @@
         if any(not job.runs for job in self._jobs.values()):
             self._at(self._now_s + WAITING_ROUND_S, self._want_round)
 
+    def _report(self, run: Run) -> None:
+        """Let a run tell how far it is."""
+        run.age_s = max(0.0, self._now_s - run.started_s)
+        takes_s = self._takes_s.get(run.name, math.inf)
+        percent = float(int(ALL_DONE_PERCENT * run.age_s / takes_s))
+        if percent > run.done_percent:
+            run.done_percent = min(percent, ALL_DONE_PERCENT)
+            run.percent_changed_s = self._now_s
+
     def _guaranteed(self) -> dict[str, int]:
         """Return half of all accelerators, in equal parts."""
         workers = len(self._entries) - len(self._leaving)
@@ -491,6 +504,7 @@
         takes_s = left_s * factor
         if left_s < drawn.run_s:
             takes_s += RESTORE_S
+        self._takes_s.update({run.name: takes_s for run in runs})
         began_s = self._now_s + START_S
         fails_s = drawn.fails_at * takes_s
         if job.spec.job_id not in self._failed and fails_s < takes_s:
--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -25,12 +25,14 @@
 class Eviction(NamedTuple):
     """Rooms for tasks, one each, and the runs that must end first.
 
-    :param loss: the work thrown away, in core-seconds.
+    :param loss: what it costs, in core-seconds.
+    :param awaited: those of the runs that end by themselves.
     """
 
     rooms: tuple[Room, ...]
     victims: tuple[Run, ...]
     loss: float
+    awaited: tuple[Run, ...] = ()
 
 
 class _Way(NamedTuple):
@@ -83,7 +85,9 @@
             if room is None or search.loss > most_loss:
                 return None
             chosen.append(room)
-        return Eviction(tuple(chosen), search.victims, search.loss)
+        victims = search.victims
+        awaited = tuple(filter(self._losses.waits_for, victims))
+        return Eviction(tuple(chosen), victims, search.loss, awaited)
 
     def way_in(self, room: Room, needs: Resources) -> _Way | None:
         """Return the cheapest way to room for a task on one worker."""
--- a/src/curranthill/placement/losses.py
+++ b/src/curranthill/placement/losses.py
@@ -1,9 +1,10 @@
-"""What a stop throws away: a gang ends as a whole with any of its members."""
+"""The price of a stop: a gang ends as a whole with any of its members."""
 
 from collections.abc import Iterable, Sequence
 
 from curranthill.placement.jobs import ActiveJob
 from curranthill.placement.runs import Run
+from curranthill.placement.stopping import ends_soon
 
 _Gang = tuple[str, int, int]
 
@@ -15,10 +16,17 @@
     task. Summed anew each time, that was nine tenths of a round's time.
 
     :param jobs: all jobs of which runs may exist.
+    :param waits: whether runs that end soon are waited for; it costs nothing.
     """
 
-    def __init__(self, *, jobs: Iterable[ActiveJob]) -> None:
+    def __init__(
+        self,
+        *,
+        jobs: Iterable[ActiveJob],
+        waits: bool = False,
+    ) -> None:
         """Start with nothing summed."""
+        self._waits = waits
         self._jobs = {job.spec.job_id: job for job in jobs}
         self._members: dict[_Gang, Sequence[Run]] = {}
         self._gang_loss: dict[_Gang, float] = {}
@@ -37,17 +45,28 @@
         return members
 
     def of(self, run: Run) -> float:
-        """Return the core-seconds that stopping a run throws away."""
+        """Return the core-seconds that are thrown away for a run's room."""
         gang = self._gang_of(run)
         if gang is None:
-            return run.loss_core_s
+            return self._sum((run,))
         loss = self._gang_loss.get(gang)
         if loss is None:
-            members = self.ending_with(run)
-            loss = sum(one.loss_core_s for one in members)
+            loss = self._sum(self.ending_with(run))
             self._gang_loss[gang] = loss
         return loss
 
+    def waits_for(self, run: Run) -> bool:
+        """Return whether a run is not stopped, as it ends by itself."""
+        return self._all_end_soon(self.ending_with(run))
+
+    def _all_end_soon(self, runs: Sequence[Run]) -> bool:
+        return self._waits and all(ends_soon(one) for one in runs)
+
+    def _sum(self, runs: Sequence[Run]) -> float:
+        if self._all_end_soon(runs):
+            return 0.0
+        return sum(one.loss_core_s for one in runs)
+
     def _gang_of(self, run: Run) -> _Gang | None:
         """Return the gang that a run is part of; older runs of it are not."""
         key = run.key
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -19,6 +19,7 @@
 STALLED_MOVES: Final = 'stalled-moves'
 HOPELESS_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
+WAIT_FOR_ENDS: Final = 'wait-for-ends'
 
 mechanisms.register(RESERVATION)('A gang that does not fit keeps room.')
 mechanisms.register(RACK_PATIENCE)('Tasks wait for the rack they run fast in.')
@@ -29,6 +30,7 @@
 mechanisms.register(IN_TIME_FIRST)(
     'What can be in time goes before what is late.'
 )
+mechanisms.register(WAIT_FOR_ENDS)('Runs that end at once are not stopped.')
 
 
 #: The value of ``without`` when nothing is switched off.
@@ -54,6 +56,7 @@
     'RACK_PATIENCE',
     'RESERVATION',
     'STALLED_MOVES',
+    'WAIT_FOR_ENDS',
     'checked',
     'mechanisms',
 )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -15,6 +15,7 @@
     IN_TIME_FIRST,
     RACK_PATIENCE,
     RESERVATION,
+    WAIT_FOR_ENDS,
 )
 from curranthill.placement.order import (
     covered_jobs,
@@ -100,6 +101,7 @@
         self._guaranteed = guaranteed
         self._now_s = now_s
         self._evictions = Evictions(losses=Losses(jobs=()))
+        self._covered_evictions = self._evictions
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
@@ -112,7 +114,7 @@
         """Return the decisions for all jobs, in any order."""
         known = list(jobs)
         waiting = [job for job in known if not job.ended]
-        self._evictions = Evictions(losses=Losses(jobs=known))
+        self._begin_evictions(known)
         self._covered = covered_jobs(waiting, self._guaranteed)
         looked_at = 0
         for job in self._in_order(waiting):
@@ -130,6 +132,17 @@
             tuple(self._stopped_for),
         )
 
+    def _begin_evictions(self, jobs: list[ActiveJob]) -> None:
+        """Price the stops; what a guarantee covers waits for no end."""
+        waits = WAIT_FOR_ENDS not in self._without
+        self._covered_evictions = Evictions(losses=Losses(jobs=jobs))
+        self._evictions = Evictions(losses=Losses(jobs=jobs, waits=waits))
+
+    def _evictions_for(self, job: ActiveJob) -> Evictions:
+        if job.lasting or job.spec.job_id in self._covered:
+            return self._covered_evictions
+        return self._evictions
+
     def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
         late: set[str] = set()
         if HOPELESS_LAST not in self._without:
@@ -204,7 +217,13 @@
         needed = [missing] if ready.step.gang else [(key,) for key in missing]
         for tasks in needed:
             most_loss = self._most_loss(job, ready.step, len(tasks))
-            best = self._best_eviction(tasks, ready.step, groups, most_loss)
+            best = self._best_eviction(
+                self._evictions_for(job),
+                tasks,
+                ready.step,
+                groups,
+                most_loss,
+            )
             if best is None:
                 # The tasks that are left need the same.
                 return
@@ -212,6 +231,7 @@
 
     def _best_eviction(
         self,
+        evictions: Evictions,
         tasks: tuple[TaskKey, ...],
         step: Step,
         groups: list[Sequence[Room]],
@@ -220,7 +240,7 @@
         """Return the eviction of the least loss over all groups, if any."""
         best: Eviction | None = None
         for group in groups:
-            found = self._evictions.cheapest(tasks, step, group, most_loss)
+            found = evictions.cheapest(tasks, step, group, most_loss)
             if found is not None and (best is None or found.loss < best.loss):
                 best = found
                 most_loss = found.loss
@@ -243,8 +263,9 @@
         needs: Resources,
     ) -> None:
         for run in eviction.victims:
-            self._victims.append(run)
-            self._stopped_for.append(job.spec.job_id)
+            if run not in eviction.awaited:
+                self._victims.append(run)
+                self._stopped_for.append(job.spec.job_id)
             room = self._rooms.get(run.worker_id)
             if room is not None:
                 room.evict(run)
--- a/tests/test_fair_room.py
+++ b/tests/test_fair_room.py
@@ -225,6 +225,7 @@
         """A stop would take as long; nothing else is stopped either."""
         ending = make_run('a1', 8, age_s=10.0)
         ending.done_percent = 98
+        ending.percent_changed_s = 9.9
         ending.estimate_s = 10.0
         other = make_run('a2', 8, age_s=1.0, job_id='b')
         rooms = [make_room('a1', 'r1', ending), make_room('a2', 'r1', other)]
@@ -234,6 +235,7 @@
         """A second urgent job does not count on the same room."""
         ending = make_run('a1', 8, age_s=10.0)
         ending.done_percent = 98
+        ending.percent_changed_s = 9.9
         ending.estimate_s = 10.0
         other = make_run('a2', 8, age_s=1.0, job_id='b')
         rooms = [make_room('a1', 'r1', ending), make_room('a2', 'r1', other)]
@@ -257,6 +259,7 @@
         """Reports may be late; the bound counts."""
         ending = make_run('a1', 8, age_s=10.0)
         ending.done_percent = 98
+        ending.percent_changed_s = 9.9
         ending.estimate_s = 10.0
         rooms = [make_room('a1', 'r1', ending)]
         decided = plan(rooms, self.urgent, guaranteed={'alpha': 8})
