Failing test: a silence that nobody can end is asked for fifty times a second

Cause, read in the merged change: a standby looks once more at the very moment at which the silence is over; once it is over and no takeover's write is answered, that moment is always now. Measured: 2,200 readings in 4 s by eleven hosts, where four a second of each are as many as few hosts make. Change: the test. Conclusion: listed as red until the mend.

--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -4,6 +4,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from curranthill.errors import StorageError
 from curranthill.standin.rows import RowClient
 from curranthill.tasks import tables
 from tests.domain import WORKER_TABLE, Domain, in_domain
@@ -27,6 +28,9 @@
 #: Readings of the leader's row a second that each of them may make.
 LOOKS_PER_S = 2.0
 
+#: The same while nobody leads and nobody can: as often as few hosts look.
+UNLED_LOOKS_PER_S = 4.0
+
 #: What answers of a slow store take, in seconds: those that a host waits for.
 LATE_S = 0.28
 
@@ -117,6 +121,30 @@
         await domain.leader()
         await domain.clock.advance(1.0)
 
+    def test_a_silence_that_nobody_can_end_is_not_asked_for_all_the_time(
+        self,
+    ) -> None:
+        """The leader is lost, and no takeover's write gets an answer."""
+
+        async def case(domain: Domain) -> None:
+            await self.start(domain)
+            failing = patch(
+                'curranthill.dispatch.election.take_over',
+                side_effect=StorageError('No answer.', step='write'),
+            )
+            with failing:
+                await domain.leading()[0].kill()
+                await domain.clock.advance(LEADERLESS_S)
+                readings = Readings()
+                with readings.count_rows():
+                    await domain.clock.advance(WATCHED_S)
+            self.assertLessEqual(
+                readings.counts[tables.LEADER],
+                UNLED_LOOKS_PER_S * WATCHED_S * len(domain.hosts),
+            )
+
+        in_domain(case)
+
     def test_many_hosts_look_less_often(self) -> None:
         """Their readings are what the store is asked most."""
 
