A silence that is over is looked at as often as before

Cause: see the failing test. Ruled out: a higher least pause, which would put every takeover off. Change: the shortened pause is for a silence that is not over yet.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -161,6 +161,9 @@
         self._shares = False
         pause_s = POLL_S * random.uniform(0.8, 1.2)
         left_s = self._silence_s - silent_s
+        if left_s <= 0:
+            # Nobody could take over yet: asking faster does not help.
+            return pause_s
         # At the very end of the silence, however seldom it was looked at.
         return max(min(pause_s, left_s), LEAST_POLL_S)
 
