Names and comments as a newcomer would have them

No behaviour changed. Conclusion: kept; left from that reading: splits of speeds and outlooks, the double meaning of pace.

--- a/src/curranthill/admission/forecast.py
+++ b/src/curranthill/admission/forecast.py
@@ -1,8 +1,7 @@
-"""What the leader tells all hosts of the work that waits.
+"""Forecast of the wait of new jobs, which the leader tells all hosts.
 
-Answers bursts of some three times what the workers can do: a job that comes
-now starts when what goes before it has started, and that takes as long as all
-workers together need for as much work.
+Answers more work than there is room for: the wait of a job that comes now is
+the work that goes before it, divided by all room of its service.
 """
 
 from collections import Counter, defaultdict
@@ -30,8 +29,9 @@
 #: after its longest chain is told by nobody.
 TOLD_FROM_S: Final = 1.0
 
-#: Steps of the wait that are told for each priority.
-TOLD_STEPS: Final = 3
+#: Waiting jobs that are sampled for each priority: those of the earliest, the
+#: middle and the latest objective.
+SAMPLES_A_PRIORITY: Final = 3
 
 #: The most workspaces that are told of one by one: the rest is refused
 #: nothing for its guarantee, and the leader's row stays small.
@@ -43,13 +43,13 @@
 #: Services that are told of, the longest wait first.
 TOLD_SERVICES: Final = 2
 
-#: Seconds of each kind of room.
+#: Work by kind of room: millicore-seconds, MB-seconds, accelerator-seconds.
 _Work = tuple[float, float, float]
 
 _NO_WORK: Final[_Work] = (0.0, 0.0, 0.0)
 
-#: Objectives in seconds from now, and the waits of jobs that have them.
-_Steps = tuple[tuple[float, float], ...]
+#: Pairs of an objective in seconds from now and the expected wait in seconds.
+_WaitCurve = tuple[tuple[float, float], ...]
 
 #: What the ids begin with of what stands for a job that comes now.
 PROBE: Final = 'probe'
@@ -92,7 +92,7 @@
         number=number,
         waiting=len(unbegun),
         services=services,
-        uncovered=_uncovered(open_jobs, guaranteed, covered),
+        uncovered=_unused_guarantees(open_jobs, guaranteed, covered),
         full=tuple(
             workspace
             for workspace, count in waiting.most_common(TOLD_WORKSPACES)
@@ -137,7 +137,7 @@
     total: Resources,
     covered: set[str],
     now_s: float,
-) -> dict[int, _Steps]:
+) -> dict[int, _WaitCurve]:
     """Return the steps of the wait for each priority with a long one."""
     probes = _probes(waiting, now_s)
     ahead = _NO_WORK
@@ -179,8 +179,8 @@
     for alike in by_priority.values():
         alike.sort(key=_patience_s)
         last = len(alike) - 1
-        for part in range(TOLD_STEPS):
-            model = alike[last * part // (TOLD_STEPS - 1)].spec
+        for part in range(SAMPLES_A_PRIORITY):
+            model = alike[last * part // (SAMPLES_A_PRIORITY - 1)].spec
             spec = model._replace(
                 job_id=f'{PROBE}-{len(probes)}', accepted_at_s=now_s
             )
@@ -207,7 +207,7 @@
     return work
 
 
-def _uncovered(
+def _unused_guarantees(
     jobs: list[ActiveJob],
     guaranteed: Mapping[str, int],
     covered: set[str],
@@ -257,7 +257,7 @@
     return (work[0] + cpu, work[1] + memory, work[2] + gpus)
 
 
-def _longest_s(waits: Mapping[int, _Steps]) -> float:
+def _longest_s(waits: Mapping[int, _WaitCurve]) -> float:
     return max(wait_s for steps in waits.values() for _, wait_s in steps)
 
 
--- a/src/curranthill/admission/outlook.py
+++ b/src/curranthill/admission/outlook.py
@@ -1,29 +1,25 @@
-"""Whether a host accepts a job while more waits than there is room for.
-
-Answers bursts of some three times what the workers can do. A job that is
-accepted and cannot earn any more by its end holds its caller to the end and
-takes room from jobs that still could; one that is refused at once can be
-answered elsewhere, or later. Refused is only what is too late by a margin.
-And a hundred times the usual load: what waits is bounded, so that the
-leader's memory and a takeover's readings are.
+"""Load shedding: whether a host accepts a job while others wait.
+
+Answers more work than there is room for. A job that is accepted and ends too
+late for its caller takes room from jobs that would not; refused at once, it
+can be answered elsewhere. Refused is only what is too late by a margin. What
+waits is bounded besides, and so are the leader's memory and the readings of a
+takeover.
 """
 
 from typing import Final, NamedTuple
 
 import msgspec
 
-from curranthill.placement import room_needed
+from curranthill.placement import LATE_UNTIL, URGENT, room_needed
 from curranthill.tasks import JobSpec, Queue, Resources, Step
 
 #: The form of the record; hosts go by no other form.
 FORM: Final = 1
 
-#: A late job earns until this multiple of its objective.
-LATE_UNTIL: Final = 3.0
-
-#: Of the wait that is expected, so much is taken for sure: estimates of run
-#: times are a third off, and some of what waits is cancelled.
-SURE_SHARE: Final = 0.6
+#: The share of the expected wait that a refusal relies on: estimates err, and
+#: some of what waits is cancelled.
+CERTAIN_WAIT_SHARE: Final = 0.6
 
 #: An older outlook refuses nobody, in seconds: one is made each second, written
 #: with a heartbeat and read with a reading of the leader's row, and one of
@@ -42,8 +38,7 @@
 #: has whole seconds.
 SHORTEST_RETURN_S: Final = 1.0
 
-#: Callers make some four tries more: so many fit into the time in which the
-#: job can still earn.
+#: A refused caller is asked back early enough for so many more tries.
 TRIES: Final = 4
 
 #: Jobs with a step wider than this share of the room take longer than their
@@ -55,9 +50,6 @@
 WORKSPACE_FULL: Final = 'too many of the workspace wait'
 FULL: Final = 'too many wait'
 
-#: Priority 0 is covered by its workspace's guarantee.
-_URGENT: Final = 0
-
 
 class ServiceOutlook(msgspec.Struct, array_like=True):
     """What waits for one service's workers.
@@ -94,8 +86,8 @@
     :param number: grows with each outlook of one leader.
     :param waiting: jobs of which nothing has begun.
     :param services: those for which something waits for long.
-    :param uncovered: accelerators of its guarantee that a workspace does not
-        use, for workspaces of which urgent jobs wait beyond it.
+    :param uncovered: accelerators left of a workspace's guarantee, only for
+        workspaces with urgent jobs beyond it; others count as covered.
     :param full: workspaces of which too many jobs wait.
     """
 
@@ -108,7 +100,7 @@
 
     def covers(self, spec: JobSpec) -> bool:
         """Return whether a guarantee may cover a job."""
-        if spec.queue.priority != _URGENT:
+        if spec.queue.priority != URGENT:
             return False
         unused = self.uncovered.get(spec.workspace)
         return unused is None or spec.gpus <= unused
@@ -134,7 +126,7 @@
     outlook: Outlook | None,
     age_s: float,
 ) -> Refusal | None:
-    """Return why a job is refused, or nothing if it is accepted.
+    """Return the refusal of a job; nothing if it is accepted.
 
     :param outlook: the newest that is known, if any.
     :param age_s: for how long it has been known, by the reader's own clock.
@@ -164,7 +156,7 @@
         return FULL
     if spec.workspace in outlook.full:
         return WORKSPACE_FULL
-    least_s = SURE_SHARE * wait_s + spec.chain_s
+    least_s = CERTAIN_WAIT_SHARE * wait_s + spec.chain_s
     if wait_s and least_s > earns_until_s(spec):
         return TOO_LATE
     return ''
--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -30,8 +30,8 @@
 #: as reachable.
 SHARED_POLL_S: Final = 0.55
 
-#: So many others are many: the first of eleven that look every 0.55 s sees a
-#: change as soon as the first of seven that look every 0.35 s.
+#: From so many other hosts on each looks less often; together they still see a
+#: change as soon as a few do.
 MANY_OTHERS: Final = 11
 
 #: The least pause before a silence that is about to be over, in seconds.
@@ -46,33 +46,32 @@
 
 #: The same once the store is back from an absence through which the leader has
 #: been silent, in seconds: a leader that is back too writes 0.1 s after it
-#: knows, and hosts know within some 0.3 s of each other. With the full silence
-#: once more, orders flowed 1.7 s after a return.
+#: knows, and hosts know within some 0.3 s of each other.
 RETURN_SILENCE_S: Final = 0.4
 
 #: The pause after a reading that failed, in seconds: soon enough to see the
 #: store's return, and some seven calls a second of each host meanwhile.
 FAILED_POLL_S: Final = 0.15
 
-#: A leader whose writes apply, and that has read nothing that it must obey for
-#: so long, asks for a successor, in seconds: a reading that waits for news
-#: leaves it with what it knew two waits before, so two more were lost.
+#: A leader that writes and has not read the operators' rows for so long asks
+#: for a successor, in seconds: two waits of a reading are usual, two more are
+#: lost readings.
 BLIND_S: Final = 4 * FEED_WAIT_S
 
-#: A host that cannot read what a leader must obey takes over a silent leader's
-#: place so much later, in seconds: hosts that can come first.
+#: A host that cannot read the operators' rows takes over from a silent leader
+#: so much later, in seconds: hosts that can come first.
 BLIND_DELAY_S: Final = 0.7
 
 #: Two readings further apart than this say nothing of the time between.
 READING_GAP_S: Final = 1.2
 
 
-class OrdersSource(Protocol):
-    """What the operators have asked for, which a leader must obey."""
+class OperatorRows(Protocol):
+    """The operators' rows, and how fresh this host's knowledge of them is."""
 
     @property
     def read_s(self) -> float:
-        """Return as of when it is known, in seconds of the clock."""
+        """Return as of when they are known, in seconds of the clock."""
 
 
 def _nobody() -> int:
@@ -85,7 +84,8 @@
 
     :param lead: runs one term and returns when it is over.
     :param health: is told of each reading.
-    :param orders: a host that cannot read them leads only if nobody else does.
+    :param operator_rows: a host that cannot read them leads only if nobody
+        else does.
     :param outlooks: the outlook that stands in the leader's row.
     :param others: returns how many other hosts watch the leader too.
     """
@@ -98,11 +98,11 @@
         holder: str,
         lead: Callable[[Leadership], Awaitable[None]],
         health: StoreHealth,
-        orders: OrdersSource,
+        operator_rows: OperatorRows,
         others: Callable[[], int] = _nobody,
     ) -> None:
         """Start with no row seen."""
-        self._orders = orders
+        self._operator_rows = operator_rows
         self._others = others
         self._store = store
         self._clock = clock
@@ -176,7 +176,6 @@
             self._steady_since_s = now_s
         if version != self._version:
             self._seen_since_s = now_s
-        if version != self._version:
             self._unchanged_since_s = now_s
             self._silence_s = SILENCE_S + random.uniform(0, JITTER_S)
         elif gap_s > READING_GAP_S:
@@ -230,12 +229,12 @@
         return leader.yields or self.leader_silent_s >= self._silence_s
 
     def _is_blind(self, steady_since_s: float) -> bool:
-        """Return whether the operators' orders have gone unread for long.
+        """Return whether the operators' rows have gone unread for long.
 
         :param steady_since_s: since when the store has answered this host; an
             outage of the store is none of readings alone.
         """
-        known_s = max(self._orders.read_s, steady_since_s)
+        known_s = max(self._operator_rows.read_s, steady_since_s)
         return self._clock.monotonic_s() - known_s > BLIND_S
 
     async def _run_term(self, leadership: Leadership) -> None:
@@ -259,8 +258,8 @@
             events.log(
                 'leader_yields' if blind else 'leader_stays',
                 epoch=leadership.epoch,
-                orders_age_s=round(
-                    self._clock.monotonic_s() - self._orders.read_s,
+                operator_rows_age_s=round(
+                    self._clock.monotonic_s() - self._operator_rows.read_s,
                     2,
                 ),
             )
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -55,8 +55,8 @@
     :param operation: unique to each write, so that a lost reply is found.
     :param former_s: for how long from this write those who led before the
         holder may go on renewing leases, in seconds.
-    :param yields: the holder cannot read what it must obey; it leads on until
-        a host that can takes over.
+    :param yields: the holder asks for a successor, as it cannot read the
+        operators' rows; it leads until one takes over.
     :param outlook: what waits, as plain content: another release's must not
         make the row unreadable.
     """
--- a/src/curranthill/dispatch/outlooks.py
+++ b/src/curranthill/dispatch/outlooks.py
@@ -24,7 +24,7 @@
 #: After a call without an answer nobody is refused for so long, in seconds: the
 #: store may yet carry out what was left so, and a job that came before would
 #: run though it was refused when it came again.
-CALM_S: Final = 5.0
+NO_REFUSAL_S: Final = 5.0
 
 
 class OutlookMaker:
@@ -113,12 +113,12 @@
         self._epoch = 0
         self._outlook: Outlook | None = None
         self._since_s = 0.0
-        self._missed_s = -CALM_S
+        self._missed_s = -NO_REFUSAL_S
 
     def newest(self) -> tuple[Outlook | None, float]:
         """Return the newest outlook and its age in seconds."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._missed_s < CALM_S:
+        if now_s - self._missed_s < NO_REFUSAL_S:
             return (None, 0.0)
         return (self._outlook, now_s - self._since_s)
 
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -42,7 +42,7 @@
 ROUND_INTERVAL_S: Final = 0.25
 
 #: How long a run that failed or stood still counts against its worker, in
-#: seconds: some two times as long as workers were seen to misbehave.
+#: seconds: longer than the spells for which workers misbehave.
 TROUBLE_MEMORY_S: Final = 10.0
 
 #: How often the gauges are set, in seconds.
@@ -121,7 +121,7 @@
         self._watch.look(idle=not waits)
         if not waits:
             # Most rounds end here: reports and ends cause rounds too, and
-            # adding up the room of 3,000 workers takes 37 ms.
+            # adding up all workers' room is the costly part of a round.
             return
         planner = Planner(
             rooms=self._rooms(),
--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -17,14 +17,14 @@
 from curranthill.telemetry.events import events
 from curranthill.telemetry.labels import OTHERS
 
-#: Workspaces that the gauges tell apart, those with the most waiting jobs.
-TOLD_WORKSPACES: Final = 10
+#: Workspaces with a gauge label of their own, those with the most waiting jobs.
+MOST_WORKSPACE_LABELS: Final = 10
 
-#: Of each priority so many jobs are told of in one second, the oldest first.
-TOLD_JOBS: Final = 2
+#: Waiting jobs logged for each priority and second, the oldest first.
+LOGGED_JOBS: Final = 2
 
-#: Shorter waits are nobody's complaint, in seconds.
-TOLD_FROM_S: Final = 1.0
+#: Shorter waits are not logged, in seconds.
+LOGGED_FROM_S: Final = 1.0
 
 
 class WaitingBoard:
@@ -70,9 +70,9 @@
             ages_s[job.spec.workspace].append(waited_s)
         largest = sorted(ages_s, key=lambda name: -len(ages_s[name]))
         shown: dict[str, list[float]] = dict.fromkeys(self._shown, [])
-        for name in largest[:TOLD_WORKSPACES]:
+        for name in largest[:MOST_WORKSPACE_LABELS]:
             shown[name] = ages_s[name]
-        rest = largest[TOLD_WORKSPACES:]
+        rest = largest[MOST_WORKSPACE_LABELS:]
         if rest:
             shown[OTHERS] = [age for name in rest for age in ages_s[name]]
         for name, ages in shown.items():
@@ -92,9 +92,9 @@
         oldest = []
         found: dict[int, int] = defaultdict(int)
         for job in sorted(jobs, key=_accepted_at_s):
-            if now_s - job.spec.accepted_at_s < TOLD_FROM_S:
+            if now_s - job.spec.accepted_at_s < LOGGED_FROM_S:
                 break
-            if found[job.spec.queue.priority] >= TOLD_JOBS:
+            if found[job.spec.queue.priority] >= LOGGED_JOBS:
                 continue
             ready = next(job.ready_steps(now_s), None)
             if ready is not None and not job.runs:
--- a/src/curranthill/dispatch/watch.py
+++ b/src/curranthill/dispatch/watch.py
@@ -1,4 +1,4 @@
-"""Watches runs that stand still or crawl, and moves those that it pays for."""
+"""Finds stragglers, stalled runs and runs on slow workers, and moves them."""
 
 from typing import Final, NamedTuple
 
@@ -24,7 +24,7 @@
 
 #: How often runs are looked at, in seconds: workers report progress every
 #: 1.5 s when nothing ends, and each look goes over all runs.
-LOOK_INTERVAL_S: Final = 0.25
+CHECK_INTERVAL_S: Final = 0.25
 
 #: Runs on slow workers that are moved at one look; a move is a guess, and the
 #: next look sees what has become of it.
@@ -79,7 +79,7 @@
             on slow workers are moved to; others would come before them.
         """
         now_s = self._clock.monotonic_s()
-        if now_s - self._looked_s < LOOK_INTERVAL_S:
+        if now_s - self._looked_s < CHECK_INTERVAL_S:
             return
         self._looked_s = now_s
         slow_moves = SLOW_MOVES_AT_ONCE if idle else 0
@@ -121,7 +121,7 @@
         job = self._work.jobs.get(run.key.job_id)
         if job is None or job.runs.get(run.key) is not run:
             return False
-        if reason == STALLED and not _is_to_blame(job, run):
+        if reason == STALLED and not _stalled_as_whole_gang(job, run):
             return False
         task = job.progress.peek(run.key)
         return task is None or not task.moves & _MARKS[reason]
@@ -160,8 +160,12 @@
         self._work.stop_run(run)
 
 
-def _is_to_blame(job: ActiveJob, run: Run) -> bool:
-    """Return whether a run stands still since all its gang runs."""
+def _stalled_as_whole_gang(job: ActiveJob, run: Run) -> bool:
+    """Return whether all of a run's gang has run for a stall's least time.
+
+    Members wait for each other until then, so a stall tells nothing of a
+    worker.
+    """
     whole_s = run.reported_s - job.whole_since_s(run.key)
     return whole_s >= run.shortest_stall_s
 
--- a/src/curranthill/entry/closures.py
+++ b/src/curranthill/entry/closures.py
@@ -3,6 +3,7 @@
 Answers an evacuation: what runs in a data centre goes on, and no task starts
 there until it is taken back. What is not known to be open counts as closed, so
 a host that has not read the operators' rows of late starts nothing anywhere.
+Without a bound only what was read as closed counts as closed.
 """
 
 import math
@@ -60,7 +61,7 @@
         self.closed: dict[str, ClosedDataCentre] = {}
         self._clock = clock
         self._decode = decode
-        self._fresh_s = KNOWN_SHARE * cease_s or math.inf
+        self._fresh_s = KNOWN_SHARE * cease_s if cease_s else math.inf
         self.read_s = clock.monotonic_s() - NEVER_READ_AGE_S
         self._was_known = False
 
--- a/src/curranthill/entry/desk.py
+++ b/src/curranthill/entry/desk.py
@@ -106,7 +106,7 @@
         if not self._health.reachable:
             # Known to be away: refuse at once instead of after a timeout.
             raise self._refusal(spec, None, uncertain=False)
-        if await self._is_turned_away(spec):
+        if await self._is_stored_though_refused(spec):
             return
         insertion = asyncio.ensure_future(self._insert(spec))
         try:
@@ -244,11 +244,11 @@
                     raise self._unreadable(job_id, error) from error
                 await self._clock.sleep(RETRY_DELAY_S)
 
-    async def _is_turned_away(self, spec: JobSpec) -> bool:
-        """Return whether a job that is refused now was accepted before.
+    async def _is_stored_though_refused(self, spec: JobSpec) -> bool:
+        """Raise if a job is refused now; return whether it is stored already.
 
-        A refusal is final, so whether an earlier try was stored is read
-        first; where that cannot be read the job is taken.
+        A refusal is final, so an earlier try is looked for first. Where that
+        cannot be read the job is not refused.
 
         :raises RefusedError: if the job is refused.
         """
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from curranthill.placement.durations import DurationBook, Ratio
+from curranthill.placement.earnings import LATE_UNTIL
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
@@ -31,6 +32,7 @@
     RUNNING,
     SERVING,
     UNKNOWN,
+    URGENT,
     Run,
     RunKind,
     RunState,
@@ -50,6 +52,7 @@
     'ALL_ON',
     'DOUBT',
     'FILLING',
+    'LATE_UNTIL',
     'MARKED',
     'ORDERED',
     'PLAIN',
@@ -62,6 +65,7 @@
     'STALLED_MOVES',
     'TURNING_AWAY',
     'UNKNOWN',
+    'URGENT',
     'ActiveJob',
     'DurationBook',
     'Move',
--- a/src/curranthill/placement/earnings.py
+++ b/src/curranthill/placement/earnings.py
@@ -18,13 +18,13 @@
 #: A late job is still of use until so many times its objective.
 LATE_UNTIL: Final = 3.0
 
-#: For how long hopeless work goes after all other, in seconds; then it is
-#: served in its turn again, since whatever was accepted must end.
+#: Aging: hopeless work goes after all other for so long, in seconds, and then
+#: in its turn again, so that nothing that was accepted starves.
 HOPELESS_WAIT_S: Final = 30.0
 
-#: A task is taken to need at least so much of its estimate: what only seems
-#: hopeless must not be given up.
-SURE_SHARE: Final = 0.5
+#: The least share of its estimate that a task takes: a job must not be given
+#: up for an estimate that is too long.
+LEAST_RUN_SHARE: Final = 0.5
 
 
 def prospect(job: ActiveJob, done_s: float) -> Prospect:
@@ -52,12 +52,12 @@
         return False
     if is_served_again(job, now_s):
         return False
-    soonest_s = now_s + SURE_SHARE * _left_s(job)
+    soonest_s = now_s + LEAST_RUN_SHARE * _left_s(job)
     return prospect(job, soonest_s) == HOPELESS
 
 
 def is_served_again(job: ActiveJob, now_s: float) -> bool:
-    """Return whether a job has been hopeless for so long that it is due.
+    """Return whether aging has ended a hopeless job's time at the back.
 
     :param now_s: wall-clock seconds.
     """
@@ -107,6 +107,7 @@
     'HOPELESS_WAIT_S',
     'IN_TIME',
     'LATE',
+    'LATE_UNTIL',
     'Prospect',
     'is_hopeless',
     'is_late',
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -46,7 +46,7 @@
     groups: Sequence[Sequence[Room]],
     pace: Pace,
 ) -> list[Sequence[Room]]:
-    """Return of each group the rooms that hold up no urgent gang."""
+    """Return each group without the workers that would delay the gang."""
     return [
         [room for room in group if not pace.holds_up(room)] for group in groups
     ]
@@ -65,6 +65,7 @@
     best: tuple[float, Sequence[Room]] | None = None
     for group in groups:
         chosen = _choose_alike(ready, group, pace)
+        # Recent failures and levels too slow: one of each weighs the same.
         fault = sum(room.doubt + pace.excess(room) for _, room in chosen)
         if chosen and not fault:
             return chosen
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -218,7 +218,10 @@
         )
 
     def may_make_way(self, ready: ReadyStep) -> bool:
-        """Return once for a step that others may be stopped to end in time."""
+        """Use up a step's one preemption for speed; return whether it was left.
+
+        A gang would stop others again in each round otherwise.
+        """
         place = (ready.occurrence, ready.number)
         if place in self._made_way:
             return False
--- a/src/curranthill/placement/order.py
+++ b/src/curranthill/placement/order.py
@@ -66,9 +66,8 @@
 def late_jobs(jobs: Iterable[ActiveJob], now_s: float) -> set[str]:
     """Return the ids of jobs that will miss their objective in any case.
 
-    What they still earn they earn for long: until three times the objective.
-    Work that can be in time goes first meanwhile, but nobody waits so for
-    longer than what is hopeless does.
+    They go after jobs of their priority that can be in time, until aging ends
+    that.
 
     :param now_s: wall-clock seconds.
     """
--- a/src/curranthill/placement/paces.py
+++ b/src/curranthill/placement/paces.py
@@ -13,23 +13,23 @@
 from curranthill.placement.rooms import LEVEL, Room
 from curranthill.tasks import JobSpec
 
-#: So many levels too late is as late as can be: nothing is earned then.
+#: The most levels of lateness that are told apart; a level is that of rooms.
 MOST_LEVELS: Final = 5
 
-#: Above the levels of all speeds.
+#: Added to the rank of workers that are too slow, so that they come last.
 LATE_RANK: Final = 100
 
-#: A task that has less than this share of its run time left is late wherever
-#: it runs.
-HOPELESS_SHARE: Final = 0.3
+#: With less than this share of its run time left a task is late wherever it
+#: runs, so that no speed is required.
+LEAST_TIME_SHARE: Final = 0.3
 
 
 class Pace(NamedTuple):
-    """What a step asks of the speed of its workers.
+    """The speed that a step requires, not the measured pace of a run.
 
-    :param needed: a worker of this speed ends a task just in time; 0 if every
-        one does.
-    :param spares: whether it leaves fast workers to others.
+    :param needed: the least speed, of a typical worker's, that ends a task
+        just in time; 0 if any does.
+    :param spares: whether it leaves fast workers to urgent work.
     """
 
     needed: float = 0.0
@@ -88,7 +88,7 @@
     if spec.times or not expected_s:
         return ANY
     left_s = job.objective_s - now_s - _after_s(spec, ready.number)
-    if left_s < HOPELESS_SHARE * expected_s:
+    if left_s < LEAST_TIME_SHARE * expected_s:
         return ANY
     return Pace(expected_s / left_s, not is_urgent(job))
 
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -43,9 +43,8 @@
 #: away from it, it runs longer by about as much.
 PATIENCE_FOR_RACK: Final = 2.0
 
-#: An urgent job that no guarantee covers may throw away so many times its own
-#: work: mean worth of six days on 24 workers over three seeds 0.728 against
-#: 0.704 without a limit, on workers four times as large 0.807 against 0.801.
+#: An urgent job that no guarantee covers may throw away at most so many times
+#: its own work: more of it would serve others worse than it serves its caller.
 MOST_LOSS_SHARE: Final = 3.0
 
 #: The rooms of a service that has no workers.
@@ -244,6 +243,7 @@
             self._most_loss(job, step, tasks),
         )
         best = self._best_eviction(ready.tasks, step, groups, most_loss)
+        # Only an eviction with victims uses up the step's one preemption.
         if best is None or (best.victims and not job.may_make_way(ready)):
             return False
         self._evict(best, job, room_needed(step))
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -51,7 +51,7 @@
 #: numbers.
 LEAST_PROGRESS_PERCENT: Final = 5
 
-#: It is told again each time the run has worked so many times as long.
+#: It is told again when the time worked has grown by this factor.
 PACE_EVERY: Final = 2.0
 
 
--- a/src/curranthill/placement/speeds.py
+++ b/src/curranthill/placement/speeds.py
@@ -51,7 +51,7 @@
 #: Unlikeness below this matters to nobody, as a logarithm.
 LEAST_UNLIKE: Final = 0.1
 
-#: How often bounded pulls are weighed anew until they balance.
+#: How often the Huber weights are worked out anew.
 BALANCE_ROUNDS: Final = 3
 
 #: The largest logarithm of a ratio that is believed.
@@ -315,7 +315,7 @@
     prior: _Part,
     start: float,
 ) -> _Part:
-    """Return where bounded pulls balance, and how sure that is."""
+    """Return the robust weighted mean of pulls and prior, and its variance."""
     log = start
     weight = 1 / prior.variance
     for _ in range(BALANCE_ROUNDS):
@@ -334,7 +334,7 @@
 
 
 def _weight(pull: _Pull, around: float) -> float:
-    """Return how hard a pull counts; far ones pull with a bounded force."""
+    """Return the Huber weight: constant near, falling with distance beyond."""
     off = abs(pull.log - around)
     bound = BOUND_DEVIATIONS * math.sqrt(pull.variance)
     full = 1 / pull.variance
@@ -342,7 +342,7 @@
 
 
 def _typical(workers: Iterable[_Worker]) -> float:
-    """Return the median speed of the workers that are known."""
+    """Return the median logarithm of the known workers' speeds."""
     return median([one.log for one in workers] or [0.0])
 
 
--- a/src/curranthill/placement/stragglers.py
+++ b/src/curranthill/placement/stragglers.py
@@ -55,10 +55,10 @@
 
 
 def _if_stalled(run: Run) -> Move | None:
-    """Return a move once standing still has cost as much as it would.
+    """Return a move once the stall outlasts the work that a restart repeats.
 
-    It is expected to stand still for as long again, so that moving costs at
-    most twice what the best choice would have.
+    The stall is expected to last as long again, so waiting and then moving
+    costs at most twice the better choice.
     """
     here_s = run.stalled_s
     elsewhere_s = max(0.0, run.lost_s - run.stalled_s)
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -134,7 +134,7 @@
             holder=settings.host,
             lead=self._lead,
             health=self._health,
-            orders=self._closures,
+            operator_rows=self._closures,
             others=lambda: len(self._peers.addresses),
         )
         self._pauses = PauseWatch(clock=clock, on_resume=self._resumed)
--- a/tests/domain.py
+++ b/tests/domain.py
@@ -482,7 +482,7 @@
             holder=name,
             lead=self._lead,
             health=self.health,
-            orders=self.closures,
+            operator_rows=self.closures,
             others=lambda: domain.others,
         )
         self.desk = Desk(
