--- a/src/curranthill/placement/attempts.py
+++ b/src/curranthill/placement/attempts.py
@@ -5,6 +5,7 @@
 on one after the other has soon used up its attempts.
 """
 
+import math
 from collections.abc import Iterator, Sequence
 from typing import Final, NamedTuple
 
@@ -31,10 +32,15 @@
 #: The share of a service's room in use from which on it is busy.
 BUSY_SHARE: Final = 0.5
 
+#: With so few attempts left a gang starts in no wave of failures: with many
+#: members one of them is nearly sure to meet a worker that fails.
+FEW_ATTEMPTS: Final = 2
+
 #: Whom any attempt is given to, and the last one of a task that failed.
 _NOT_ON_TRIAL: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN, DOUBTED))
 _UNDOUBTED: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN))
 _PROVEN: Final[frozenset[Trust]] = frozenset((PROVEN,))
+_NOBODY: Final[frozenset[Trust]] = frozenset()
 
 #: Rooms in groups, the best group first.
 Groups = Sequence[Sequence[Room]]
@@ -43,15 +49,19 @@
 class Attempt(NamedTuple):
     """What matters of the next attempt of some tasks.
 
-    :param last: whether their job fails if it does.
+    :param left: how many attempts the task that has the fewest may spend.
+    :param gang: whether one failure ends all of them.
     :param risky: whether workers fail that nobody doubted before.
+    :param slack_s: how long it may wait and still be in time.
     :param failed_on: the workers on which they have failed.
     :param waited_s: how long room was turned down for it.
     :param patience_s: how long that may go on; 0 if it may not wait.
     """
 
-    last: bool
+    left: float
+    gang: bool
     risky: bool
+    slack_s: float
     failed_on: frozenset[str]
     waited_s: float
     patience_s: float
@@ -67,10 +77,21 @@
     @property
     def trusted(self) -> frozenset[Trust]:
         """Return the workers that do for it, by how far they are trusted."""
-        if not self.last:
+        if self.risky and self._fears_waves:
+            return _NOBODY
+        if self.left > 1:
             return _NOT_ON_TRIAL
         return _PROVEN if self.risky else _UNDOUBTED
 
+    @property
+    def _fears_waves(self) -> bool:
+        """Return whether it sits a wave of failures out.
+
+        Before the last attempt only as long as the job can be in time.
+        """
+        few = self.left <= FEW_ATTEMPTS
+        return self.gang and few and (self.left <= 1 or self.slack_s > 0)
+
     def admits(self, room: Room) -> bool:
         """Return whether it may be spent on a worker while it can wait."""
         if room.trust not in self.trusted:
@@ -89,19 +110,29 @@
     """Return the next attempt of tasks that :func:`by_failures` keeps together.
 
     :param now_s: wall-clock seconds.
+    :param patience_s: how long any attempt may wait.
     """
     first = ready.tasks[0]
-    failures = max(job.failures_of(key) for key in ready.tasks)
-    left = job.spec.queue.attempts - failures
+    left = attempts_left(job, ready)
     return Attempt(
+        left=left,
+        gang=ready.step.gang and len(ready.tasks) > 1,
         risky=risky,
-        last=left <= 1 and not ready.step.perpetual,
+        slack_s=job.objective_s - now_s - job.spec.chain_s,
         failed_on=job.failed_on(first),
         waited_s=job.turned_down_for_s(first, now_s),
         patience_s=patience_s,
     )
 
 
+def attempts_left(job: ActiveJob, ready: ReadyStep) -> float:
+    """Return how many attempts the task that has the fewest may spend."""
+    if ready.step.perpetual:
+        return math.inf
+    failures = max(job.failures_of(key) for key in ready.tasks)
+    return job.spec.queue.attempts - failures
+
+
 def by_failures(job: ActiveJob, ready: ReadyStep) -> Iterator[ReadyStep]:
     """Yield a step's tasks apart by where they have failed; a gang whole."""
     if not job.any_failed or ready.step.gang:
@@ -125,8 +156,8 @@
         return False
     if step.gang and step.width > 1:
         return False
-    failures = max(job.failures_of(key) for key in ready.tasks)
-    return not failures and job.spec.queue.attempts > 1
+    failed = any(job.failures_of(key) for key in ready.tasks)
+    return not failed and job.spec.queue.attempts > 1
 
 
 def trusted_groups(attempt: Attempt, groups: Groups) -> list[list[Room]]:
@@ -163,6 +194,7 @@
     'Attempt',
     'Groups',
     'attempt_of',
+    'attempts_left',
     'away_from',
     'by_failures',
     'is_busy',
--- a/src/curranthill/placement/doubts.py
+++ b/src/curranthill/placement/doubts.py
@@ -13,7 +13,7 @@
 
 #: How long an end counts for or against its worker, in seconds: some two times
 #: as long as workers were seen to misbehave.
-MEMORY_S: Final = 10.0
+MEMORY_S: Final = 14.0
 
 #: What one start that held makes up for, in failed ones: a worker that fails
 #: half of what it starts holds the other half.
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -10,6 +10,7 @@
     Attempt,
     Groups,
     attempt_of,
+    attempts_left,
     away_from,
     by_failures,
     is_busy,
@@ -208,7 +209,11 @@
 
     def _patience_for_trust_s(self, job: ActiveJob, ready: ReadyStep) -> float:
         """Return how long a step may wait for workers that are trusted."""
-        if ready.step.perpetual or job.spec.job_id in self._covered:
+        left = attempts_left(job, ready)
+        if ready.step.perpetual:
+            return 0.0
+        if left > 1 and job.spec.job_id in self._covered:
+            # A guarantee counts from the first start on.
             return 0.0
         service = job.spec.queue.service
         patience_s = self._patience_s.get(service)
