--- a/src/curranthill/placement/attempts.py
+++ b/src/curranthill/placement/attempts.py
@@ -11,7 +11,6 @@
 
 from curranthill.placement.doubts import (
     DOUBTED,
-    MEMORY_S,
     PROVEN,
     UNPROVEN,
     Trust,
@@ -21,17 +20,21 @@
 from curranthill.placement.rooms import Room
 from curranthill.tasks import TaskKey
 
-#: How long an attempt waits for a trusted worker while most are at work, in
-#: seconds: all that is held against the others is forgotten by then.
-BUSY_PATIENCE_S: Final = MEMORY_S
+#: How long an attempt waits for a trusted worker at most, in seconds: workers
+#: that fail what they start are mostly sound again by then.
+BUSY_PATIENCE_S: Final = 10.0
 
-#: The same while most stand idle, in seconds: nobody else needs the room, and
-#: callers see their job make no progress.
+#: The same while most of them stand idle and no wave is on, in seconds: nobody
+#: else needs the room, and callers see their job make no progress.
 IDLE_PATIENCE_S: Final = 2.0
 
 #: The share of a service's room in use from which on it is busy.
 BUSY_SHARE: Final = 0.5
 
+#: How long the last attempt waits after a failure at least, in seconds: workers
+#: that fail together are found out by the starts of so long.
+BACKOFF_S: Final = 1.0
+
 #: With so few attempts left a gang starts in no wave of failures: with many
 #: members one of them is nearly sure to meet a worker that fails.
 FEW_ATTEMPTS: Final = 2
@@ -39,7 +42,6 @@
 #: Whom any attempt is given to, and the last one of a task that failed.
 _NOT_ON_TRIAL: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN, DOUBTED))
 _UNDOUBTED: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN))
-_PROVEN: Final[frozenset[Trust]] = frozenset((PROVEN,))
 _NOBODY: Final[frozenset[Trust]] = frozenset()
 
 #: Rooms in groups, the best group first.
@@ -51,7 +53,7 @@
 
     :param left: how many attempts the task that has the fewest may spend.
     :param gang: whether one failure ends all of them.
-    :param risky: whether workers fail that nobody doubted before.
+    :param risky: whether there is a wave of failures.
     :param slack_s: how long it may wait and still be in time.
     :param failed_on: the workers on which they have failed.
     :param waited_s: how long room was turned down for it.
@@ -77,20 +79,22 @@
     @property
     def trusted(self) -> frozenset[Trust]:
         """Return the workers that do for it, by how far they are trusted."""
-        if self.risky and self._fears_waves:
+        if self._sits_out:
             return _NOBODY
-        if self.left > 1:
-            return _NOT_ON_TRIAL
-        return _PROVEN if self.risky else _UNDOUBTED
+        return _UNDOUBTED if self.left <= 1 else _NOT_ON_TRIAL
 
     @property
-    def _fears_waves(self) -> bool:
-        """Return whether it sits a wave of failures out.
+    def _sits_out(self) -> bool:
+        """Return whether it waits for the end of a wave of failures.
 
-        Before the last attempt only as long as the job can be in time.
+        The last attempt after a failure waits a while to see if there is one;
+        before the last one a job waits only as long as it can be in time.
         """
-        few = self.left <= FEW_ATTEMPTS
-        return self.gang and few and (self.left <= 1 or self.slack_s > 0)
+        if self.left <= 1:
+            new = bool(self.failed_on) and self.waited_s < BACKOFF_S
+            return self.risky or new
+        few = self.left <= FEW_ATTEMPTS and self.slack_s > 0
+        return self.risky and self.gang and few
 
     def admits(self, room: Room) -> bool:
         """Return whether it may be spent on a worker while it can wait."""
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -82,7 +82,7 @@
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
     :param without: mechanisms that are switched off.
-    :param risky: services of which workers fail that nobody doubted before.
+    :param risky: services in a wave of failures.
     """
 
     def __init__(
@@ -218,8 +218,9 @@
         service = job.spec.queue.service
         patience_s = self._patience_s.get(service)
         if patience_s is None:
-            busy = is_busy(self._services.get(service, _NO_ROOMS).rooms)
-            patience_s = BUSY_PATIENCE_S if busy else IDLE_PATIENCE_S
+            rooms = self._services.get(service, _NO_ROOMS).rooms
+            long = service in self._risky or is_busy(rooms)
+            patience_s = BUSY_PATIENCE_S if long else IDLE_PATIENCE_S
             self._patience_s[service] = patience_s
         return patience_s
 
