--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -113,14 +113,15 @@
             # Most rounds end here: reports and ends cause rounds too, and
             # adding up the room of 3,000 workers takes 37 ms.
             return
-        risky = self._work.trust.risky_services()
+        self._work.trust.look_for_waves()
         planner = Planner(
             rooms=self._rooms(),
             guaranteed=self._guaranteed(),
             now_s=now_s,
             tickets=self._tickets,
             without=self._without,
-            risky=risky,
+            risky=self._work.trust.risky_services(),
+            wary=self._work.trust.wary_services(),
         )
         plan = planner.plan(self._work.jobs.values())
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
--- a/src/curranthill/dispatch/trust.py
+++ b/src/curranthill/dispatch/trust.py
@@ -80,11 +80,20 @@
             self._tell(session, standing)
         return standing
 
-    def risky_services(self) -> frozenset[str]:
-        """Return the services of which workers fail unexpectedly now."""
+    def look_for_waves(self) -> None:
+        """Find out which services are in a wave of failures."""
         now_s = self._clock.monotonic_s()
         for watch in self._starts.values():
             watch.look(now_s)
+
+    def risky_services(self) -> frozenset[str]:
+        """Return the services that are in a wave of failures."""
+        return frozenset(
+            service for service, watch in self._starts.items() if watch.is_wave
+        )
+
+    def wary_services(self) -> frozenset[str]:
+        """Return the services that are in a wave or were in one of late."""
         return frozenset(
             service
             for service, watch in self._starts.items()
--- a/src/curranthill/placement/attempts.py
+++ b/src/curranthill/placement/attempts.py
@@ -42,6 +42,7 @@
 #: Whom any attempt is given to, and the last one of a task that failed.
 _NOT_ON_TRIAL: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN, DOUBTED))
 _UNDOUBTED: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN))
+_PROVEN: Final[frozenset[Trust]] = frozenset((PROVEN,))
 _NOBODY: Final[frozenset[Trust]] = frozenset()
 
 #: Rooms in groups, the best group first.
@@ -54,6 +55,7 @@
     :param left: how many attempts the task that has the fewest may spend.
     :param gang: whether one failure ends all of them.
     :param risky: whether there is a wave of failures.
+    :param wary: whether there was one of late, or is.
     :param slack_s: how long it may wait and still be in time.
     :param failed_on: the workers on which they have failed.
     :param waited_s: how long room was turned down for it.
@@ -63,6 +65,7 @@
     left: float
     gang: bool
     risky: bool
+    wary: bool
     slack_s: float
     failed_on: frozenset[str]
     waited_s: float
@@ -81,7 +84,9 @@
         """Return the workers that do for it, by how far they are trusted."""
         if self._sits_out:
             return _NOBODY
-        return _UNDOUBTED if self.left <= 1 else _NOT_ON_TRIAL
+        if self.left > 1:
+            return _NOT_ON_TRIAL
+        return _PROVEN if self.wary else _UNDOUBTED
 
     @property
     def _sits_out(self) -> bool:
@@ -110,6 +115,7 @@
     now_s: float,
     patience_s: float,
     risky: bool,
+    wary: bool,
 ) -> Attempt:
     """Return the next attempt of tasks that :func:`by_failures` keeps together.
 
@@ -122,6 +128,7 @@
         left=left,
         gang=ready.step.gang and len(ready.tasks) > 1,
         risky=risky,
+        wary=wary,
         slack_s=job.objective_s - now_s - job.spec.chain_s,
         failed_on=job.failed_on(first),
         waited_s=job.turned_down_for_s(first, now_s),
@@ -177,6 +184,13 @@
     ]
 
 
+def proven_groups(groups: Groups) -> list[list[Room]]:
+    """Return the rooms of workers that have held a start of late."""
+    return [
+        [room for room in group if room.trust == PROVEN] for group in groups
+    ]
+
+
 def away_from(racks: frozenset[str], groups: Groups) -> list[list[Room]]:
     """Return the rooms in other racks than some."""
     return [
@@ -203,5 +217,6 @@
     'by_failures',
     'is_busy',
     'may_try',
+    'proven_groups',
     'trusted_groups',
 )
--- a/src/curranthill/placement/doubts.py
+++ b/src/curranthill/placement/doubts.py
@@ -153,12 +153,16 @@
 
     All times are of one steady clock, in seconds.
 
-    :param wave_began_s: when the first failure of a wave came, or nothing.
+    :param is_wave: whether there is a wave now.
+    :param wave_began_s: when the first failure of the newest wave came; nothing
+        once it has been over for long.
     """
 
     def __init__(self) -> None:
         """Start without any."""
+        self.is_wave = False
         self.wave_began_s: float | None = None
+        self._wave_seen_s = 0.0
         self._started_s: deque[float] = deque()
         self._surprised_s: deque[float] = deque()
 
@@ -178,9 +182,14 @@
         surprised = len(self._surprised_s)
         least = max(WAVE_WORKERS, WAVE_SHARE * len(self._started_s))
         if surprised < least:
-            self.wave_began_s = None
-        elif self.wave_began_s is None:
+            self.is_wave = False
+            if now_s - self._wave_seen_s >= MEMORY_S:
+                self.wave_began_s = None
+            return
+        if not self.is_wave:
             self.wave_began_s = self._surprised_s[0]
+        self.is_wave = True
+        self._wave_seen_s = now_s
 
 
 __all__ = (
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -15,6 +15,7 @@
     by_failures,
     is_busy,
     may_try,
+    proven_groups,
     trusted_groups,
 )
 from curranthill.placement.doubts import ON_TRIAL
@@ -83,6 +84,7 @@
         queues with an advisor.
     :param without: mechanisms that are switched off.
     :param risky: services in a wave of failures.
+    :param wary: these, and services that were in one of late.
     """
 
     def __init__(
@@ -94,9 +96,11 @@
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
         without: frozenset[str] = ALL_ON,
         risky: Collection[str] = (),
+        wary: Collection[str] = (),
     ) -> None:
         """Keep the snapshot."""
         self._risky = risky
+        self._wary = wary
         self._tickets = tickets
         self._without = without
         self._services = {
@@ -187,7 +191,7 @@
         only once it may wait for them no longer.
         """
         groups = self._groups(job, ready)
-        known = self._on_trial or self._risky or job.any_failed
+        known = self._on_trial or self._wary or job.any_failed
         if not (self._cares and known):
             return [groups]
         attempt = attempt_of(
@@ -196,11 +200,14 @@
             now_s=self._now_s,
             patience_s=self._patience_for_trust_s(job, ready),
             risky=job.spec.queue.service in self._risky,
+            wary=job.spec.queue.service in self._wary,
         )
         trusted = trusted_groups(attempt, groups)
         choices: list[Groups] = [trusted]
         if attempt.failed_on:
             choices.insert(0, away_from(self._racks_of(attempt), trusted))
+        if attempt.left <= 1:
+            choices.insert(0, proven_groups(trusted))
         if attempt.waits:
             self._note_turned_down(job, ready, groups, attempt)
         else:
@@ -219,7 +226,7 @@
         patience_s = self._patience_s.get(service)
         if patience_s is None:
             rooms = self._services.get(service, _NO_ROOMS).rooms
-            long = service in self._risky or is_busy(rooms)
+            long = service in self._wary or is_busy(rooms)
             patience_s = BUSY_PATIENCE_S if long else IDLE_PATIENCE_S
             self._patience_s[service] = patience_s
         return patience_s
--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -58,6 +58,7 @@
     :param late_next: how many of the next starts get no answer and take
         effect ``late_s`` later.
     :param failing: every task fails at once.
+    :param fails_start: tells of each start whether its run fails at once.
     :param incarnation: grows with each start of the worker under its id.
     :param rejecting: a reason for which every start is rejected.
     :param rejections: how many starts were rejected for it.
@@ -98,6 +99,8 @@
         self.start_delay_s = 0.0
         self.late_s = 2.0
         self.failing = False
+        self.fails_start: Callable[[], bool] = bool
+        self._doomed: set[tuple[TaskKey, int]] = set()
         self.rejecting = ''
         self.rejections = 0
         self.crashing: set[TaskKey] = set()
@@ -204,7 +207,7 @@
         if now_s > self._deadline_s:
             self.voided.update(self.ends)
         for run in list(self.runs.values()):
-            if self.failing:
+            if self.failing or (run.task, run.attempt) in self._doomed:
                 self._end(run, 'failed')
             elif self._is_done(run, min(now_s, self._deadline_s)):
                 self._end(run, 'done')
@@ -235,6 +238,8 @@
         self.starts.append(order)
         now_s = self._clock_s()
         self.runs[name] = ActiveRun(order.task, order.attempt, now_s)
+        if self.fails_start():
+            self._doomed.add(name)
         self.most_runs = max(self.most_runs, len(self.runs))
         if order.task in self.crashing:
             self._crash_soon(order)
--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -113,11 +113,13 @@
         watch.note_surprise(101)
         for at_s in (101, 102, 103):
             watch.look(at_s)
-        self.assertIsNone(watch.wave_began_s)
+        self.assertFalse(watch.is_wave)
         watch.note_surprise(103)
         watch.look(103)
         self.assertEqual(watch.wave_began_s, 101)
         watch.look(107)
+        self.assertFalse(watch.is_wave)
+        watch.look(103 + MEMORY_S)
         self.assertIsNone(watch.wave_began_s)
 
 
