--- a/tests/test_failing_spell.py
+++ b/tests/test_failing_spell.py
@@ -6,6 +6,7 @@
 from curranthill.tasks import JobSpec, Resources, Step
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 
+LOADS = 4
 WORKERS = 24
 JOBS = 40
 INTERVAL_S = 0.25
@@ -16,7 +17,7 @@
 
 def drawn_job(draw: random.Random, number: int) -> JobSpec:
     """Return a gang of whole workers, or many small tasks."""
-    if draw.random() < 0.5:
+    if draw.getrandbits(1):
         step = Step(
             width=draw.randint(2, 6),
             needs=WHOLE,
@@ -56,18 +57,15 @@
     """Jobs of two attempts, a full cluster, and some of it that fails."""
 
     def failed(self, *, bad: int, share: float) -> list[int]:
-        """Return the failed jobs of four drawn loads."""
-        counts = []
+        """Return the failed jobs of each drawn load."""
+        counts: list[int] = []
 
-        async def case(domain: Domain, seed: int) -> None:
+        async def case(domain: Domain) -> None:
+            seed = len(counts)
             counts.append(await play(domain, seed=seed, bad=bad, share=share))
 
-        for seed in range(4):
-            in_domain(
-                lambda domain, seed=seed: case(domain, seed),
-                workers=WORKERS,
-                run_s=2.0,
-            )
+        while len(counts) < LOADS:
+            in_domain(case, workers=WORKERS, run_s=2.0)
         return counts
 
     def test_a_sixth_that_fails_all_fails_hardly_a_job(self) -> None:
