--- a/src/curranthill/placement/attempts.py
+++ b/src/curranthill/placement/attempts.py
@@ -35,10 +35,6 @@
 #: that fail together are found out by the starts of so long.
 BACKOFF_S: Final = 1.0
 
-#: With so few attempts left a gang starts in no wave of failures: with many
-#: members one of them is nearly sure to meet a worker that fails.
-FEW_ATTEMPTS: Final = 2
-
 #: Whom any attempt is given to, and the last one of a task that failed.
 _NOT_ON_TRIAL: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN, DOUBTED))
 _UNDOUBTED: Final[frozenset[Trust]] = frozenset((PROVEN, UNPROVEN))
@@ -53,20 +49,16 @@
     """What matters of the next attempt of some tasks.
 
     :param left: how many attempts the task that has the fewest may spend.
-    :param gang: whether one failure ends all of them.
     :param risky: whether there is a wave of failures.
     :param wary: whether there was one of late, or is.
-    :param slack_s: how long it may wait and still be in time.
     :param failed_on: the workers on which they have failed.
     :param waited_s: how long room was turned down for it.
     :param patience_s: how long that may go on; 0 if it may not wait.
     """
 
     left: float
-    gang: bool
     risky: bool
     wary: bool
-    slack_s: float
     failed_on: frozenset[str]
     waited_s: float
     patience_s: float
@@ -92,14 +84,10 @@
     def _sits_out(self) -> bool:
         """Return whether it waits for the end of a wave of failures.
 
-        The last attempt after a failure waits a while to see if there is one;
-        before the last one a job waits only as long as it can be in time.
+        The last attempt after a failure waits a while to see if there is one.
         """
-        if self.left <= 1:
-            new = bool(self.failed_on) and self.waited_s < BACKOFF_S
-            return self.risky or new
-        few = self.left <= FEW_ATTEMPTS and self.slack_s > 0
-        return self.risky and self.gang and few
+        new = bool(self.failed_on) and self.waited_s < BACKOFF_S
+        return self.left <= 1 and (self.risky or new)
 
     def admits(self, room: Room) -> bool:
         """Return whether it may be spent on a worker while it can wait."""
@@ -126,10 +114,8 @@
     left = attempts_left(job, ready)
     return Attempt(
         left=left,
-        gang=ready.step.gang and len(ready.tasks) > 1,
         risky=risky,
         wary=wary,
-        slack_s=job.objective_s - now_s - job.spec.chain_s,
         failed_on=job.failed_on(first),
         waited_s=job.turned_down_for_s(first, now_s),
         patience_s=patience_s,
