--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -60,6 +60,7 @@
     :param refuse_with: a status that every call is answered with, or 0.
     :param requests: every path that was called.
     :param limits: the most rows that each reading of a table asked for.
+    :param feed_s: how long the answer of a feed is on its way.
     """
 
     def __init__(self, *, model: RowModel) -> None:
@@ -69,6 +70,7 @@
         self.refuse_with = 0
         self.requests: list[str] = []
         self.limits: list[int] = []
+        self.feed_s = 0.0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
@@ -77,6 +79,8 @@
         if self.refuse_with:
             return web.Response(status=self.refuse_with)
         name = request.path.removeprefix('/curranthill/')
+        if name == 'rows-feed':
+            await asyncio.sleep(self.feed_s)
         if name == 'rows-tx':
             return self._commit(json.loads(await request.read()))
         if name == 'rows-get':
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
     NotSentError,
     ReplyLostError,
     SettingsError,
+    StorageError,
     WorkerReplyLostError,
     WorkerUnreachableError,
 )
@@ -93,6 +94,11 @@
 #: What the platform leaves for a planned stop in a test, in seconds.
 GRACE_S = 4.0
 
+#: What 2,000 routes take on a link of 5 Mbit/s, in seconds, and by which try
+#: they must have come: three, with their pauses, fit into a change's 3 s.
+SLOW_FEED_S = 0.8
+TRIES_OF_A_FEED = 2
+
 
 class Bench:
     """A store and one worker behind real ports, and clients of both."""
@@ -203,6 +209,20 @@
 
         on_bench(case)
 
+    def test_a_large_change_reaches_a_host_with_a_slow_link(self) -> None:
+        """Its answer takes longer than is usual, each time it is asked for."""
+
+        async def case(bench: Bench) -> None:
+            bench.rows.apply((), (RowPut('op', 'config', b'v'),), ())
+            bench.store_server.feed_s = SLOW_FEED_S
+            for _ in range(TRIES_OF_A_FEED - 1):
+                with self.assertRaises(StorageError):
+                    await bench.store.changes('op', 0, 0.0)
+            changes = await bench.store.changes('op', 0, 0.0)
+            self.assertEqual([row.key for row in changes.rows], ['config'])
+
+        on_bench(case)
+
     def test_refusals_and_closed_ports_did_nothing(self) -> None:
         """503, 429 and no listener."""
 
