A feed gets more time after answers that did not come

Cause: see the failing test. Change: by table, the time that an answer may take beyond its wait doubles with each lost one up to 2 s, and is as before once one has come.

--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -43,6 +43,10 @@
 #: What a feed may take beyond the wait that was asked for, in seconds.
 FEED_SLACK_S: Final = 0.5
 
+#: The same after answers that did not come in time, in seconds: it doubles up
+#: to this, so that a large change gets through a slow link.
+MOST_FEED_SLACK_S: Final = 2.0
+
 #: Rows in one reading of a table, of some 2 KB each: a host with 5 Mbit/s
 #: takes such a page in a third of a second. Parts that are read side by side
 #: share it.
@@ -108,6 +112,7 @@
         self._commit_timeout = ReplyTimeout()
         self._read_timeout = ReplyTimeout()
         self._page_timeout = ReplyTimeout(shortest_s=PAGE_TIMEOUT_S)
+        self._feed_slack_s: dict[str, float] = {}
 
     async def commit(
         self,
@@ -203,16 +208,21 @@
         wait_s: float,
     ) -> RowChanges:
         """Return changes past a version, waiting for the first one."""
-        answer = await self._call(
-            'GET',
-            'rows-feed',
-            timeout_s=wait_s + FEED_SLACK_S,
-            params={
-                'table': table,
-                'after': str(after),
-                'wait_ms': str(int(wait_s * 1000)),
-            },
-        )
+        slack_s = self._feed_slack_s.pop(table, FEED_SLACK_S)
+        try:
+            answer = await self._call(
+                'GET',
+                'rows-feed',
+                timeout_s=wait_s + slack_s,
+                params={
+                    'table': table,
+                    'after': str(after),
+                    'wait_ms': str(int(wait_s * 1000)),
+                },
+            )
+        except ReplyLostError:
+            self._feed_slack_s[table] = min(2 * slack_s, MOST_FEED_SLACK_S)
+            raise
         if answer.status == _GONE:
             raise HistoryLostError(
                 f'The history of {table} past {after} is gone.',
