Log answers that were cut off while they arrived

Change: `answer_cut` with the bytes received and the time since the answer began, two counters for it, and a counter of the bytes that a host fetches for others. No logic is changed.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -7,7 +7,10 @@
 import aiohttp
 import msgspec
 
+from curranthill.clock import uptime_s
 from curranthill.connections import ConnectionPools
+from curranthill.telemetry import metrics
+from curranthill.telemetry.events import events
 
 #: The longest a new connection may take, in seconds: the farthest peer is a
 #: few milliseconds away, and a lost opening packet is sent again after 1 s.
@@ -89,7 +92,35 @@
     request: AbstractAsyncContextManager[aiohttp.ClientResponse],
 ) -> Answer:
     async with request as response:
-        return Answer(response.status, await response.read())
+        parts: list[bytes] = []
+        began_s = uptime_s()
+        try:
+            async for part in response.content.iter_any():
+                parts.append(part)
+        except BaseException as error:
+            _tell_of_cut(response, parts, began_s, error)
+            raise
+        return Answer(response.status, b''.join(parts))
+
+
+def _tell_of_cut(
+    response: aiohttp.ClientResponse,
+    parts: list[bytes],
+    began_s: float,
+    error: BaseException,
+) -> None:
+    """Tell of an answer that began and was not received to its end."""
+    received_bytes = sum(len(part) for part in parts)
+    metrics.answers_cut.add(1)
+    metrics.answer_bytes_cut.add(received_bytes)
+    events.log(
+        'answer_cut',
+        peer=response.url.authority,
+        path=response.url.path,
+        received_bytes=received_bytes,
+        body_s=round(uptime_s() - began_s, 3),
+        error=repr(error),
+    )
 
 
 __all__ = (
--- a/src/curranthill/platform/relay.py
+++ b/src/curranthill/platform/relay.py
@@ -69,6 +69,7 @@
             self._paths.failed(direct)
             return web.Response(status=UNANSWERED)
         self._paths.answered(direct)
+        metrics.bytes_relayed.add(len(answer.body))
         return web.Response(
             status=answer.status,
             body=answer.body,
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -80,6 +80,9 @@
         self.pauses = meter.create_counter('pauses')
         self.records_bad = meter.create_counter('records_bad')
         self.calls_relayed = meter.create_counter('store_calls_relayed')
+        self.bytes_relayed = meter.create_counter('store_bytes_relayed')
+        self.answers_cut = meter.create_counter('answers_cut')
+        self.answer_bytes_cut = meter.create_counter('answer_bytes_cut')
         self.lines_left_out = meter.create_counter('log_lines_left_out')
 
 
