--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -61,6 +61,8 @@
     :param requests: every path that was called.
     :param limits: the most rows that each reading of a table asked for.
     :param feed_s: how long the answer of a feed is on its way.
+    :param silent_tables: tables whose readings are never answered.
+    :param lost_reads: which readings by page, from 1, are never answered.
     """
 
     def __init__(self, *, model: RowModel) -> None:
@@ -71,6 +73,8 @@
         self.requests: list[str] = []
         self.limits: list[int] = []
         self.feed_s = 0.0
+        self.silent_tables: set[str] = set()
+        self.lost_reads: set[int] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
@@ -78,13 +82,15 @@
         await self.connections.pass_request(request)
         if self.refuse_with:
             return web.Response(status=self.refuse_with)
+        if request.query.get('table') in self.silent_tables:
+            await asyncio.Event().wait()
         name = request.path.removeprefix('/curranthill/')
         if name == 'rows-feed':
             await asyncio.sleep(self.feed_s)
         if name == 'rows-tx':
             return self._commit(json.loads(await request.read()))
         if name == 'rows-get':
-            return self._read(dict(request.query))
+            return await self._read(dict(request.query))
         if name == 'rows-feed':
             return await self._feed(dict(request.query))
         return web.Response(status=404)
@@ -116,7 +122,7 @@
             return _answer(412, rows=[_row(row) for row in conflict.rows])
         return _answer(200, schema_ver=version, now_ms=1)
 
-    def _read(self, query: dict[str, str]) -> web.StreamResponse:
+    async def _read(self, query: dict[str, str]) -> web.StreamResponse:
         table = query['table']
         listed = self._model.scan(table)
         start = query.get('from', '')
@@ -127,6 +133,8 @@
         ]
         limit = int(query.get('limit', '500'))
         self.limits.append(limit)
+        if len(self.limits) in self.lost_reads:
+            await asyncio.Event().wait()
         return _answer(
             200,
             rows=[_row(row) for row in rows[:limit]],
--- /dev/null
+++ b/tests/test_slow_links.py
@@ -0,0 +1,338 @@
+"""Large configurations and tables over hosts' slowest links.
+
+The links, the bound of a change and the growth of the configuration are those
+of the deployments: 5 Mbit/s, 3 s, and a few thousand routes.
+"""
+
+import asyncio
+import json
+import random
+import unittest
+from collections.abc import Sequence
+from typing import Final
+
+from curranthill.dispatch.election import SILENCE_S
+from curranthill.dispatch.journal import Journal
+from curranthill.dispatch.leadership import take_over
+from curranthill.entry import Closures, RevisionFollower
+from curranthill.placement import ActiveJob
+from curranthill.platform.configuration import (
+    TABLE,
+    decode_closure,
+    decode_revision,
+)
+from curranthill.platform.relay import StoreRelay
+from curranthill.platform.store import PAGE_ROWS, PlatformStore
+from curranthill.storage.absence import AWAY_S
+from curranthill.storage.follower import TableFollower
+from curranthill.storage.paths import StorePaths
+from curranthill.storage.rows import RowPut, StoredRow
+from curranthill.tasks import JobProgress, TaskKey, tables
+from tests.domain import make_spec
+from tests.platform_standin import serve
+from tests.slow_link import SlowLink
+from tests.test_platform import CONFIGURATION, Bench, on_bench, until
+
+#: The slowest link of a host, in bytes a second.
+SLOWEST_LINK_BYTES_PER_S: Final = 5e6 / 8
+
+#: The same, while other traffic takes two fifths of it.
+SHARED_LINK_BYTES_PER_S: Final = 3e6 / 8
+
+#: How soon after its acknowledgement a change must be in force, in seconds.
+IN_FORCE_S: Final = 3.0
+
+#: When a change comes, in seconds after a reading began to wait for it.
+MOMENTS_S: Final = (0.1, 0.5, 0.9)
+
+#: What one change may take of a link: its answer once, and small readings.
+TIMES_SENT: Final = 1.25
+
+#: One of many routes; with its name it takes some 290 bytes of a link.
+ROUTE: Final = {
+    'host': 'jobs.example',
+    'type': 'non_idempotent',
+    'service': 'calc',
+    'timeout_ms': 3000,
+    'target_completion_ms': 250,
+    'slack_factor': 1.5,
+    'attempts': 2,
+    'priority': 0,
+}
+
+#: The configuration before it grows, as its version.
+BEFORE: Final = 7
+
+
+def put_configuration(bench: Bench, routes: int, version: int) -> int:
+    """Have the operator write a configuration; return its size in bytes."""
+    grown = [
+        {**ROUTE, 'name': f'r-{number}', 'path_prefix': f'/{number:08}/'}
+        for number in range(routes)
+    ]
+    fields = {**CONFIGURATION, 'version': version, 'routes': grown}
+    content = json.dumps(fields).encode()
+    bench.rows.apply((), (RowPut(TABLE, 'config', content),), ())
+    return len(content) * 4 // 3
+
+
+class DistantHost:
+    """What a host with a slow link knows of the configuration.
+
+    :param target: what its link leads to; the store by default.
+    """
+
+    def __init__(
+        self,
+        bench: Bench,
+        rate_bytes_per_s: float,
+        *,
+        target: str = '',
+    ) -> None:
+        """Know nothing yet."""
+        self._bench = bench
+        self.link = SlowLink(
+            target=target or bench.store_address,
+            rate_bytes_per_s=rate_bytes_per_s,
+        )
+
+    async def start(self) -> None:
+        """Read the configuration and wait for the next one."""
+        await self.link.open()
+        self._bench.closers.append(self.link.close)
+        clock = self._bench.clock
+        self.store = PlatformStore(
+            caller=self._bench.caller,
+            paths=StorePaths(direct=self.link.address, peers=tuple),
+            clock=clock,
+        )
+        self.revisions = RevisionFollower(
+            store=self.store,
+            clock=clock,
+            table=TABLE,
+            decode=decode_revision,
+            closures=Closures(clock=clock, decode=decode_closure, cease_s=0),
+        )
+        following = asyncio.ensure_future(self.revisions.run())
+
+        async def stop() -> None:
+            following.cancel()
+
+        self._bench.closers.append(stop)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force."""
+        current = self.revisions.current
+        return current.number if current else 0
+
+    async def seconds_until(self, version: int) -> float:
+        """Return how long it takes until a version is in force."""
+        began_s = self._bench.clock.monotonic_s()
+        await until(lambda: self.version == version)
+        return self._bench.clock.monotonic_s() - began_s
+
+
+async def distant_hosts(
+    bench: Bench,
+    rate_bytes_per_s: float,
+    moments_s: Sequence[float] = MOMENTS_S,
+) -> list[DistantHost]:
+    """Return hosts that began to wait for news so many seconds ago."""
+    put_configuration(bench, 1, BEFORE)
+    hosts = [DistantHost(bench, rate_bytes_per_s) for _ in moments_s]
+    waited_s = max(moments_s)
+    for host, moment_s in zip(hosts, sorted(moments_s, reverse=True)):
+        await asyncio.sleep(waited_s - moment_s)
+        waited_s = moment_s
+        await host.start()
+    await asyncio.sleep(waited_s)
+    return hosts
+
+
+class ChangeTest(unittest.TestCase):
+    """A configuration that grows by thousands of routes."""
+
+    def grow(self, *, routes: int, rate_bytes_per_s: float) -> None:
+        """Have a change come at several moments of a wait."""
+
+        async def case(bench: Bench) -> None:
+            hosts = await distant_hosts(bench, rate_bytes_per_s)
+            size = put_configuration(bench, routes, BEFORE + 1)
+            took_s = await asyncio.gather(
+                *(host.seconds_until(BEFORE + 1) for host in hosts),
+            )
+            self.assertLess(max(took_s), IN_FORCE_S)
+            for host in hosts:
+                self.assertLess(host.link.sent_bytes, size * TIMES_SENT)
+
+        on_bench(case)
+
+    def test_a_large_change_is_in_force_within_its_bound(self) -> None:
+        """Its answer alone takes two thirds of the bound."""
+        self.grow(routes=4200, rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S)
+
+    def test_a_large_change_comes_in_time_beside_other_traffic(self) -> None:
+        """A link that carries more than the configuration."""
+        self.grow(routes=2800, rate_bytes_per_s=SHARED_LINK_BYTES_PER_S)
+
+    def test_a_host_that_starts_reads_a_large_configuration(self) -> None:
+        """Its first reading takes longer than any small one."""
+
+        async def case(bench: Bench) -> None:
+            size = put_configuration(bench, 4200, BEFORE)
+            host = DistantHost(bench, SLOWEST_LINK_BYTES_PER_S)
+            await host.start()
+            took_s = await host.seconds_until(BEFORE)
+            self.assertLess(took_s, IN_FORCE_S)
+            self.assertLess(host.link.sent_bytes, size * TIMES_SENT)
+
+        on_bench(case)
+
+    def test_the_end_of_an_absence_cuts_no_answer_that_arrives(self) -> None:
+        """Small calls fail beside it, and one is answered again."""
+
+        async def case(bench: Bench) -> None:
+            moment_s = MOMENTS_S[0]
+            hosts = await distant_hosts(
+                bench,
+                SLOWEST_LINK_BYTES_PER_S,
+                (moment_s,),
+            )
+            host = hosts[0]
+            size = put_configuration(bench, 4200, BEFORE + 1)
+            arriving = asyncio.ensure_future(host.seconds_until(BEFORE + 1))
+            await asyncio.sleep(AWAY_S)
+            host.store.absence.failed()
+            await asyncio.sleep(AWAY_S)
+            host.store.absence.answered()
+            self.assertLess(await arriving, IN_FORCE_S)
+            self.assertLess(host.link.sent_bytes, size * TIMES_SENT)
+
+        on_bench(case)
+
+    def test_a_large_change_comes_in_time_through_a_peer(self) -> None:
+        """Its link is as slow, and carries the answer before this one."""
+
+        async def case(bench: Bench) -> None:
+            put_configuration(bench, 1, BEFORE)
+            inner = SlowLink(
+                target=bench.store_address,
+                rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S,
+            )
+            await inner.open()
+            bench.closers.append(inner.close)
+            paths = StorePaths(direct=inner.address, peers=tuple)
+            relay = StoreRelay(caller=bench.caller, paths=paths)
+            runner, address = await serve(relay.handle)
+            bench.closers.append(runner.cleanup)
+            host = DistantHost(
+                bench,
+                SLOWEST_LINK_BYTES_PER_S,
+                target=address,
+            )
+            await host.start()
+            await asyncio.sleep(MOMENTS_S[-1])
+            size = put_configuration(bench, 4200, BEFORE + 1)
+            took_s = await host.seconds_until(BEFORE + 1)
+            self.assertLess(took_s, IN_FORCE_S)
+            self.assertLess(inner.sent_bytes, size * TIMES_SENT)
+
+        on_bench(case)
+
+
+class TableTest(unittest.TestCase):
+    """A table of several pages, read by a new leader."""
+
+    def test_a_lost_page_is_read_again_and_not_those_before_it(self) -> None:
+        """The third of four pages is lost once."""
+
+        async def case(bench: Bench) -> None:
+            count = 3 * PAGE_ROWS + PAGE_ROWS // 2
+            for number in range(count):
+                bench.rows.apply((), (RowPut('t', f'{number:03}', b''),), ())
+            bench.store_server.lost_reads = {3}
+            taken: list[StoredRow] = []
+            follower = TableFollower(
+                store=bench.store,
+                clock=bench.clock,
+                table='t',
+                take_all=taken.extend,
+                take_changes=taken.extend,
+            )
+            await follower.read()
+            self.assertEqual(len({row.key for row in taken}), count)
+            self.assertEqual(len(bench.store_server.limits), 5)
+
+        on_bench(case)
+
+
+class LeaderTest(unittest.TestCase):
+    """A leader with much to write behind the slowest link."""
+
+    def test_progress_of_large_jobs_does_not_hold_up_the_heartbeat(
+        self,
+    ) -> None:
+        """Sixty jobs of 120 tasks each change at once."""
+
+        async def case(bench: Bench) -> None:
+            link = SlowLink(
+                target=bench.store_address,
+                rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S,
+            )
+            await link.open()
+            bench.closers.append(link.close)
+            store = PlatformStore(
+                caller=bench.caller,
+                paths=StorePaths(direct=link.address, peers=tuple),
+                clock=bench.clock,
+            )
+            leadership = await take_over(
+                store=store,
+                clock=bench.clock,
+                holder='h',
+                seen=None,
+                seen_for_s=0.0,
+            )
+            assert leadership is not None
+            journal = Journal(leadership=leadership, clock=bench.clock)
+            writing = asyncio.ensure_future(journal.run())
+            for number in range(60):
+                journal.note(large_job(f'{number:016x}'))
+            saved = asyncio.ensure_future(journal.saved())
+            silent_s = await longest_silence_s(bench, saved)
+            writing.cancel()
+            self.assertLess(silent_s, SILENCE_S)
+
+        on_bench(case)
+
+
+def large_job(job_id: str) -> ActiveJob:
+    """Return a job that has a checkpoint of each of its many tasks."""
+    progress = JobProgress(queue='queue-1')
+    drawn = random.Random(job_id)
+    for rank in range(120):
+        task = progress.task(TaskKey(job_id, 0, 0, rank))
+        task.attempt = drawn.randrange(10)
+        task.worker = f'{drawn.randrange(16**10):010x}'
+        task.checkpoint = f'{drawn.randrange(16**16):016x}'
+    return ActiveJob(spec=make_spec(job_id), progress=progress)
+
+
+async def longest_silence_s(
+    bench: Bench,
+    saved: asyncio.Future[None],
+) -> float:
+    """Return for how long the leader's row did not change at most."""
+    longest_s = 0.0
+    version = 0
+    changed_s = bench.clock.monotonic_s()
+    while not saved.done():
+        await asyncio.sleep(0.01)
+        row = bench.rows.rows[tables.LEADER, tables.LEADER_KEY]
+        now_s = bench.clock.monotonic_s()
+        longest_s = max(longest_s, now_s - changed_s)
+        if row.version != version:
+            version = row.version
+            changed_s = now_s
+    return longest_s
