An answer that arrives is not cut off by the limit of its call

What callers saw: answers by a configuration that had been replaced, eight seconds and more after the change was acknowledged; on a host that had started behind such a link, none. Cause: one limit covered the wait for an answer and its transfer. A row of 1.2 MB takes 1.95 s on a free link of 5 Mbit/s; after a feed's wait 0.5 s were left for it, 1 s and 2 s after failures, and 1.5 s for a page. Each try began at the first byte, and filled the link for the next one. Ruled out: the store (fast hosts have each version 0.15 s after it was sent), the processor (1 to 3 percent). Also ruled out as a mend: a longer limit, which only moves the size that does not get through and finds silent connections later. Change: the limit of a call says when its answer must have begun; from then on each part that arrives puts it off by 1 s. Timeouts that follow earlier replies learn from the beginning of an answer too, so that one large answer does not lengthen them. Why it works: a silent connection is found out as before, and a slow one is not taken for one.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -1,5 +1,6 @@
 """One HTTP call to a service of the platform or to a worker."""
 
+import asyncio
 from contextlib import AbstractAsyncContextManager
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlsplit
@@ -16,6 +17,10 @@
 #: few milliseconds away, and a lost opening packet is sent again after 1 s.
 CONNECT_TIMEOUT_S: Final = 0.5
 
+#: How long an answer that has begun may stand still, in seconds. Its length
+#: counts for nothing: a large one over a slow link is received to its end.
+STALL_TIMEOUT_S: Final = 1.0
+
 
 class CallNotSentError(Exception):
     """No connection was made, so nothing was asked."""
@@ -26,10 +31,14 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer."""
+    """A whole answer.
+
+    :param began_after_s: how long its first byte was waited for, in seconds.
+    """
 
     status: int
     body: bytes
+    began_after_s: float = 0.0
 
 
 class Caller:
@@ -51,6 +60,7 @@
     ) -> Answer:
         """Make one call.
 
+        :param timeout_s: until the answer must have begun, in seconds.
         :raises CallNotSentError: if nothing was asked.
         :raises CallUnansweredError: if the effect is unknown.
         """
@@ -59,10 +69,7 @@
         if fields is not None:
             body = msgspec.json.encode(fields)
             sent_headers['Content-Type'] = 'application/json'
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s,
-            sock_connect=CONNECT_TIMEOUT_S,
-        )
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._pools.session(urlsplit(url).netloc) as session:
                 return await _exchange(
@@ -74,6 +81,7 @@
                         headers=sent_headers,
                         timeout=timeout,
                     ),
+                    timeout_s,
                 )
         except (
             aiohttp.ClientConnectorError,
@@ -90,17 +98,32 @@
 
 async def _exchange(
     request: AbstractAsyncContextManager[aiohttp.ClientResponse],
+    timeout_s: float,
 ) -> Answer:
-    async with request as response:
-        parts: list[bytes] = []
+    sent_s = uptime_s()
+    async with asyncio.timeout(timeout_s) as limit, request as response:
         began_s = uptime_s()
-        try:
-            async for part in response.content.iter_any():
-                parts.append(part)
-        except BaseException as error:
-            _tell_of_cut(response, parts, began_s, error)
-            raise
-        return Answer(response.status, b''.join(parts))
+        body = await _receive(response, limit)
+        return Answer(response.status, body, began_s - sent_s)
+
+
+async def _receive(
+    response: aiohttp.ClientResponse,
+    limit: asyncio.Timeout,
+) -> bytes:
+    """Return an answer's body; each part puts the limit off."""
+    parts: list[bytes] = []
+    began_s = uptime_s()
+    loop = asyncio.get_running_loop()
+    try:
+        limit.reschedule(loop.time() + STALL_TIMEOUT_S)
+        async for part in response.content.iter_any():
+            parts.append(part)
+            limit.reschedule(loop.time() + STALL_TIMEOUT_S)
+    except BaseException as error:
+        _tell_of_cut(response, parts, began_s, error)
+        raise
+    return b''.join(parts)
 
 
 def _tell_of_cut(
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -40,20 +40,19 @@
 PLATFORM_TABLES: Final = frozenset(('op', 'servers', 'status'))
 PLATFORM_PART: Final = ''
 
-#: What a feed may take beyond the wait that was asked for, in seconds.
+#: How long after the wait that was asked for a feed's answer must have begun,
+#: in seconds.
 FEED_SLACK_S: Final = 0.5
 
 #: The same after answers that did not come in time, in seconds: it doubles up
-#: to this, so that a large change gets through a slow link.
+#: to this, so that a congested link does not hold changes up for good.
 MOST_FEED_SLACK_S: Final = 2.0
 
-#: Rows in one reading of a table, of some 2 KB each: a host with 5 Mbit/s
-#: takes such a page in a third of a second. Parts that are read side by side
-#: share it.
+#: Rows in one reading of a table. Parts that are read side by side share it.
 PAGE_ROWS: Final = 100
 
-#: What one page may take, in seconds: a third of a second for the slowest
-#: link, and the answer of a store that is slow.
+#: When a page must have begun, in seconds: on a slow link the pages of other
+#: parts come before it.
 PAGE_TIMEOUT_S: Final = 1.5
 
 #: What the paths of the store's calls begin with.
@@ -107,7 +106,6 @@
         """Keep the paths."""
         self._caller = caller
         self._paths = paths
-        self._clock = clock
         self.absence = StoreAbsence(clock=clock)
         self._commit_timeout = ReplyTimeout()
         self._read_timeout = ReplyTimeout()
@@ -255,8 +253,11 @@
         path: str,
         **options: Any,
     ) -> Answer:
-        """Make a call whose timeout follows the replies before it."""
-        sent_s = self._clock.monotonic_s()
+        """Make a call whose timeout follows the replies before it.
+
+        What counts is when they began: how long they were is no sign of how
+        long the store takes.
+        """
         try:
             answer = await self._call(
                 method,
@@ -267,7 +268,7 @@
         except ReplyLostError:
             timeout.lost()
             raise
-        timeout.replied(self._clock.monotonic_s() - sent_s)
+        timeout.replied(answer.began_after_s)
         return answer
 
     async def _call(self, method: str, path: str, **options: Any) -> Answer:
