The end of a store's absence cuts off no answer that has begun

What callers saw: the same old configuration for one transfer longer. Cause: a large answer fills a slow link, small calls beside it time out for 0.6 s, the store counts as away, and with the next small answer as back; all calls under way were then given up, the large answer too, though most of it had arrived. Ruled out: leaving the calls under way to their own limits, which had the last hosts know of a return late. Change: a call whose answer has begun is waited for. Why it works: what was asked while the store was away has no answer begun.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -57,10 +57,12 @@
         fields: dict[str, Any] | msgspec.Raw | None = None,
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
+        begun: asyncio.Event | None = None,
     ) -> Answer:
         """Make one call.
 
         :param timeout_s: until the answer must have begun, in seconds.
+        :param begun: is set once it has.
         :raises CallNotSentError: if nothing was asked.
         :raises CallUnansweredError: if the effect is unknown.
         """
@@ -82,6 +84,7 @@
                         timeout=timeout,
                     ),
                     timeout_s,
+                    begun or asyncio.Event(),
                 )
         except (
             aiohttp.ClientConnectorError,
@@ -99,10 +102,12 @@
 async def _exchange(
     request: AbstractAsyncContextManager[aiohttp.ClientResponse],
     timeout_s: float,
+    begun: asyncio.Event,
 ) -> Answer:
     sent_s = uptime_s()
     async with asyncio.timeout(timeout_s) as limit, request as response:
         began_s = uptime_s()
+        begun.set()
         body = await _receive(response, limit)
         return Answer(response.status, body, began_s - sent_s)
 
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -273,11 +273,19 @@
 
     async def _call(self, method: str, path: str, **options: Any) -> Answer:
         address = self._paths.address
+        begun = asyncio.Event()
         call = asyncio.ensure_future(
-            call_store(self._caller, address, method, path, **options),
+            call_store(
+                self._caller,
+                address,
+                method,
+                path,
+                begun=begun,
+                **options,
+            ),
         )
         try:
-            answer = await self._answer_or_return(call, path)
+            answer = await self._answer_or_return(call, begun, path)
         except StoreReturnedError:
             raise
         except StorageError:
@@ -293,12 +301,13 @@
     async def _answer_or_return(
         self,
         call: asyncio.Future[Answer],
+        begun: asyncio.Event,
         path: str,
     ) -> Answer:
         """Return the answer, unless the store was away and is back.
 
-        What was asked while it was away is not answered any more: waited for,
-        the last of 25 hosts knew of the return 2.1 s after it.
+        What was asked while it was away is not answered any more. An answer
+        that has begun is on its way, and is received.
         """
         back = asyncio.ensure_future(self.absence.ended())
         try:
@@ -308,8 +317,8 @@
             )
         finally:
             back.cancel()
-        if call.done():
-            return call.result()
+        if call.done() or begun.is_set():
+            return await call
         raise StoreReturnedError(
             'The store was away when it was asked, and is back.',
             step=path,
