A host passes the store's answers on while they arrive

What callers saw: hosts that had lost their own way to the store stayed with an old configuration for good once it was large. Cause: the peer that passes a call on received the answer whole, within two seconds of which the feed's wait was a part, before it sent the first byte, and the host that asked waits half a second beyond the feed's wait for that byte. Ruled out: longer limits on both hosts, since the two transfers in turn alone take 3.9 s of the 3 s. Change: the call's answer is opened as it begins, and its parts are written to the host that asks as they come. What is broken off midway breaks the connection off, so that half an answer counts as none; a host that takes no more is cut off after 1 s. Why it works: the two transfers overlap, and each hop is bounded by its stalls.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -1,7 +1,8 @@
 """One HTTP call to a service of the platform or to a worker."""
 
 import asyncio
-from contextlib import AbstractAsyncContextManager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlsplit
 
@@ -22,6 +23,10 @@
 STALL_TIMEOUT_S: Final = 1.0
 
 
+#: Only connecting is bounded by the library; see :meth:`Caller.open`.
+_TIMEOUT: Final = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+
+
 class CallNotSentError(Exception):
     """No connection was made, so nothing was asked."""
 
@@ -41,6 +46,66 @@
     began_after_s: float = 0.0
 
 
+class ArrivingAnswer:
+    """An answer that has begun.
+
+    :param began_after_s: how long its first byte was waited for, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        response: aiohttp.ClientResponse,
+        limit: asyncio.Timeout,
+        began_after_s: float,
+    ) -> None:
+        """Take the limit over, which ended the wait so far."""
+        self.status = response.status
+        self.length_bytes = response.content_length
+        self.began_after_s = began_after_s
+        self._response = response
+        self._limit = limit
+        self._received_bytes = 0
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; a stall ends the call.
+
+        The time that the receiver takes for a part is no stall.
+        """
+        began_s = uptime_s()
+        try:
+            self._expect_part()
+            async for part in self._response.content.iter_any():
+                self._received_bytes += len(part)
+                self._limit.reschedule(None)
+                yield part
+                self._expect_part()
+        except BaseException as error:
+            self._tell_of_cut(uptime_s() - began_s, error)
+            raise
+
+    async def read(self) -> Answer:
+        """Return the whole answer."""
+        parts = [part async for part in self.parts()]
+        return Answer(self.status, b''.join(parts), self.began_after_s)
+
+    def _expect_part(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._limit.reschedule(now_s + STALL_TIMEOUT_S)
+
+    def _tell_of_cut(self, body_s: float, error: BaseException) -> None:
+        metrics.answers_cut.add(1)
+        metrics.answer_bytes_cut.add(self._received_bytes)
+        events.log(
+            'answer_cut',
+            peer=self._response.url.authority,
+            path=self._response.url.path,
+            received_bytes=self._received_bytes,
+            body_s=round(body_s, 3),
+            error=repr(error),
+        )
+
+
 class Caller:
     """Makes calls over connections that it keeps."""
 
@@ -48,7 +113,18 @@
         """Open no connection yet."""
         self._pools = ConnectionPools()
 
-    async def call(
+    async def call(self, method: str, url: str, **options: Any) -> Answer:
+        """Make one call and return its whole answer.
+
+        :param options: those of :meth:`open`.
+        :raises CallNotSentError: if nothing was asked.
+        :raises CallUnansweredError: if the effect is unknown.
+        """
+        async with self.open(method, url, **options) as answer:
+            return await answer.read()
+
+    @asynccontextmanager
+    async def open(
         self,
         method: str,
         url: str,
@@ -57,12 +133,10 @@
         fields: dict[str, Any] | msgspec.Raw | None = None,
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
-        begun: asyncio.Event | None = None,
-    ) -> Answer:
-        """Make one call.
+    ) -> AsyncIterator[ArrivingAnswer]:
+        """Make one call; enter once its answer has begun.
 
         :param timeout_s: until the answer must have begun, in seconds.
-        :param begun: is set once it has.
         :raises CallNotSentError: if nothing was asked.
         :raises CallUnansweredError: if the effect is unknown.
         """
@@ -71,20 +145,24 @@
         if fields is not None:
             body = msgspec.json.encode(fields)
             sent_headers['Content-Type'] = 'application/json'
-        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        sent_s = uptime_s()
         try:
-            async with self._pools.session(urlsplit(url).netloc) as session:
-                return await _exchange(
-                    session.request(
-                        method,
-                        url,
-                        data=body,
-                        params=params,
-                        headers=sent_headers,
-                        timeout=timeout,
-                    ),
-                    timeout_s,
-                    begun or asyncio.Event(),
+            async with (
+                self._pools.session(urlsplit(url).netloc) as session,
+                asyncio.timeout(timeout_s) as limit,
+                session.request(
+                    method,
+                    url,
+                    data=body,
+                    params=params,
+                    headers=sent_headers,
+                    timeout=_TIMEOUT,
+                ) as response,
+            ):
+                yield ArrivingAnswer(
+                    response=response,
+                    limit=limit,
+                    began_after_s=uptime_s() - sent_s,
                 )
         except (
             aiohttp.ClientConnectorError,
@@ -99,60 +177,9 @@
         await self._pools.close()
 
 
-async def _exchange(
-    request: AbstractAsyncContextManager[aiohttp.ClientResponse],
-    timeout_s: float,
-    begun: asyncio.Event,
-) -> Answer:
-    sent_s = uptime_s()
-    async with asyncio.timeout(timeout_s) as limit, request as response:
-        began_s = uptime_s()
-        begun.set()
-        body = await _receive(response, limit)
-        return Answer(response.status, body, began_s - sent_s)
-
-
-async def _receive(
-    response: aiohttp.ClientResponse,
-    limit: asyncio.Timeout,
-) -> bytes:
-    """Return an answer's body; each part puts the limit off."""
-    parts: list[bytes] = []
-    began_s = uptime_s()
-    loop = asyncio.get_running_loop()
-    try:
-        limit.reschedule(loop.time() + STALL_TIMEOUT_S)
-        async for part in response.content.iter_any():
-            parts.append(part)
-            limit.reschedule(loop.time() + STALL_TIMEOUT_S)
-    except BaseException as error:
-        _tell_of_cut(response, parts, began_s, error)
-        raise
-    return b''.join(parts)
-
-
-def _tell_of_cut(
-    response: aiohttp.ClientResponse,
-    parts: list[bytes],
-    began_s: float,
-    error: BaseException,
-) -> None:
-    """Tell of an answer that began and was not received to its end."""
-    received_bytes = sum(len(part) for part in parts)
-    metrics.answers_cut.add(1)
-    metrics.answer_bytes_cut.add(received_bytes)
-    events.log(
-        'answer_cut',
-        peer=response.url.authority,
-        path=response.url.path,
-        received_bytes=received_bytes,
-        body_s=round(uptime_s() - began_s, 3),
-        error=repr(error),
-    )
-
-
 __all__ = (
     'Answer',
+    'ArrivingAnswer',
     'CallNotSentError',
     'CallUnansweredError',
     'Caller',
--- a/src/curranthill/platform/relay.py
+++ b/src/curranthill/platform/relay.py
@@ -7,16 +7,24 @@
 from aiohttp import web
 
 from curranthill.clock import Clock
-from curranthill.errors import NotSentError, ReplyLostError, StorageError
-from curranthill.platform.calls import Caller
-from curranthill.platform.store import PATH_PREFIX, UNANSWERED, call_store
+from curranthill.errors import NotSentError, StorageError
+from curranthill.platform.calls import (
+    STALL_TIMEOUT_S,
+    ArrivingAnswer,
+    Caller,
+)
+from curranthill.platform.store import (
+    PATH_PREFIX,
+    UNANSWERED,
+    open_store_call,
+)
 from curranthill.storage.absence import StoreAbsence
 from curranthill.storage.paths import StorePaths
 from curranthill.tasks import tables
 from curranthill.telemetry import metrics
 
-#: How long the store may take for a call that is passed on, in seconds: the
-#: longest wait of the host that asks, for a page or a feed.
+#: When the store's answer to a call that is passed on must have begun, in
+#: seconds: the longest wait of the host that asks, for a page or a feed.
 RELAY_TIMEOUT_S: Final = 2.0
 
 #: How often the straight way is tried while another one is in use, in
@@ -52,8 +60,9 @@
         metrics.calls_relayed.add(1)
         body = await request.read()
         direct = self._paths.direct
+        response = web.StreamResponse()
         try:
-            answer = await call_store(
+            async with open_store_call(
                 self._caller,
                 direct,
                 request.method,
@@ -61,20 +70,50 @@
                 timeout_s=RELAY_TIMEOUT_S,
                 fields=msgspec.Raw(body) if body else None,
                 params=dict(request.query),
-            )
-        except NotSentError:
+            ) as answer:
+                await _pass_back(answer, request, response)
+        except StorageError as error:
             self._paths.failed(direct)
-            return web.Response(status=_REFUSED)
-        except ReplyLostError:
-            self._paths.failed(direct)
-            return web.Response(status=UNANSWERED)
+            if response.prepared:
+                return _break_off(request, response)
+            refused = isinstance(error, NotSentError)
+            return web.Response(status=_REFUSED if refused else UNANSWERED)
         self._paths.answered(direct)
-        metrics.bytes_relayed.add(len(answer.body))
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            content_type='application/json',
-        )
+        return response
+
+
+async def _pass_back(
+    answer: ArrivingAnswer,
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+) -> None:
+    """Pass an answer back while it arrives.
+
+    A peer that takes no more of it is cut off, and nothing is raised.
+    """
+    response.set_status(answer.status)
+    response.content_type = 'application/json'
+    response.content_length = answer.length_bytes
+    await response.prepare(request)
+    async for part in answer.parts():
+        metrics.bytes_relayed.add(len(part))
+        try:
+            async with asyncio.timeout(STALL_TIMEOUT_S):
+                await response.write(part)
+        except (TimeoutError, OSError):
+            _break_off(request, response)
+            return
+    await response.write_eof()
+
+
+def _break_off(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+) -> web.StreamResponse:
+    """Let the peer know that it has no whole answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return response
 
 
 class StoreProbe:
@@ -117,7 +156,7 @@
     async def _try_direct(self) -> None:
         direct = self._paths.direct
         try:
-            await call_store(
+            async with open_store_call(
                 self._caller,
                 direct,
                 'GET',
@@ -128,7 +167,8 @@
                     'part': tables.LEADERS_PARTITION,
                     'limit': '1',
                 },
-            )
+            ) as answer:
+                await answer.read()
         except StorageError:
             # Its way stays what it is; the change of way was logged.
             return
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -3,7 +3,8 @@
 import asyncio
 import base64
 import binascii
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from typing import Any, Final
 
 import msgspec
@@ -16,6 +17,7 @@
 )
 from curranthill.platform.calls import (
     Answer,
+    ArrivingAnswer,
     Caller,
     CallNotSentError,
     CallUnansweredError,
@@ -61,7 +63,9 @@
 #: What a peer answers if it does not know whether the store did a call.
 UNANSWERED: Final = 504
 
-_REFUSED: Final = frozenset((429, 503))
+#: Statuses of calls that were refused, or of which nobody knows the effect.
+_NO_OUTCOME: Final = frozenset((429, 503, UNANSWERED))
+
 _OK: Final = 200
 _GONE: Final = 410
 _CONFLICT: Final = 412
@@ -275,14 +279,7 @@
         address = self._paths.address
         begun = asyncio.Event()
         call = asyncio.ensure_future(
-            call_store(
-                self._caller,
-                address,
-                method,
-                path,
-                begun=begun,
-                **options,
-            ),
+            self._receive(begun, address, method, path, **options),
         )
         try:
             answer = await self._answer_or_return(call, begun, path)
@@ -298,6 +295,20 @@
         self.absence.answered()
         return answer
 
+    async def _receive(
+        self,
+        begun: asyncio.Event,
+        *call: str,
+        **options: Any,
+    ) -> Answer:
+        """Make a call and return its whole answer.
+
+        :param begun: is set once it has begun.
+        """
+        async with open_store_call(self._caller, *call, **options) as answer:
+            begun.set()
+            return await answer.read()
+
     async def _answer_or_return(
         self,
         call: asyncio.Future[Answer],
@@ -346,21 +357,28 @@
             ) from error
 
 
-async def call_store(
+@asynccontextmanager
+async def open_store_call(
     caller: Caller,
     address: str,
     method: str,
     path: str,
     **options: Any,
-) -> Answer:
-    """Make one call of the store, at its own address or at a peer's.
+) -> AsyncIterator[ArrivingAnswer]:
+    """Make one call of the store; enter once its answer has begun.
 
+    :param address: the store's own, or a peer's that passes calls on.
     :raises NotSentError: if nothing was done.
     :raises ReplyLostError: if the effect is unknown.
     """
     url = f'http://{address}{PATH_PREFIX}{path}'
     try:
-        answer = await caller.call(method, url, **options)
+        async with caller.open(method, url, **options) as answer:
+            if answer.status in _NO_OUTCOME:
+                # A connection is kept only if its answer was read.
+                await answer.read()
+                raise _error_of(answer.status, path, address)
+            yield answer
     except CallNotSentError as error:
         raise NotSentError(
             f'The store cannot be reached: {error}.',
@@ -373,19 +391,21 @@
             step=path,
             peer=address,
         ) from error
-    if answer.status in _REFUSED:
-        raise NotSentError(
-            f'The store refused with {answer.status}.',
-            step=path,
-            peer=address,
-        )
-    if answer.status == UNANSWERED:
-        raise ReplyLostError(
+
+
+def _error_of(status: int, path: str, address: str) -> StorageError:
+    """Return the error of a status that tells no outcome of the call."""
+    if status == UNANSWERED:
+        return ReplyLostError(
             'The store did not answer the host that passed the call on.',
             step=path,
             peer=address,
         )
-    return answer
+    return NotSentError(
+        f'The store refused with {status}.',
+        step=path,
+        peer=address,
+    )
 
 
 def _part_of(table: str, key: str) -> str:
@@ -427,5 +447,5 @@
     'PATH_PREFIX',
     'UNANSWERED',
     'PlatformStore',
-    'call_store',
+    'open_store_call',
 )
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -15,7 +15,9 @@
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import take_over
 from curranthill.entry import Closures, RevisionFollower
+from curranthill.errors import ReplyLostError
 from curranthill.placement import ActiveJob
+from curranthill.platform.calls import STALL_TIMEOUT_S
 from curranthill.platform.configuration import (
     TABLE,
     decode_closure,
@@ -216,16 +218,7 @@
 
         async def case(bench: Bench) -> None:
             put_configuration(bench, 1, BEFORE)
-            inner = SlowLink(
-                target=bench.store_address,
-                rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S,
-            )
-            await inner.open()
-            bench.closers.append(inner.close)
-            paths = StorePaths(direct=inner.address, peers=tuple)
-            relay = StoreRelay(caller=bench.caller, paths=paths)
-            runner, address = await serve(relay.handle)
-            bench.closers.append(runner.cleanup)
+            inner, address = await start_peer(bench)
             host = DistantHost(
                 bench,
                 SLOWEST_LINK_BYTES_PER_S,
@@ -241,6 +234,66 @@
         on_bench(case)
 
 
+class SilenceTest(unittest.TestCase):
+    """Connections that fall silent while they carry a large answer."""
+
+    def test_an_answer_that_stands_still_is_given_up(self) -> None:
+        """However much of it has come."""
+
+        async def case(bench: Bench) -> None:
+            hosts = await distant_hosts(bench, SLOWEST_LINK_BYTES_PER_S, (0.1,))
+            await self.lose_half(bench, hosts[0].store, hosts[0].link)
+
+        on_bench(case)
+
+    def test_half_of_an_answer_counts_as_none_through_a_peer(self) -> None:
+        """The peer cannot take back what it has passed on."""
+
+        async def case(bench: Bench) -> None:
+            link, address = await start_peer(bench)
+            store = PlatformStore(
+                caller=bench.caller,
+                paths=StorePaths(direct=address, peers=tuple),
+                clock=bench.clock,
+            )
+            await self.lose_half(bench, store, link)
+
+        on_bench(case)
+
+    async def lose_half(
+        self,
+        bench: Bench,
+        store: PlatformStore,
+        link: SlowLink,
+    ) -> None:
+        """Have a link fall silent halfway through an answer."""
+        put_configuration(bench, 2800, BEFORE + 1)
+        version = bench.rows.rows[TABLE, 'config'].version
+        reading = asyncio.ensure_future(store.changes(TABLE, version - 1, 0.0))
+        await asyncio.sleep(0.5)
+        link.silent = True
+        began_s = bench.clock.monotonic_s()
+        with self.assertRaises(ReplyLostError):
+            await reading
+        took_s = bench.clock.monotonic_s() - began_s
+        self.assertLess(took_s, 2 * STALL_TIMEOUT_S)
+
+
+async def start_peer(bench: Bench) -> tuple[SlowLink, str]:
+    """Start a host that passes calls on; return its link and its address."""
+    link = SlowLink(
+        target=bench.store_address,
+        rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S,
+    )
+    await link.open()
+    bench.closers.append(link.close)
+    paths = StorePaths(direct=link.address, peers=tuple)
+    relay = StoreRelay(caller=bench.caller, paths=paths)
+    runner, address = await serve(relay.handle)
+    bench.closers.append(runner.cleanup)
+    return link, address
+
+
 class TableTest(unittest.TestCase):
     """A table of several pages, read by a new leader."""
 
