A lost page of a table costs only itself

Cause: a new leader reads jobs, progress and workers page by page, in sixteen parts side by side. One page lost ended the whole reading: it began again at the first page, while the readings of the other parts went on beside it and took their share of the link for nothing. Evidence: the failing test, seven readings of four pages with one lost. Ruled out: fewer rows a page, which makes more pages to lose. Change: a reading is an object of its own that asks for a lost page up to three times once any page has come, and ends the readings of all parts together. While none has come the first loss ends it as before, since the store may be away. Why it works: a feed resumes at the version of the first page, so that what changes meanwhile comes once more.

--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -5,6 +5,7 @@
 import binascii
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any, Final
 
 import msgspec
@@ -23,6 +24,7 @@
     CallUnansweredError,
 )
 from curranthill.platform.decoding import Count, decode_fields
+from curranthill.platform.scan import TablePage, TableScan
 from curranthill.storage.absence import StoreAbsence
 from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import (
@@ -170,38 +172,15 @@
         parts = tables.partitions_of(table)
         if table in PLATFORM_TABLES:
             parts = (PLATFORM_PART,)
-        scans = await asyncio.gather(
-            *(
-                self._scan_part(table, part, PAGE_ROWS // len(parts))
-                for part in parts
-            ),
-        )
-        return RowChanges(
-            tuple(row for scan in scans for row in scan.rows),
-            # What changed while the others were read comes once more.
-            min(scan.version for scan in scans),
+        scan = TableScan(
+            read_page=partial(self._read_page, table),
+            page_rows=PAGE_ROWS // len(parts),
         )
+        return await scan.read(parts)
 
-    async def _scan_part(
-        self,
-        table: str,
-        part: str,
-        page_rows: int,
-    ) -> RowChanges:
-        """Return all rows of one part, page by page."""
-        rows: list[StoredRow] = []
-        version: int | None = None
-        params = {'part': part, 'limit': str(page_rows)}
-        while True:
-            fields = await self._get(table, params, self._page_timeout)
-            page = _rows(fields)
-            rows.extend(page)
-            if version is None:
-                version = fields.schema_ver
-            if not fields.has_more or not page:
-                return RowChanges(tuple(rows), version)
-            # The next key in byte order.
-            params['from'] = f'{page[-1].key}\0'
+    async def _read_page(self, table: str, params: dict[str, str]) -> TablePage:
+        fields = await self._get(table, params, self._page_timeout)
+        return TablePage(_rows(fields), fields.schema_ver, fields.has_more)
 
     async def changes(
         self,
