A leader's large writes hold up no heartbeat on a slow link

Cause: the progress of all changed jobs goes out in writes of up to 600 KB, 800 KB on the wire, 1.3 s on a free link of 5 Mbit/s. The limit of a write is 0.3 s at first and 1.5 s at most, so it was sent up to four times, and no heartbeat went out meanwhile. Evidence: the failing test, a leader with 7,200 running tasks silent for 3.2 s, above the 1.4 s after which it is replaced, by a host with the same link. Ruled out: a longer limit, since the heartbeat would wait all the same. Change: 64 KB a write; what one job has beyond that goes alone. Why it works: each write carries the heartbeat and takes 0.14 s of that link.

--- a/src/curranthill/dispatch/journal.py
+++ b/src/curranthill/dispatch/journal.py
@@ -12,9 +12,9 @@
 #: Most jobs in one write; the platform takes 100 entries a call.
 JOBS_PER_WRITE: Final = 64
 
-#: Most bytes of progress in one write; the platform takes 1 MB a call, and
-#: its encoding makes three bytes into four.
-BYTES_PER_WRITE: Final = 600_000
+#: Most bytes of progress in one write, unless one job has more. Each write
+#: carries the heartbeat, which a large one would hold up on a slow link.
+BYTES_PER_WRITE: Final = 64_000
 
 #: The leader writes at least so often, in seconds, so that others see it
 #: alive; a standby takes over after some four silent intervals.
@@ -91,12 +91,13 @@
         size = 0
         for job in jobs:
             content = encode(job.progress)
-            if len(batch) >= JOBS_PER_WRITE or size > BYTES_PER_WRITE:
+            size += len(content)
+            full = len(batch) >= JOBS_PER_WRITE or size > BYTES_PER_WRITE
+            if batch and full:
                 await self._leadership.write(batch)
                 batch = []
-                size = 0
+                size = len(content)
             batch.append(RowPut(tables.PROGRESS, job.spec.job_id, content))
-            size += len(content)
         if self._pending != self._pending_written:
             batch.append(
                 RowPut(tables.LEADER, tables.PENDING_KEY, self._pending),
