A host decides nothing by a configuration that may be outdated

What callers saw: 200 by a queue that had been replaced, 404 and 401 against a queue or key that had been added, from hosts whose reading of the operators' rows had failed for seconds. Cause: what a host had last read counted as in force, however long ago that was. Ruled out: refusing only while a reading has just failed, since a reading that hangs or arrives has not failed. Change: the age of what is known, which closed data centres are already held against, bounds the configuration as well: past the time that a change may take to be in force, the host answers 503, not run, come back in a second, and is not ready. A feed that was empty for its whole wait tells that nothing changed until its end, not only until it was asked; after an answer with rows the next one is asked for at once, so that a long transfer leaves no old knowledge. Without a bound in the settings nothing changes. Why it works: a change that was acknowledged for longer than the bound lies before the moment up to which the host knows all.

--- a/src/curranthill/entry/closures.py
+++ b/src/curranthill/entry/closures.py
@@ -41,7 +41,7 @@
 class Closures:
     """Which data centres are closed, as far as this host knows.
 
-    :param read_s: as of when all rows are known, in seconds of the clock.
+    :param read_s: up to when all rows are known, in seconds of the clock.
     :param decode: returns the data centre that a row closes, or nothing for
         other rows; raises :class:`MalformedRecordError` for one that closes
         none that can be told.
@@ -74,12 +74,9 @@
         """Return whether a task may start in a data centre now."""
         return self._is_known() and data_centre not in self.closed
 
-    def confirm(self, asked_s: float) -> None:
-        """Take note that all rows are known as of a moment.
-
-        :param asked_s: when the reading that was answered was asked for.
-        """
-        self.read_s = max(self.read_s, asked_s)
+    def confirm(self, until_s: float) -> None:
+        """Take note that all rows are known up to a moment."""
+        self.read_s = max(self.read_s, until_s)
 
     def take_all(self, rows: tuple[StoredRow, ...]) -> None:
         """Take the operators' rows in place of all before."""
--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -1,6 +1,7 @@
 """Follows the configuration in the store; it never goes back."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -26,10 +27,13 @@
 class RevisionFollower:
     """Holds the configuration in force on this host.
 
-    :param closures: is given the same rows, of which some close data centres.
+    :param closures: is given the same rows, of which some close data centres,
+        and knows how old the knowledge of them is.
     :param decode: returns a row's configuration, or nothing for other rows;
         raises :class:`MalformedRecordError` for one that can't be read, and
         what is in force stays so.
+    :param in_force_s: how soon a change must be in force, in seconds; 0 for
+        no bound.
     """
 
     def __init__(
@@ -40,9 +44,12 @@
         table: str,
         decode: RevisionDecoder,
         closures: Closures,
+        in_force_s: float = 0.0,
     ) -> None:
         """Start without a configuration."""
         self.current: Revision | None = None
+        self._in_force_s = in_force_s or math.inf
+        self._was_fresh = True
         self._clock = clock
         self._decode = decode
         self._closures = closures
@@ -63,6 +70,20 @@
         self._checked.set()
         await asyncio.gather(self._follower.follow(), self._check_again())
 
+    @property
+    def is_fresh(self) -> bool:
+        """Return whether every change that is due by now would be known."""
+        age_s = self._closures.age_s
+        fresh = age_s < self._in_force_s
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            events.log(
+                'revision_fresh' if fresh else 'revision_stale',
+                number=self.current.number if self.current else -1,
+                age_s=round(age_s, 2),
+            )
+        return fresh
+
     def doubt(self) -> None:
         """Read the configuration again: it may have changed unseen."""
         self._checked.clear()
--- a/src/curranthill/platform/front.py
+++ b/src/curranthill/platform/front.py
@@ -17,8 +17,9 @@
 #: How long a caller waits that does not say so, in seconds.
 PATIENCE_S: Final = 3.0
 
-#: When to come back to a host that has no configuration yet, in seconds.
-STARTING_RETRY_S: Final = 1.0
+#: When to come back to a host that must read its configuration first, in
+#: seconds.
+UNREAD_RETRY_S: Final = 1.0
 
 _BEARER: Final = 'Bearer '
 
@@ -113,17 +114,15 @@
     async def _revision(self) -> Revision:
         """Return the configuration to go by.
 
-        :raises RefusedError: if there is none yet, or none since a pause.
+        :raises RefusedError: if there is none yet, or none since a pause, or
+            if it may have been replaced for longer than changes may take.
         """
         revision = self._revisions.current
-        if revision is not None and await self._revisions.checked():
-            return self._revisions.current or revision
-        raise RefusedError(
-            'This host has not read its configuration yet.',
-            step='route',
-            status=503,
-            retry_after_s=STARTING_RETRY_S,
-        )
+        if revision is None or not await self._revisions.checked():
+            raise _unread('This host has not read its configuration yet.')
+        if not self._revisions.is_fresh:
+            raise _unread('The configuration of this host may be outdated.')
+        return self._revisions.current or revision
 
     async def _submit(
         self,
@@ -215,6 +214,15 @@
     return body
 
 
+def _unread(reason: str) -> RefusedError:
+    return RefusedError(
+        reason,
+        step='configuration',
+        status=503,
+        retry_after_s=UNREAD_RETRY_S,
+    )
+
+
 def _summary(step: Step) -> dict[str, Any]:
     """Return what a log line tells of a step: its fields that are set."""
     fields = step._asdict()
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -80,12 +80,13 @@
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here.
 
-        A host that cannot reach the store accepts nothing, so callers are
-        better served elsewhere; if no host can, the balancer uses all.
+        A host that cannot reach the store accepts nothing, and one whose
+        configuration may be outdated refuses, so callers are better served
+        elsewhere; if no host is ready, the balancer uses all.
         """
         if self._stopping or self._revisions.current is None:
             return False
-        return self._health.reachable
+        return self._health.reachable and self._revisions.is_fresh
 
     @property
     def callers_address(self) -> str:
@@ -125,6 +126,7 @@
             table=TABLE,
             decode=decode_revision,
             closures=self._closures,
+            in_force_s=settings.timing.in_force_s,
         )
         self._health = StoreHealth(clock=clock)
         self._store.absence.on_end(self._health.answered)
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -101,8 +101,9 @@
         far_factor=bounds.get('far_x', plain.far_factor),
         restore_s=bounds.get('restore_ms', plain.restore_s * 1000) / 1000,
         grace_s=bounds.get('grace_s', plain.grace_s),
-        # Only a bound that the platform names is in force.
+        # Only bounds that the platform names are in force.
         evacuate_s=bounds.get('evacuate_ms', 0.0) / 1000,
+        in_force_s=bounds.get('config_apply_ms', 0.0) / 1000,
     )
 
 
--- a/src/curranthill/storage/follower.py
+++ b/src/curranthill/storage/follower.py
@@ -22,13 +22,8 @@
 
 RowsTaker = Callable[[tuple[StoredRow, ...]], None]
 
-#: Is given the moment at which a reading was asked for that was answered: all
-#: that was changed before is known now.
-ReadingTaker = Callable[[float], None]
-
-
-def _pass_over(asked_s: float) -> None:
-    """Take no note of a reading."""
+#: Is given a moment: all that was changed before it is known now.
+KnowledgeTaker = Callable[[float], None]
 
 
 class TableSource(Protocol):
@@ -51,7 +46,8 @@
 
     :param take_all: is given all rows of the table.
     :param take_changes: is given changed and removed rows, in order.
-    :param confirm: is told of each reading, once its rows are taken.
+    :param confirm: is told after each reading, once its rows are taken, up to
+        when the table is known, in seconds of the clock.
     :param gather_s: how long changes are gathered at the store after some
         were read, in seconds; the first change after a rest comes at once.
     """
@@ -64,7 +60,7 @@
         table: str,
         take_all: RowsTaker,
         take_changes: RowsTaker,
-        confirm: ReadingTaker = _pass_over,
+        confirm: KnowledgeTaker | None = None,
         gather_s: float = 0.0,
     ) -> None:
         """Start with nothing read."""
@@ -78,6 +74,7 @@
         self._version = 0
         self._readings = 0
         self._failures = 0
+        self._asks_at_once = False
 
     async def read(self) -> None:
         """Read the whole table; return once it is read."""
@@ -95,7 +92,7 @@
             self._version = listed.version
             self._readings += 1
             self._take_all(listed.rows)
-            self._confirm(asked_s)
+            self._note_known(asked_s)
             return
 
     async def follow(self) -> None:
@@ -103,8 +100,13 @@
         while True:
             asked_s = self._clock.monotonic_s()
             readings = self._readings
+            wait_s = self._wait_s()
             try:
-                changes = await self._changes()
+                changes = await self._store.changes(
+                    self._table,
+                    self._version,
+                    wait_s,
+                )
             except HistoryLostError:
                 events.log('feed_history_lost', table=self._table)
                 await self.read()
@@ -117,12 +119,16 @@
                 # The table was read meanwhile, and may be newer than this.
                 continue
             self._take(changes)
-            self._confirm(asked_s)
             if changes.rows:
+                self._note_known(asked_s)
                 await self._gather()
+            else:
+                # Nothing changed before the end of the wait.
+                self._note_known(asked_s + wait_s)
 
     def _take(self, changes: RowChanges) -> None:
         self._version = max(self._version, changes.version)
+        self._asks_at_once = bool(changes.rows) and self._confirm is not None
         if changes.rows:
             self._take_changes(changes.rows)
 
@@ -130,14 +136,19 @@
         if self._gather_s:
             await self._clock.sleep(self._gather_s)
 
-    async def _changes(self) -> RowChanges:
-        return await self._store.changes(
-            self._table,
-            self._version,
-            # After a failure an answer at once: what was missed is known
-            # 0.3 s after a silent second in place of 1.3 s.
-            0.0 if self._failures else FEED_WAIT_S,
-        )
+    def _wait_s(self) -> float:
+        """Return how long the next reading waits for news, in seconds.
+
+        After a failure changes may have been missed, and after a long answer
+        the table is known only up to a moment before it.
+        """
+        if self._failures or self._asks_at_once:
+            return 0.0
+        return FEED_WAIT_S
+
+    def _note_known(self, until_s: float) -> None:
+        if self._confirm is not None:
+            self._confirm(min(until_s, self._clock.monotonic_s()))
 
     async def _wait_after(self, error: StorageError) -> None:
         """Log only the first failure of a series: an outage has hundreds."""
--- a/src/curranthill/tasks/records.py
+++ b/src/curranthill/tasks/records.py
@@ -245,6 +245,8 @@
     :param restore_s: what resuming from a checkpoint takes.
     :param evacuate_s: how soon after its closing no task starts in a data
         centre any more; 0 if nobody asks for a bound.
+    :param in_force_s: how soon after its acknowledgement a configuration is in
+        force on every host; 0 if nobody asks for a bound.
     """
 
     lease_s: float = 6.0
@@ -255,6 +257,7 @@
     restore_s: float = 0.25
     grace_s: float = 6.0
     evacuate_s: float = 5.0
+    in_force_s: float = 0.0
 
 
 __all__ = (
--- a/tests/test_stale_configuration.py
+++ b/tests/test_stale_configuration.py
@@ -23,6 +23,7 @@
     status,
     until,
 )
+from tests.test_store_return import KNOWN_S
 
 #: How soon a change must be in force, in seconds: the least that any
 #: deployment asks for.
@@ -135,3 +136,21 @@
             self.assertEqual(await status(caller.get('/quick/')), 200)
 
         on_host(case, in_force_s=0)
+
+    def test_a_host_decides_again_soon_after_the_stores_return(self) -> None:
+        """Callers that were told to come back in a second are served."""
+
+        async def case(
+            bench: Bench,
+            host: HostDaemon,
+            caller: aiohttp.ClientSession,
+        ) -> None:
+            bench.store_server.connections.paused = True
+            await asyncio.sleep(IN_FORCE_S + FEED_WAIT_S)
+            self.assertEqual(await status(caller.get('/quick/')), 503)
+            bench.store_server.connections.paused = False
+            await asyncio.sleep(KNOWN_S)
+            self.assertEqual(await status(caller.get('/quick/')), 200)
+            self.assertTrue(host.is_ready)
+
+        on_host(case, in_force_s=IN_FORCE_S)
