Large objects and results are received to their end

Its client of the platform and that of workers bounded a call as a whole by 2 s. Ruled out: a limit by size, which needs the rate of a link. Change: reading an object, a row or a result ends only when nothing comes for 2 s. Calls that send something keep their limit as a whole: the library does not tell how far a body has been sent. Why it works: a silent peer is found out as soon as before.

--- a/src/curranthill/storage/http.py
+++ b/src/curranthill/storage/http.py
@@ -13,8 +13,18 @@
 from curranthill.storage.records import Page, Row, Transaction
 from curranthill.telemetry.metrics import metrics
 
+#: The longest a call that sends something may take, and how long an answer
+#: to any other may stand still, in seconds.
 REQUEST_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
+_WRITE_TIMEOUT = aiohttp.ClientTimeout(
+    total=REQUEST_TIMEOUT_S,
+    sock_connect=CONNECT_TIMEOUT_S,
+)
+_READ_TIMEOUT = aiohttp.ClientTimeout(
+    sock_read=REQUEST_TIMEOUT_S,
+    sock_connect=CONNECT_TIMEOUT_S,
+)
 _HTTP_OK = 200
 _HTTP_NOT_MODIFIED = 304
 _HTTP_NOT_FOUND = 404
@@ -54,16 +64,12 @@
         :param writes: whether a lost reply leaves the effect unknown.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(
-                    total=REQUEST_TIMEOUT_S,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                ),
-            )
+            self._session = aiohttp.ClientSession()
         try:
             async with self._session.request(
                 method,
                 f'{self._url}{path}',
+                timeout=_READ_TIMEOUT if method == 'GET' else _WRITE_TIMEOUT,
                 **options,
             ) as reply:
                 body = await reply.read()
--- a/src/curranthill/workers/http.py
+++ b/src/curranthill/workers/http.py
@@ -36,6 +36,9 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
+
+#: The longest a call may take that brings no result, and how long a result
+#: may stand still on its way, in seconds.
 CALL_TIMEOUT_S = 2.0
 
 #: Connections kept open to one worker by one process.
@@ -158,7 +161,10 @@
         answer = await self._call(
             'GET',
             f'results/{job}/{attempt}',
-            timeout_s=CALL_TIMEOUT_S,
+            limits=aiohttp.ClientTimeout(
+                sock_read=CALL_TIMEOUT_S,
+                sock_connect=CONNECT_TIMEOUT_S,
+            ),
         )
         return answer.body
 
@@ -167,7 +173,7 @@
         answer = await self._call(
             'POST',
             f'quick/{request.service}/{request.kind}',
-            timeout_s=request.deadline_s,
+            limits=_within(request.deadline_s),
             data=request.body,
             headers={
                 'Request-Id': request.request_id,
@@ -183,7 +189,8 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
-        answer = await self._call('POST', step, timeout_s=timeout_s, json=body)
+        limits = _within(timeout_s)
+        answer = await self._call('POST', step, limits=limits, json=body)
         return json.loads(answer.body)
 
     async def _call(
@@ -191,14 +198,10 @@
         method: str,
         step: str,
         *,
-        timeout_s: float,
+        limits: aiohttp.ClientTimeout,
         **options: Any,
     ) -> _Answer:
         url = f'{self._address}/v1/{step}'
-        limits = aiohttp.ClientTimeout(
-            total=timeout_s,
-            sock_connect=CONNECT_TIMEOUT_S,
-        )
         try:
             async with self._session.request(
                 method,
@@ -286,6 +289,14 @@
     return WorkerClients(at=at, close=session.close)
 
 
+def _within(timeout_s: float) -> aiohttp.ClientTimeout:
+    """Return the limits of a call whose whole answer comes in time."""
+    return aiohttp.ClientTimeout(
+        total=timeout_s,
+        sock_connect=CONNECT_TIMEOUT_S,
+    )
+
+
 def _token(token: Token) -> dict[str, Any]:
     return {'epoch': token.epoch, 'holder': token.holder}
 
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -11,6 +11,8 @@
 from collections.abc import Sequence
 from typing import Final
 
+from aiohttp import web
+
 from curranthill.dispatch.election import SILENCE_S
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import take_over
@@ -27,9 +29,11 @@
 from curranthill.platform.store import PAGE_ROWS, PlatformStore
 from curranthill.storage.absence import AWAY_S
 from curranthill.storage.follower import TableFollower
+from curranthill.storage.http import content_digest, http_platform
 from curranthill.storage.paths import StorePaths
 from curranthill.storage.rows import RowPut, StoredRow
 from curranthill.tasks import JobProgress, TaskKey, tables
+from curranthill.workers import AttemptId, http_worker_clients
 from tests.domain import make_spec
 from tests.platform_standin import serve
 from tests.slow_link import SlowLink
@@ -62,6 +66,9 @@
     'priority': 0,
 }
 
+#: What a job left behind, in bytes.
+RESULT: Final = bytes(2_000_000)
+
 #: The configuration before it grows, as its version.
 BEFORE: Final = 7
 
@@ -294,6 +301,38 @@
     return link, address
 
 
+class ObjectTest(unittest.TestCase):
+    """Objects and results of a job, read by the scheduler of a data centre."""
+
+    def test_a_large_object_and_a_large_result_are_read_whole(self) -> None:
+        """Each takes 3.2 s of the slowest link."""
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            headers = {'Content-Digest': content_digest(RESULT)}
+            return web.Response(body=RESULT, headers=headers)
+
+        async def case(bench: Bench) -> None:
+            runner, address = await serve(answer)
+            bench.closers.append(runner.cleanup)
+            link = SlowLink(
+                target=address,
+                rate_bytes_per_s=SLOWEST_LINK_BYTES_PER_S,
+            )
+            await link.open()
+            bench.closers.append(link.close)
+            url = f'http://{link.address}'
+            platform = http_platform(url)
+            bench.closers.append(platform.close)
+            clients = http_worker_clients()
+            bench.closers.append(clients.close)
+            self.assertEqual(await platform.objects.get('name'), RESULT)
+            worker = clients.at(url)
+            fetched = await worker.fetch_result(AttemptId('job', 1))
+            self.assertEqual(fetched, RESULT)
+
+        on_bench(case)
+
+
 class TableTest(unittest.TestCase):
     """A table of several pages, read by a new leader."""
 
