A peer that leaves is not taken for a lost store

Cause: the answer to a peer is written while the store's is open, so an error of the peer's connection counted as one of the store's and changed the way of the host that passed the call on. A part of up to 128 KB also had to pass within one stall. Change: errors of writing have a type of their own, parts have 32 KB at most.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -23,6 +23,10 @@
 STALL_TIMEOUT_S: Final = 1.0
 
 
+#: The most bytes of an answer that are handed on at once: whoever passes them
+#: on over a slow link shows progress within a stall.
+PART_BYTES: Final = 32_768
+
 #: Only connecting is bounded by the library; see :meth:`Caller.open`.
 _TIMEOUT: Final = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
 
@@ -75,7 +79,7 @@
         began_s = uptime_s()
         try:
             self._expect_part()
-            async for part in self._response.content.iter_any():
+            async for part in self._response.content.iter_chunked(PART_BYTES):
                 self._received_bytes += len(part)
                 self._limit.reschedule(None)
                 yield part
--- a/src/curranthill/platform/relay.py
+++ b/src/curranthill/platform/relay.py
@@ -1,6 +1,7 @@
 """Passes other hosts' calls on to the store, for hosts that have lost it."""
 
 import asyncio
+from collections.abc import Awaitable
 from typing import Final
 
 import msgspec
@@ -41,6 +42,10 @@
 _REFUSED: Final = 503
 
 
+class _PeerGoneError(Exception):
+    """The host that asked takes no more of its answer."""
+
+
 class StoreRelay:
     """Answers peers with what the store says, and keeps nothing.
 
@@ -72,6 +77,8 @@
                 params=dict(request.query),
             ) as answer:
                 await _pass_back(answer, request, response)
+        except _PeerGoneError:
+            return _break_off(request, response)
         except StorageError as error:
             self._paths.failed(direct)
             if response.prepared:
@@ -89,21 +96,28 @@
 ) -> None:
     """Pass an answer back while it arrives.
 
-    A peer that takes no more of it is cut off, and nothing is raised.
+    :raises _PeerGoneError: if the peer takes no more of it.
     """
     response.set_status(answer.status)
     response.content_type = 'application/json'
     response.content_length = answer.length_bytes
-    await response.prepare(request)
+    await _send(response.prepare(request))
     async for part in answer.parts():
         metrics.bytes_relayed.add(len(part))
-        try:
-            async with asyncio.timeout(STALL_TIMEOUT_S):
-                await response.write(part)
-        except (TimeoutError, OSError):
-            _break_off(request, response)
-            return
-    await response.write_eof()
+        await _send(response.write(part))
+    await _send(response.write_eof())
+
+
+async def _send(step: Awaitable[object]) -> None:
+    """Do one step of an answer to a peer.
+
+    Its errors must not be taken for those of the store's answer.
+    """
+    try:
+        async with asyncio.timeout(STALL_TIMEOUT_S):
+            await step
+    except (TimeoutError, OSError) as error:
+        raise _PeerGoneError from error
 
 
 def _break_off(
