Blank line and default value of an answer as a reader expects them

Why: a default of 0 for how long an answer was waited for would teach the timeouts that follow replies a wrong figure; no caller used it. Change: none is left.

--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -22,7 +22,6 @@
 #: counts for nothing: a large one over a slow link is received to its end.
 STALL_TIMEOUT_S: Final = 1.0
 
-
 #: The most bytes of an answer that are handed on at once: whoever passes them
 #: on over a slow link shows progress within a stall.
 PART_BYTES: Final = 32_768
@@ -47,7 +46,7 @@
 
     status: int
     body: bytes
-    began_after_s: float = 0.0
+    began_after_s: float
 
 
 class ArrivingAnswer:
