Tests that replace a host's calls replace the one that is made now

Why: answers are entered as they begin, so a stand-in that replaced the call as a whole no longer stood in the way of the store's client: the decoders' drawn answers failed, and the host that starts while no call is sent would have passed without its fault.

--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 import unittest
-from collections.abc import Iterator
-from contextlib import suppress
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, suppress
 from typing import Any, Final
 from unittest.mock import patch
 
@@ -178,12 +178,27 @@
 
     def __init__(self, body: bytes, status: int = 200) -> None:
         """Keep the answer."""
-        self._answer = Answer(status, body)
+        self.status = status
+        self._answer = Answer(status, body, 0.0)
 
     async def call(self, method: str, url: str, **options: Any) -> Answer:
         """Return the answer."""
         return self._answer
 
+    @asynccontextmanager
+    async def open(
+        self,
+        method: str,
+        url: str,
+        **options: Any,
+    ) -> AsyncIterator['FixedAnswer']:
+        """Enter at the beginning of the answer, which this object is too."""
+        yield self
+
+    async def read(self) -> Answer:
+        """Return the answer."""
+        return self._answer
+
 
 ORDER: Final = StartOrder(FIRST, 1, 'text', 5.0, 1)
 RENEWAL: Final = LeaseOrder(1, 0, 5.0, 0.0)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -411,13 +411,13 @@
             bench.rows.apply((), (RowPut('op', 'config', content),), ())
             host = make_host(bench, 'front-1', bench.store_address)
             bench.closers.append(host.app.stop)
-            with patch.object(Caller, 'call', side_effect=not_sent):
+            with patch.object(Caller, 'open', side_effect=not_sent):
                 await host.app.start()
             await until(lambda: bool(host.is_ready))
 
         on_bench(case)
 
 
-async def not_sent(*args: Any, **options: Any) -> None:
+def not_sent(*args: Any, **options: Any) -> None:
     """Fail as a call to a closed port does."""
     raise CallNotSentError('nobody listens')
