The soak grows the configuration, slows links and asks by which version hosts decide

Why: neither the soak nor the tests had a configuration larger than a few queues or a link slower than loopback, and nothing asked a disturbed host whether it still decided. Change: a proxy mode of 5 Mbit/s, a fault that makes the configuration 500 or 2,000 queues larger, and a check: each version has a queue of its own, and a host that answers by a version which was replaced over 3 s before breaks the promise, however its link is disturbed.

--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets, cuts one way or silences a peer."""
+"""A loopback proxy that delays, slows, resets, cuts or silences a peer."""
 
 import asyncio
 import math
@@ -7,12 +7,23 @@
 
 from curranthill.clock import uptime_s
 
-Mode = Literal['pass', 'delay', 'reset', 'silent', 'one_way', 'mute']
+Mode = Literal[
+    'pass',
+    'delay',
+    'slow',
+    'reset',
+    'silent',
+    'one_way',
+    'mute',
+]
 
 #: What the ``delay`` mode adds to each piece of data, in seconds.
 DELAY_S: Final = 0.15
 
-PIECE_BYTES: Final = 65_536
+#: What the ``slow`` mode lets through, in bytes a second and connection.
+SLOW_BYTES_PER_S: Final = 5e6 / 8
+
+PIECE_BYTES: Final = 16_384
 
 
 class Proxy:
@@ -99,6 +110,8 @@
             while piece := await reader.read(PIECE_BYTES):
                 if self.mode == 'delay':
                     await asyncio.sleep(DELAY_S)
+                if self.mode == 'slow':
+                    await asyncio.sleep(len(piece) / SLOW_BYTES_PER_S)
                 if self._swallows(writer, back=back):
                     continue
                 writer.write(piece)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -18,6 +18,7 @@
 
 MODES: Final[tuple[Mode, ...]] = (
     'delay',
+    'slow',
     'reset',
     'silent',
     'one_way',
@@ -96,6 +97,13 @@
         await asyncio.sleep(0.05)
 
 
+@fault
+async def large_configuration(soak: 'Soak') -> None:
+    """Have the configuration grow by many queues, or shrink again."""
+    soak.revisions.padding = soak.random.choice((0, 500, 2000))
+    soak.configure()
+
+
 @fault
 async def worker_link(soak: 'Soak') -> None:
     """Disturb the link to a worker."""
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -30,10 +30,10 @@
 from bench.soak_callers import SoakCallers
 from bench.soak_closings import SoakClosings
 from bench.soak_faults import FAULTS
+from bench.soak_revisions import IN_FORCE_S, QUEUE, SoakRevisions
 from bench.soak_workers import SoakWorkers
 from curranthill.clock import SystemClock
 from curranthill.standin.rows import RowModel
-from curranthill.storage.rows import RowPut
 from curranthill.tasks import COMPLETED, FAILED, JobProgress, decode
 from tests.platform_standin import StoreServer, serve
 from tests.promises import PromiseWatch
@@ -61,22 +61,16 @@
 #: in more than the workers do in that time, with all accelerators in use.
 HEALING_S: Final = 45.0
 
-CONFIGURATION: Final = {
-    'routes': [
-        {
-            'name': f'queue-{priority}',
-            'host': 'jobs.example',
-            'path_prefix': f'/q{priority}/',
-            'priority': priority,
-            'service': 'calc',
-            'attempts': ATTEMPTS,
-            'slack_factor': 2.0,
-            'target_completion_ms': 500,
-            'public': True,
-        }
-        for priority in range(3)
-    ],
-}
+QUEUES: Final = tuple(
+    {
+        **QUEUE,
+        'name': f'queue-{priority}',
+        'path_prefix': f'/q{priority}/',
+        'priority': priority,
+        'attempts': ATTEMPTS,
+    }
+    for priority in range(3)
+)
 
 
 class Soak:
@@ -114,6 +108,13 @@
             clock=SystemClock(),
         )
         self._addresses: list[str] = []
+        self.revisions = SoakRevisions(
+            rows=self.rows,
+            clock=SystemClock(),
+            addresses=self._addresses,
+            queues=QUEUES,
+            drawn=random.Random(seed),  # noqa: S311
+        )
         self._callers = SoakCallers(
             addresses=self._addresses,
             drawn=self.random,
@@ -126,7 +127,6 @@
         self._faults = faults or sorted(FAULTS)
         self._fault_s = fault_s
         self._folder = folder
-        self._revision = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._closing = False
         self._starting: set[asyncio.Future[asyncio.subprocess.Process]] = set()
@@ -144,15 +144,18 @@
             'accepted': len(self._callers.accepted),
             'refused': len(self._callers.refused),
             'injected': self.injected,
-            'faults': sorted({*self._watch.faults, *self.closings.late}),
+            'faults': sorted(
+                {
+                    *self._watch.faults,
+                    *self.closings.late,
+                    *self.revisions.outdated,
+                },
+            ),
         }
 
     def configure(self) -> None:
         """Put the next revision of the configuration in force."""
-        self._revision += 1
-        content = json.dumps({**CONFIGURATION, 'version': self._revision})
-        put = RowPut('op', 'config', content.encode())
-        self.rows.apply((), (put,), ())
+        self.revisions.write()
 
     def draw_host(self) -> int:
         """Return the number of some host."""
@@ -184,6 +187,7 @@
         self._spawn(self._look())
         await self._until_ready()
         self._spawn(self._callers.run())
+        self._spawn(self.revisions.run())
 
     def _write_settings(self, number: int, proxy: Proxy) -> str:
         ports = [free_port() for _ in range(4)]
@@ -197,7 +201,11 @@
             },
             'port_range': [ports[2], ports[3]],
             'platform': {'address': proxy.address},
-            'bounds': {'max_hold_ms': 6000, 'grace_s': 2},
+            'bounds': {
+                'max_hold_ms': 6000,
+                'grace_s': 2,
+                'config_apply_ms': IN_FORCE_S * 1000,
+            },
         }
         path = self._folder / f'h{number}.json'
         path.write_text(json.dumps(settings), 'utf-8')
