--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -15,16 +16,24 @@
 from curranthill.configuration import checked, merge, read_folder
 
 HOST = '127.0.0.1'
+
+#: Ports below those that the system gives out by itself.
+RESERVED_PORTS = range(12_000, 32_000)
 ROOT = Path(__file__).parent.parent
 READY_S = 30.0
 KEY = 'bench-key'
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that was free a moment ago.
+
+    No connection or server without a port of its own takes it meanwhile.
+    """
+    while True:
+        port = random.choice(RESERVED_PORTS)  # noqa: S311
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def get_json(url: str) -> Any:
