The soak changes the configuration while no host can read it

Change: a fault that leaves the operators' rows unanswered, changes the configuration and goes on for up to 6 s.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -104,6 +104,16 @@
     soak.configure()
 
 
+@fault
+async def configuration_unread(soak: 'Soak') -> None:
+    """Change the configuration while no host can read it."""
+    soak.store.silent_tables.add('op')
+    await asyncio.sleep(soak.random.uniform(0.5, 1.5))
+    soak.configure()
+    await asyncio.sleep(soak.random.uniform(0.5, 6.0))
+    soak.store.silent_tables.clear()
+
+
 @fault
 async def worker_link(soak: 'Soak') -> None:
     """Disturb the link to a worker."""
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -93,6 +93,7 @@
         """Make the stand-ins; nothing is started yet."""
         self.random = random.Random(seed)  # noqa: S311
         self.rows = RowModel(clock=SystemClock())
+        self.store = StoreServer(model=self.rows)
         self.processes: list[asyncio.subprocess.Process] = []
         self.started: list[asyncio.subprocess.Process] = []
         self.store_proxies: list[Proxy] = []
@@ -176,7 +177,7 @@
 
     async def _open(self) -> None:
         self.configure()
-        _, store = await serve(StoreServer(model=self.rows).handle)
+        _, store = await serve(self.store.handle)
         await self.workers.open()
         for number in range(self._hosts):
             proxy = Proxy(target=store)
@@ -258,6 +259,7 @@
     async def _heal(self) -> None:
         self._callers.stopped.set()
         self.closings.open_all()
+        self.store.silent_tables.clear()
         self.workers.heal()
         for proxy in self.store_proxies:
             proxy.change('pass')
