--- a/src/curranthill/entry/revisions.py
+++ b/src/curranthill/entry/revisions.py
@@ -17,8 +17,8 @@
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
-#: How long a request waits for the configuration to be read again, in seconds:
-#: sixty usual replies of the store.
+#: How long a request waits for the configuration to be read again, in seconds;
+#: then its caller is told to come back.
 RECHECK_PATIENCE_S: Final = 0.3
 
 RevisionDecoder = Callable[[StoredRow], Revision | None]
--- a/src/curranthill/platform/calls.py
+++ b/src/curranthill/platform/calls.py
@@ -14,8 +14,8 @@
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
-#: The longest a new connection may take, in seconds: the farthest peer is a
-#: few milliseconds away, and a lost opening packet is sent again after 1 s.
+#: The longest a new connection may take, in seconds: a lost opening packet is
+#: sent again only later.
 CONNECT_TIMEOUT_S: Final = 0.5
 
 #: How long an answer that has begun may stand still, in seconds. Its length
--- a/src/curranthill/platform/relay.py
+++ b/src/curranthill/platform/relay.py
@@ -36,7 +36,7 @@
 #: back after a second, and are accepted only by a host that knows.
 AWAY_INTERVAL_S: Final = 0.2
 
-#: How long such a try may take, in seconds: sixty usual replies.
+#: When the answer to such a try must have begun, in seconds.
 PROBE_TIMEOUT_S: Final = 0.3
 
 _REFUSED: Final = 503
--- a/src/curranthill/storage/follower.py
+++ b/src/curranthill/storage/follower.py
@@ -12,9 +12,8 @@
 )
 from curranthill.telemetry.events import events
 
-#: How long one reading of a feed waits at the store, in seconds: a reading
-#: that was lost in an outage is found out and repeated so soon, which leaves
-#: time for a change of the configuration to be in force everywhere in 2 s.
+#: How long one reading of a feed waits at the store, in seconds. A reading that
+#: was lost is found out only after its wait.
 FEED_WAIT_S: Final = 1.0
 
 #: The pause after a failed reading, in seconds.
