A leader that cannot read asks for a successor as soon as before

Cause: since an empty answer of a feed tells up to the end of its wait, knowledge in good health is one wait old where it was two, and the bound of four waits came a second later. Change: three waits, one usual and two lost readings, as before. Why it works: the leader asks for a successor as long after its last reading failed as it did.

--- a/src/curranthill/dispatch/election.py
+++ b/src/curranthill/dispatch/election.py
@@ -54,9 +54,9 @@
 FAILED_POLL_S: Final = 0.15
 
 #: A leader that writes and has not read the operators' rows for so long asks
-#: for a successor, in seconds: two waits of a reading are usual, two more are
+#: for a successor, in seconds: one wait of a reading is usual, two more are
 #: lost readings.
-BLIND_S: Final = 4 * FEED_WAIT_S
+BLIND_S: Final = 3 * FEED_WAIT_S
 
 #: A host that cannot read the operators' rows takes over from a silent leader
 #: so much later, in seconds: hosts that can come first.
