The soak tells hosts the bound for closings that it checks

What was seen: soak seed 7305, once, on the code that lands: four starts 6.1 to 6.6 s after their data centre was closed. Cause, from its logs: the operators' rows went unread for all hosts (the new fault), one host restarted meanwhile, led and started tasks before it had read them; in the settings of the soak no bound for closings stands, so none is in force, while its check holds starts to 5 s. Ruled out: the closing itself, which each host took note of as it read it. Change: the bound is in the hosts' settings, with which nothing starts while the rows are unknown; check and bound stay. No source is changed.

--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -34,7 +34,13 @@
 from bench.soak_workers import SoakWorkers
 from curranthill.clock import SystemClock
 from curranthill.standin.rows import RowModel
-from curranthill.tasks import COMPLETED, FAILED, JobProgress, decode
+from curranthill.tasks import (
+    COMPLETED,
+    FAILED,
+    JobProgress,
+    Timing,
+    decode,
+)
 from tests.platform_standin import StoreServer, serve
 from tests.promises import PromiseWatch
 
@@ -206,6 +212,7 @@
                 'max_hold_ms': 6000,
                 'grace_s': 2,
                 'config_apply_ms': IN_FORCE_S * 1000,
+                'evacuate_ms': Timing().evacuate_s * 1000,
             },
         }
         path = self._folder / f'h{number}.json'
--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -27,12 +27,32 @@
     'worker_restarts_behind_a_cut',
 )
 
+#: The same, with the faults that came after them.
+LATER_FAULTS = tuple(
+    sorted(
+        (
+            *FORMER_FAULTS,
+            'configuration_unread',
+            'data_centre_closes',
+            'large_configuration',
+            'task_crashes_workers',
+            'worker_shrinks',
+        ),
+    ),
+)
+
 #: Seeds that are played, with seconds of faults: the first ones, and each that
 #: ever failed, with the faults of its time. 3002: more work than the workers do
 #: in the 45 s that the soak waited after the last fault; 36 to 40 of 40
 #: accelerators were in use all the time, so it now waits as long as jobs go on
-#: ending.
-SEEDS = ((1, 6.0, ()), (2, 6.0, ()), (3002, 10.0, FORMER_FAULTS))
+#: ending. 7305: hosts that had read nothing started tasks in a closed data
+#: centre, since the soak did not tell them the bound that it checks.
+SEEDS = (
+    (1, 6.0, ()),
+    (2, 6.0, ()),
+    (3002, 10.0, FORMER_FAULTS),
+    (7305, 10.0, LATER_FAULTS),
+)
 
 
 class EndedDuringRestarts(Soak):
