Failing tests of work that fits and does not start

What callers saw: an accepted gang did not start while most room was free. Seven tests bring such waits about in single rounds and in rounds of 30 s in which no run ends: room kept for a gang that the workers never hold, that its label rules out, that waits for lasting runs or for runs that outlast their estimates; workers kept by suspects for 60 s, and all workers at once. Which of them was the cause of the report is not shown.

--- /dev/null
+++ b/tests/test_starvation.py
@@ -0,0 +1,260 @@
+"""Work that fits starts in bounded time, whatever waits or runs before it."""
+
+import math
+import unittest
+from collections.abc import Callable, Sequence
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from curranthill.placement import ActiveJob, Planner, Room, Run
+from curranthill.placement.suspects import TRIED_S
+from curranthill.tasks import JobSpec, Step, TaskKey
+from tests.domain import SERVICE, make_spec
+from tests.test_planner import (
+    NOW_S,
+    make_job,
+    make_room,
+    make_run,
+    needs,
+    placed,
+    plan,
+)
+
+#: Eight workers of eight accelerators, in two racks.
+WORKERS = tuple(f'{rack}{number}' for rack in 'ab' for number in range(4))
+
+#: What fits beside most of what may stand in front of it.
+SMALL = Step(width=2, needs=needs(1), gang=True, estimate_s=1.0)
+
+#: How long what fits may wait for whoever is before it, in seconds.
+MOST_WAIT_S = 30.0
+
+#: The pause between two rounds, in seconds.
+ROUND_S = 0.5
+
+#: Makes the runs of one worker.
+RunsOf = Callable[[str], Sequence[Run]]
+
+
+def nothing(worker_id: str) -> Sequence[Run]:
+    """Return no runs."""
+    return ()
+
+
+def lasting(worker_id: str) -> Sequence[Run]:
+    """Return a run that ends only with its job."""
+    return (make_run(worker_id, 1, lasting=True),)
+
+
+def overdue(worker_id: str) -> Sequence[Run]:
+    """Return a run that goes on for far longer than was estimated."""
+    run = make_run(worker_id, 1, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
+def suspect(age_s: float) -> RunsOf:
+    """Return what makes a run that started alone on its worker."""
+
+    def runs(worker_id: str) -> Sequence[Run]:
+        run = make_run(worker_id, 1, age_s=age_s)
+        run.alone = True
+        return (run,)
+
+    return runs
+
+
+def everywhere(runs_of: RunsOf) -> list[RunsOf]:
+    """Return the same for each worker."""
+    return [runs_of for _ in WORKERS]
+
+
+def rooms_with(runs_of: RunsOf) -> list[Room]:
+    """Return all workers' rooms."""
+    return [
+        make_room(worker_id, worker_id[0], *runs_of(worker_id))
+        for worker_id in WORKERS
+    ]
+
+
+def waited_s(
+    runs_of: RunsOf,
+    in_front: JobSpec,
+    job: ActiveJob,
+    within_s: float = MOST_WAIT_S,
+) -> float | None:
+    """Return when a job starts, if it does while no run ends.
+
+    The one in front is over once it could have run.
+    """
+    front = make_job(in_front)
+    front_over_s = math.inf
+    for number in range(round(within_s / ROUND_S)):
+        now_s = NOW_S + number * ROUND_S
+        jobs = [front, job] if now_s < front_over_s else [job]
+        planner = Planner(
+            rooms={SERVICE: rooms_with(runs_of)},
+            guaranteed={},
+            now_s=now_s,
+            tickets=lambda ready_job, ready: {},
+        )
+        found = placed(planner.plan(jobs))
+        if job.spec.job_id in found:
+            return now_s - NOW_S
+        if in_front.job_id in found:
+            front_over_s = min(front_over_s, now_s + in_front.chain_s)
+    return None
+
+
+def small_job() -> ActiveJob:
+    """Return a small gang that goes after others of its priority."""
+    return make_job(make_spec('small', SMALL, priority=2))
+
+
+class ReservationTest(unittest.TestCase):
+    """A gang that does not fit keeps room only if it can get it."""
+
+    def test_a_gang_larger_than_the_cluster_keeps_nothing(self) -> None:
+        """Nine whole workers will not come, however long it waits."""
+        gang = Step(width=9, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_workers_that_its_label_rules_out(self) -> None:
+        """Nobody has its label, so nothing that ends lets it start."""
+        gang = Step(8, needs(8), gang=True, label='none', estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('labelled', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_room_beside_runs_that_last(self) -> None:
+        """A whole worker with a lasting run never gets empty."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(lasting),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_does_not_keep_room_for_ever(self) -> None:
+        """Runs that do not end as estimated hold up the gang, not others."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        job = small_job()
+        started_s = waited_s(overdue, make_spec('wide', gang), job)
+        self.assertIsNotNone(started_s)
+
+    def test_a_gang_keeps_room_while_what_it_waits_for_ends(self) -> None:
+        """Small jobs do not take it after the first moments."""
+
+        def running(worker_id: str) -> Sequence[Run]:
+            run = make_run(worker_id, 1, age_s=0.0)
+            run.estimate_s = 10.0
+            return (run,)
+
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        started_s = waited_s(
+            running,
+            make_spec('wide', gang),
+            small_job(),
+            within_s=10.0,
+        )
+        self.assertIsNone(started_s)
+
+
+class SuspectRoomTest(unittest.TestCase):
+    """Suspects have workers for themselves for a bounded time and share."""
+
+    def test_suspects_that_have_worked_let_others_in(self) -> None:
+        """Seven eighths of all room are free."""
+        decided = plan(
+            rooms_with(suspect(20.0)),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_suspect_that_has_just_started_is_alone(self) -> None:
+        """A crash would hit what starts beside it."""
+        decided = plan(
+            [make_room('a1', 'r1', *suspect(TRIED_S / 2)('a1'))],
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertEqual(placed(decided), {})
+
+    def test_suspects_do_not_take_all_workers(self) -> None:
+        """Many that start together leave workers to others."""
+        suspects = []
+        for number in range(8):
+            spec = make_spec(f's{number}', Step(1, needs(1), estimate_s=9.0))
+            job = make_job(spec)
+            key = TaskKey(spec.job_id, 0, 0, 0)
+            job.progress.task(key).losses = 2
+            job.note_losses(key)
+            suspects.append(job)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('small', SMALL, priority=2),
+            running=suspects,
+        )
+        self.assertIn('small', placed(decided))
+
+
+class BoundedWaitTest(unittest.TestCase):
+    """Drawn clusters in which nothing ends."""
+
+    @given(
+        st.lists(
+            st.sampled_from(
+                (nothing, lasting, overdue, suspect(0.5), suspect(20.0)),
+            ),
+            min_size=len(WORKERS),
+            max_size=len(WORKERS),
+        ),
+        st.integers(1, 24),
+        st.sampled_from((1, 4, 8)),
+        st.booleans(),
+        st.booleans(),
+    )
+    @example(everywhere(overdue), 8, 8, False, False)
+    @example(everywhere(suspect(20.0)), 1, 1, False, False)
+    def test_what_fits_starts_whatever_waits_in_front(
+        self,
+        drawn: list[RunsOf],
+        width: int,
+        gpus: int,
+        same_rack: bool,  # noqa: FBT001
+        labelled: bool,  # noqa: FBT001
+    ) -> None:
+        """Runs are as old as the time that passes makes them."""
+        began = {
+            worker_id: runs_of(worker_id)
+            for worker_id, runs_of in zip(WORKERS, drawn, strict=True)
+        }
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            for run in began[worker_id]:
+                run.age_s += ROUND_S
+            return began[worker_id]
+
+        gang = Step(
+            width,
+            needs(gpus),
+            gang=True,
+            same_rack=same_rack,
+            label='none' if labelled else '',
+            estimate_s=5.0,
+        )
+        started_s = waited_s(runs, make_spec('front', gang), small_job())
+        self.assertIsNotNone(started_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
