A gang keeps no room that it cannot get

What callers saw: small gangs did not start though all workers were idle, as long as a gang stood before them that the workers can never hold. Cause: room is kept as if the workers were idle, for as many tasks as fit, without asking whether all of them would fit, whether the gang's label lets it run there, and whether what runs there ever ends. Ruled out: the order, since the small gang starts as soon as nothing is kept. Change: room is kept only where the whole gang fits once all runs but lasting ones have ended, by its label and its limit for a worker; else nothing is. Why it works: what is kept can then be got, and room that nobody can get stays open.

--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -30,7 +30,11 @@
     late_jobs,
 )
 from curranthill.placement.paces import ANY, Pace, pace_of
-from curranthill.placement.reservations import RESERVATIONS, reserve
+from curranthill.placement.reservations import (
+    RESERVATIONS,
+    find_room_to_keep,
+    keep,
+)
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
 from curranthill.tasks import Resources, Step, TaskKey
@@ -187,8 +191,18 @@
         if not advised:
             self._too_large.add(shape)
         if ready.step.gang and self._reservations:
+            self._reserve(ready, groups)
+
+    def _reserve(
+        self,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+    ) -> None:
+        """Keep room for a gang that does not fit now."""
+        rooms = find_room_to_keep(ready, groups)
+        if rooms:
             self._reservations -= 1
-            reserve(ready, groups)
+            keep(ready, rooms)
 
     def _makes_room(self, job: ActiveJob) -> bool:
         """Return whether runs may be stopped for a job."""
--- a/src/curranthill/placement/reservations.py
+++ b/src/curranthill/placement/reservations.py
@@ -1,41 +1,59 @@
 """Room kept for a gang that does not fit yet.
 
 Answers a stream of small jobs before a large gang: each would take the first
-worker that gets free, and the gang would wait for ever.
+worker that gets free, and the gang would wait for ever. Only room that runs
+will give back is kept: a gang that they cannot let in would keep it from others
+for ever.
 """
 
 from collections.abc import Sequence
+from itertools import repeat
 from typing import Final
 
 from curranthill.placement.jobs import ReadyStep
-from curranthill.placement.rooms import Room, room_needed
+from curranthill.placement.rooms import Room, copies_once_free, room_needed
 
 #: How many gangs that do not fit keep room for themselves in one round; more
 #: would leave room unused that smaller jobs could fill.
 RESERVATIONS: Final = 1
 
 
-def reserve(ready: ReadyStep, groups: Sequence[Sequence[Room]]) -> None:
-    """Keep room for a gang in the group where most is free."""
+def find_room_to_keep(
+    ready: ReadyStep,
+    groups: Sequence[Sequence[Room]],
+) -> list[Room]:
+    """Return a room for each task of a gang, in the group where most is free.
+
+    Empty if no group can hold the gang, whatever ends there.
+    """
+    best: list[Room] = []
+    most_gpus = -1
+    for group in groups:
+        free_gpus = sum(max(room.soon.gpus, 0) for room in group)
+        if free_gpus > most_gpus:
+            kept = _rooms_to_keep(ready, group)
+            if kept:
+                best = kept
+                most_gpus = free_gpus
+    return best
+
+
+def keep(ready: ReadyStep, rooms: Sequence[Room]) -> None:
+    """Keep room for a task in each of the rooms."""
     needs = room_needed(ready.step)
-    group = max(
-        groups,
-        key=lambda rooms: sum(max(room.soon.gpus, 0) for room in rooms),
-    )
-    for room in _rooms_to_keep(ready, group):
+    for room in rooms:
         room.claim(needs)
 
 
 def _rooms_to_keep(ready: ReadyStep, rooms: Sequence[Room]) -> list[Room]:
-    """Return a room for each task, the emptiest first, as if it were idle."""
-    needs = room_needed(ready.step)
+    """Return a room for each task, the emptiest first; empty if too few."""
+    wanted = len(ready.tasks)
     kept: list[Room] = []
     for room in sorted(rooms, key=lambda one: -one.soon.gpus):
-        free = room.entry.room
-        while len(kept) < len(ready.tasks) and free.covers(needs):
-            free = free.minus(needs)
-            kept.append(room)
-    return kept
+        if len(kept) >= wanted:
+            break
+        kept.extend(repeat(room, copies_once_free(room, ready.step)))
+    return kept[:wanted] if len(kept) >= wanted else []
 
 
-__all__ = ('RESERVATIONS', 'reserve')
+__all__ = ('RESERVATIONS', 'find_room_to_keep', 'keep')
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -237,11 +237,30 @@
 
 def copies(room: Room, step: Step) -> int:
     """Return how many tasks of a step an idle room holds."""
+    return _copies_in(room.entry.room, room, step)
+
+
+def copies_once_free(room: Room, step: Step) -> int:
+    """Return how many tasks of a step a room holds once its runs have ended.
+
+    Runs that last do not.
+    """
+    lasting = [run for run in room.runs if run.lasting]
+    if not lasting:
+        return copies(room, step)
+    disturbed = _DISTURBED.get(kind_of(step))
+    if disturbed and any(run.kind == disturbed for run in lasting):
+        return 0
+    return max(_copies_in(_less(room.entry.room, lasting), room, step), 0)
+
+
+def _copies_in(free: Resources, room: Room, step: Step) -> int:
+    """Return how many tasks of a step fit into what is free of a room."""
     if step.label and step.label not in room.entry.labels:
         return 0
     needs = room_needed(step)
     most = step.width
-    for have, need in zip(room.entry.room, needs, strict=True):
+    for have, need in zip(free, needs, strict=True):
         if need > 0:
             most = min(most, have // need)
     return min(most, step.max_per_worker or most)
@@ -277,6 +296,7 @@
     'Room',
     'ServiceRooms',
     'copies',
+    'copies_once_free',
     'level_of',
     'room_needed',
 )
