A gang keeps room by turns

What callers saw: work that fits waits as long as a gang in front of it waits for runs that outlast their estimates or stand still. Cause: room is kept in each round anew, with no bound on how long. Ruled out: a bound by the clock alone, since large gangs wait for runs of any length and would never get their room. Change: a gang keeps room for twice what is left of the runs that it waits for, 5 s at least, then leaves it to others for as long. Why it works: the wait of others is bounded by the estimates of what runs, and a gang whose runs end as estimated gets its room in its first turn. Not shown to be the cause of the report.

--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -34,6 +34,7 @@
     RESERVATIONS,
     find_room_to_keep,
     keep,
+    wait_for_room_s,
 )
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
@@ -191,16 +192,21 @@
         if not advised:
             self._too_large.add(shape)
         if ready.step.gang and self._reservations:
-            self._reserve(ready, groups)
+            self._reserve(job, ready, groups)
 
     def _reserve(
         self,
+        job: ActiveJob,
         ready: ReadyStep,
         groups: list[Sequence[Room]],
     ) -> None:
-        """Keep room for a gang that does not fit now."""
+        """Keep room for a gang that does not fit now, if it is its turn."""
         rooms = find_room_to_keep(ready, groups)
-        if rooms:
+        if not rooms:
+            return
+        place = (ready.occurrence, ready.number)
+        wait_s = wait_for_room_s(rooms)
+        if job.turns.may_keep(place, self._now_s, wait_s):
             self._reservations -= 1
             keep(ready, rooms)
 
--- a/src/curranthill/placement/reservations.py
+++ b/src/curranthill/placement/reservations.py
@@ -6,7 +6,7 @@
 for ever.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from itertools import repeat
 from typing import Final
 
@@ -38,6 +38,14 @@
     return best
 
 
+def wait_for_room_s(rooms: Iterable[Room]) -> float:
+    """Return how long what runs in rooms goes on, by its estimates."""
+    return max(
+        (run.left_s for room in rooms for run in room.runs),
+        default=0.0,
+    )
+
+
 def keep(ready: ReadyStep, rooms: Sequence[Room]) -> None:
     """Keep room for a task in each of the rooms."""
     needs = room_needed(ready.step)
@@ -56,4 +64,4 @@
     return kept[:wanted] if len(kept) >= wanted else []
 
 
-__all__ = ('RESERVATIONS', 'find_room_to_keep', 'keep')
+__all__ = ('RESERVATIONS', 'find_room_to_keep', 'keep', 'wait_for_room_s')
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -149,6 +149,11 @@
         self.stop_sent_s = 0.0
         self.ordered_token = 0
 
+    @property
+    def left_s(self) -> float:
+        """Return how long it goes on, by its estimate; 0 if it lasts."""
+        return max(self.estimate_s - self.age_s, 0.0)
+
     @property
     def lost_s(self) -> float:
         """Return the run time that a stop throws away."""
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -9,6 +9,7 @@
 
 from curranthill.placement import ActiveJob, Planner, Room, Run
 from curranthill.placement.suspects import TRIED_S
+from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import JobSpec, Step, TaskKey
 from tests.domain import SERVICE, make_spec
 from tests.test_planner import (
@@ -170,6 +171,27 @@
         self.assertIsNone(started_s)
 
 
+class TurnTest(unittest.TestCase):
+    """A gang keeps room by turns."""
+
+    def test_a_turn_lasts_for_as_long_as_the_wait_asks_for(self) -> None:
+        """A pause as long follows, and then another turn."""
+        turns = ReservationTurns()
+        kept_s = [
+            second
+            for second in range(20)
+            if turns.may_keep((0, 0), NOW_S + second, 4.0)
+        ]
+        self.assertEqual(kept_s, [*range(8), *range(16, 20)])
+
+    def test_a_clock_that_is_set_back_does_not_prolong_a_pause(self) -> None:
+        """The time passed is not known; another turn begins."""
+        turns = ReservationTurns()
+        turns.may_keep((0, 0), NOW_S, 0.0)
+        self.assertFalse(turns.may_keep((0, 0), NOW_S + 9.0, 0.0))
+        self.assertTrue(turns.may_keep((0, 0), NOW_S - 60.0, 0.0))
+
+
 class SuspectRoomTest(unittest.TestCase):
     """Suspects have workers for themselves for a bounded time and share."""
 
