Others may start beside a suspect that has worked for 5 s

What callers saw: work that fits waits while workers run one small task each. Cause: a task that was lost with its worker twice, or right after its start, has a worker for itself, and kept it for 60 s, though tasks end within some 10 s: for as long as it ran. After a change of the leader its age begins anew, so that it kept it longer still. Ruled out: giving suspects no worker of their own, since a crash would hit what has just started beside them. Change: a suspect is alone for its first 5 s, within which the crashes come that its counting knows; then others may start beside it, where no other worker has room. Why it works: no worker is closed to others for longer than that.

--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -7,19 +7,30 @@
 
 import heapq
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from curranthill.placement.jobs import ReadyStep
 from curranthill.placement.paces import ANY, Pace
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
-#: A worker's rank among those that a task fits on, the least first: doubt,
-#: that of its speed, accelerators left over, processor left, place in the list.
-_Rank = tuple[float, int, int, int, int]
-
 Fit = list[tuple[TaskKey, Room]]
 
 
+class _Rank(NamedTuple):
+    """A worker's rank among those that a task fits on, the least first.
+
+    :param position: its place in the list of workers.
+    """
+
+    doubt: float
+    shared_with_suspect: bool
+    speed: int
+    left_gpus: int
+    left_cpu_millis: int
+    position: int
+
+
 def groups_of(
     ready: ReadyStep,
     rooms: ServiceRooms,
@@ -93,7 +104,7 @@
     for key in ready.tasks:
         if not queue:
             break
-        index = heapq.heappop(queue)[-1]
+        index = heapq.heappop(queue).position
         room = rooms[index]
         room.place(key, ready.step, alone=ready.alone)
         chosen.append((key, room))
@@ -139,9 +150,14 @@
 
 
 def _rank(room: Room, needs: Resources, index: int, pace: Pace) -> _Rank:
-    left_gpus = room.free.gpus - needs.gpus
-    rank = pace.rank(room)
-    return (room.doubt, rank, left_gpus, room.free.cpu_millis, index)
+    return _Rank(
+        doubt=room.doubt,
+        shared_with_suspect=room.shared_with_suspect,
+        speed=pace.rank(room),
+        left_gpus=room.free.gpus - needs.gpus,
+        left_cpu_millis=room.free.cpu_millis,
+        position=index,
+    )
 
 
 def give_back(ready: ReadyStep, chosen: Fit) -> None:
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -13,7 +13,7 @@
     RunKind,
     kind_of,
 )
-from curranthill.placement.suspects import ALONE_S
+from curranthill.placement.suspects import TRIED_S
 from curranthill.placement.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -38,6 +38,8 @@
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     :param speed: of a typical worker's; 1.0 if it is not known to differ.
     :param level: that speed in levels above the typical one.
+    :param shared_with_suspect: whether a suspect started here alone and may
+        have others beside it by now.
     :param runs: what runs here, less what this round stops.
     :param version: grows with each change of this room.
     """
@@ -51,6 +53,7 @@
         'free',
         'level',
         'runs',
+        'shared_with_suspect',
         'soon',
         'speed',
         'version',
@@ -72,9 +75,9 @@
         self.level = level_of(speed)
         self.version = 0
         self._keys = [run.key for run in self.runs]
-        self._alone = any(
-            run.alone and run.age_s < ALONE_S for run in self.runs
-        )
+        suspects = [run for run in self.runs if run.alone]
+        self._alone = any(run.age_s < TRIED_S for run in suspects)
+        self.shared_with_suspect = bool(suspects) and not self._alone
         self._kinds: list[RunKind] = [
             run.kind for run in self.runs if run.kind != PLAIN
         ]
--- a/src/curranthill/placement/suspects.py
+++ b/src/curranthill/placement/suspects.py
@@ -21,14 +21,11 @@
 #: The same for a task that lasts, in seconds: its users wait meanwhile.
 LASTING_PATIENCE_S: Final = 0.5
 
-#: A suspect that has worked for so long holds up no other one of its job, in
-#: seconds: most crashes come sooner, and many innocent ones must go on.
+#: A suspect that has worked for so long holds up neither another one of its job
+#: nor others that its worker has room for, in seconds: most crashes come
+#: sooner, and many innocent ones must go on.
 TRIED_S: Final = 5.0
 
-#: A suspect that has worked for so long may have others beside it, in
-#: seconds: by far longer than from a start to a crash.
-ALONE_S: Final = 60.0
-
 
 def is_suspect(task: TaskProgress) -> bool:
     """Return whether a task may be what crashed its workers."""
@@ -37,7 +34,6 @@
 
 __all__ = (
     'ALONE_PATIENCE_S',
-    'ALONE_S',
     'LASTING_PATIENCE_S',
     'SUSPECT_LOSSES',
     'TRIED_S',
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -211,6 +211,15 @@
         )
         self.assertEqual(placed(decided), {})
 
+    def test_a_worker_without_a_suspect_goes_first(self) -> None:
+        """It may crash late; a fuller worker would be taken otherwise."""
+        rooms = [
+            make_room('a1', 'r1', *suspect(20.0)('a1')),
+            make_room('a2', 'r1'),
+        ]
+        decided = plan(rooms, make_spec('small', SMALL, priority=2))
+        self.assertEqual(placed(decided), {'small': ['a2', 'a2']})
+
     def test_suspects_do_not_take_all_workers(self) -> None:
         """Many that start together leave workers to others."""
         suspects = []
