Suspects have at most half of the workers for themselves

What callers saw: work that fits waits while each worker runs one small task. A suspect that found no empty worker and was started beside others closed that worker to more, too. Ruled out: a quarter, by which two suspects of three workers had to share one (a test of crashing tasks). Change: a suspect is started alone only while at most half of the service's workers, rounded up, are held so; else it waits for its turn or, after its patience, starts beside others and closes nothing. Why it works: half of the workers are always open to others.

--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -283,6 +283,7 @@
             session = self._work.sessions[worker_id]
             task.incarnation = session.incarnation
             run = self._work.new_run(job, key, attempt, session)
+            run.alone = placement.ready.alone
             run.checkpoint = checkpoint if gang else task.checkpoint
             run.ticket = (placement.ready.tickets or {}).get(worker_id, '')
             runs.append(run)
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -276,7 +276,6 @@
             kind=kind_of(step),
             incarnation=session.incarnation,
         )
-        run.alone = job.is_alone(key)
         job.end_wait(key)
         session.runs[run.name] = run
         job.runs[key] = run
@@ -292,6 +291,7 @@
         task = job.progress.task(key)
         run = self.new_run(job, key, task.attempt, session)
         run.state = UNKNOWN
+        run.alone = job.is_alone(key)
         run.incarnation = task.incarnation
         run.checkpoint = task.checkpoint
         session.wake()
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -38,6 +38,7 @@
 )
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
+from curranthill.placement.suspects import ALONE_SHARE
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: How many waiting jobs one round looks at: bounds a round's processor time
@@ -176,7 +177,7 @@
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
-        chosen = choose_group(ready, groups, pace)
+        chosen = self._choose(job, ready, groups, pace)
         if urgent and _is_held_up(ready, chosen, pace):
             give_back(ready, chosen)
             if self._make_way(job, ready, in_time(groups, pace)):
@@ -194,6 +195,25 @@
         if ready.step.gang and self._reservations:
             self._reserve(job, ready, groups)
 
+    def _choose(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+        pace: Pace,
+    ) -> Fit:
+        """Take rooms; none for suspects if they have their share of workers."""
+        chosen = choose_group(ready, groups, pace)
+        if ready.alone and chosen and self._are_too_many_alone(job):
+            give_back(ready, chosen)
+            return []
+        return chosen
+
+    def _are_too_many_alone(self, job: ActiveJob) -> bool:
+        rooms = self._services[job.spec.queue.service].rooms
+        held = sum(room.held_alone for room in rooms)
+        return held > math.ceil(ALONE_SHARE * len(rooms))
+
     def _reserve(
         self,
         job: ActiveJob,
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -38,6 +38,8 @@
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     :param speed: of a typical worker's; 1.0 if it is not known to differ.
     :param level: that speed in levels above the typical one.
+    :param held_alone: whether a suspect has just started here alone, so that
+        only its own gang may start beside it.
     :param shared_with_suspect: whether a suspect started here alone and may
         have others beside it by now.
     :param runs: what runs here, less what this round stops.
@@ -45,12 +47,12 @@
     """
 
     __slots__ = (
-        '_alone',
         '_keys',
         '_kinds',
         'doubt',
         'entry',
         'free',
+        'held_alone',
         'level',
         'runs',
         'shared_with_suspect',
@@ -76,8 +78,8 @@
         self.version = 0
         self._keys = [run.key for run in self.runs]
         suspects = [run for run in self.runs if run.alone]
-        self._alone = any(run.age_s < TRIED_S for run in suspects)
-        self.shared_with_suspect = bool(suspects) and not self._alone
+        self.held_alone = any(run.age_s < TRIED_S for run in suspects)
+        self.shared_with_suspect = bool(suspects) and not self.held_alone
         self._kinds: list[RunKind] = [
             run.kind for run in self.runs if run.kind != PLAIN
         ]
@@ -104,7 +106,7 @@
 
         :param alone: only beside members of its own gang.
         """
-        if (alone or self._alone) and not self._only_gang_of(key, step):
+        if (alone or self.held_alone) and not self._only_gang_of(key, step):
             return False
         if step.label and step.label not in self.entry.labels:
             return False
@@ -132,7 +134,7 @@
         alone: bool = False,
     ) -> None:
         """Take room for a task that starts now."""
-        self._alone = self._alone or alone
+        self.held_alone = self.held_alone or alone
         needs = room_needed(step)
         self.version += 1
         self.free = self.free.minus(needs)
@@ -149,7 +151,7 @@
         self.soon = self.soon.plus(needs)
         self._keys.remove(key)
         if not self._keys:
-            self._alone = False
+            self.held_alone = False
         if kind_of(step) != PLAIN:
             self._kinds.remove(kind_of(step))
 
--- a/src/curranthill/placement/suspects.py
+++ b/src/curranthill/placement/suspects.py
@@ -13,6 +13,10 @@
 #: every crash of a worker leaves of all tasks there.
 SUSPECT_LOSSES: Final = 2
 
+#: The share of a service's workers that suspects may have for themselves at
+#: one moment, rounded up. Others start where there is room.
+ALONE_SHARE: Final = 0.5
+
 #: How long a suspect waits for a worker of its own, in seconds: above most
 #: tasks' run times, so that some worker has got empty, and short enough for an
 #: innocent one under full load.
@@ -34,6 +38,7 @@
 
 __all__ = (
     'ALONE_PATIENCE_S',
+    'ALONE_SHARE',
     'LASTING_PATIENCE_S',
     'SUSPECT_LOSSES',
     'TRIED_S',
