Nobody waits for long with nothing running while most room is free

Cause: room that is kept for gangs and workers that suspects have for themselves are closed to all others, however much is free and however long others have had nothing running; each wait alone is bounded, but one follows the other. Change: a job that has had something ready and nothing running for 2 s takes what is kept, too, and starts beside suspects, as long as less than half of the service's accelerators are in use. Why it works: while most is free, others' claims can hold up nobody for longer; while room is short, large gangs still get theirs.

--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -96,8 +96,7 @@
     queue = [
         _rank(room, needs, index, pace)
         for index, room in enumerate(rooms)
-        if room.fits_now(needs)
-        and room.allows(ready.tasks[0], ready.step, alone=ready.alone)
+        if _takes(room, ready, ready.tasks[0])
     ]
     heapq.heapify(queue)
     chosen: Fit = []
@@ -108,11 +107,7 @@
         room = rooms[index]
         room.place(key, ready.step, alone=ready.alone)
         chosen.append((key, room))
-        if room.fits_now(needs) and room.allows(
-            key,
-            ready.step,
-            alone=ready.alone,
-        ):
+        if _takes(room, ready, key):
             heapq.heappush(queue, _rank(room, needs, index, pace))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
@@ -121,6 +116,17 @@
     return chosen
 
 
+def _takes(room: Room, ready: ReadyStep, key: TaskKey) -> bool:
+    """Return whether a room takes one more task of a step now."""
+    needs = room_needed(ready.step)
+    return room.fits_now(needs, starving=ready.starving) and room.allows(
+        key,
+        ready.step,
+        alone=ready.alone,
+        starving=ready.starving,
+    )
+
+
 def _choose_alike(
     ready: ReadyStep,
     rooms: Sequence[Room],
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -28,6 +28,8 @@
 
     :param tickets: by worker, for queues whose policy allows only some.
     :param alone: nothing else may run on their workers.
+    :param starving: their job has waited for long while most room is free, and
+        takes room that is kept.
     """
 
     occurrence: int
@@ -36,6 +38,7 @@
     tasks: tuple[TaskKey, ...]
     tickets: dict[str, str] | None = None
     alone: bool = False
+    starving: bool = False
 
     @property
     def name(self) -> str:
@@ -73,6 +76,7 @@
         self.suspects: set[TaskKey] = set()
         self.turns = ReservationTurns()
         self._waits_since_s: dict[TaskKey, float] = {}
+        self._idle_since_s: float | None = None
         self._made_way: set[tuple[int, int]] = set()
         self._done_steps: set[tuple[int, int]] = set()
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
@@ -191,6 +195,20 @@
             return False
         return any(one in self.suspects for one in self.members_of(key))
 
+    def idle_s(self, now_s: float) -> float:
+        """Return how long it has had something ready and nothing running.
+
+        Counted from the first call, and anew after each start and when the
+        clock was set back.
+
+        :param now_s: wall-clock seconds.
+        """
+        since_s = self._idle_since_s
+        if self.runs or since_s is None or now_s < since_s:
+            since_s = now_s
+        self._idle_since_s = since_s
+        return now_s - since_s
+
     def _apart(self, ready: ReadyStep, now_s: float) -> Iterator[ReadyStep]:
         """Yield a step's suspects apart from its other tasks, one at a time.
 
@@ -232,8 +250,9 @@
         return True
 
     def end_wait(self, key: TaskKey) -> None:
-        """Have a suspect wait anew the next time."""
+        """Have a job, and a suspect of it, wait anew the next time."""
         self._waits_since_s.pop(key, None)
+        self._idle_since_s = None
 
     def _waits_alone(self, key: TaskKey, now_s: float) -> bool:
         """Return whether a suspect still waits for a worker of its own."""
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -38,6 +38,7 @@
 )
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
+from curranthill.placement.starvation import PATIENCE_S, is_most_room_free
 from curranthill.placement.suspects import ALONE_SHARE
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -127,6 +128,7 @@
         self._covered: set[str] = set()
         self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
+        self._mostly_free: dict[str, bool] = {}
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
@@ -173,7 +175,9 @@
         urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
-        if not (urgent or advised) and shape in self._too_large:
+        starving = job.idle_s(self._now_s) >= PATIENCE_S
+        tried = not (urgent or advised or starving)
+        if tried and shape in self._too_large:
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
@@ -202,12 +206,26 @@
         groups: list[Sequence[Room]],
         pace: Pace,
     ) -> Fit:
-        """Take rooms; none for suspects if they have their share of workers."""
+        """Take rooms, also ones that are kept if a job starves otherwise.
+
+        None are taken for suspects that have their share of workers.
+        """
         chosen = choose_group(ready, groups, pace)
         if ready.alone and chosen and self._are_too_many_alone(job):
             give_back(ready, chosen)
-            return []
-        return chosen
+            chosen = []
+        if chosen or not self._starves(job):
+            return chosen
+        return choose_group(ready._replace(starving=True), groups, pace)
+
+    def _starves(self, job: ActiveJob) -> bool:
+        if job.idle_s(self._now_s) < PATIENCE_S:
+            return False
+        service = job.spec.queue.service
+        if service not in self._mostly_free:
+            rooms = self._services.get(service, _NO_ROOMS).rooms
+            self._mostly_free[service] = is_most_room_free(rooms)
+        return self._mostly_free[service]
 
     def _are_too_many_alone(self, job: ActiveJob) -> bool:
         rooms = self._services[job.spec.queue.service].rooms
--- a/src/curranthill/placement/reservations.py
+++ b/src/curranthill/placement/reservations.py
@@ -50,7 +50,7 @@
     """Keep room for a task in each of the rooms."""
     needs = room_needed(ready.step)
     for room in rooms:
-        room.claim(needs)
+        room.keep(needs)
 
 
 def _rooms_to_keep(ready: ReadyStep, rooms: Sequence[Room]) -> list[Room]:
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -35,6 +35,7 @@
     :param free: what no run takes now.
     :param soon: what will be free once the runs being stopped have ended,
         less what waiting urgent tasks have claimed of it.
+    :param kept: what of that is kept for gangs that do not fit yet.
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     :param speed: of a typical worker's; 1.0 if it is not known to differ.
     :param level: that speed in levels above the typical one.
@@ -53,6 +54,7 @@
         'entry',
         'free',
         'held_alone',
+        'kept',
         'level',
         'runs',
         'shared_with_suspect',
@@ -86,14 +88,19 @@
         self.free = _less(entry.room, self.runs)
         stopping = [run for run in self.runs if run.stop_wanted]
         self.soon = _plus(self.free, stopping) if stopping else self.free
+        self.kept = Resources()
 
-    def fits_now(self, needs: Resources) -> bool:
-        """Return whether a task fits without taking what others claimed."""
+    def fits_now(self, needs: Resources, *, starving: bool = False) -> bool:
+        """Return whether a task fits without taking what others claimed.
+
+        :param starving: it may take what is kept for gangs.
+        """
         free = self.free
         if free.gpus < needs.gpus:
             # Most rooms of a full cluster end here.
             return False
-        return free.covers(needs) and self.soon.covers(needs)
+        soon = self.soon.plus(self.kept) if starving else self.soon
+        return free.covers(needs) and soon.covers(needs)
 
     def allows(
         self,
@@ -101,12 +108,15 @@
         step: Step,
         *,
         alone: bool = False,
+        starving: bool = False,
     ) -> bool:
         """Return whether a step's own limits let a task run here.
 
         :param alone: only beside members of its own gang.
+        :param starving: also beside a suspect that has just started.
         """
-        if (alone or self.held_alone) and not self._only_gang_of(key, step):
+        closed = alone or (self.held_alone and not starving)
+        if closed and not self._only_gang_of(key, step):
             return False
         if step.label and step.label not in self.entry.labels:
             return False
@@ -156,10 +166,15 @@
             self._kinds.remove(kind_of(step))
 
     def claim(self, needs: Resources) -> None:
-        """Keep room that is becoming free for a task that waits for it."""
+        """Claim room that is becoming free for a task that waits for it."""
         self.version += 1
         self.soon = self.soon.minus(needs)
 
+    def keep(self, needs: Resources) -> None:
+        """Claim room for a member of a gang, unless somebody starves."""
+        self.claim(needs)
+        self.kept = self.kept.plus(needs)
+
     def evict(self, run: Run) -> None:
         """Count a run's room as becoming free."""
         if run in self.runs:
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -11,7 +11,7 @@
 from curranthill.placement.suspects import TRIED_S
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import JobSpec, Step, TaskKey
-from tests.domain import SERVICE, make_spec
+from tests.domain import ROOM, SERVICE, make_spec
 from tests.test_planner import (
     NOW_S,
     make_job,
@@ -25,6 +25,9 @@
 #: Eight workers of eight accelerators, in two racks.
 WORKERS = tuple(f'{rack}{number}' for rack in 'ab' for number in range(4))
 
+#: Workers that some tests leave empty.
+EMPTY = WORKERS[:3]
+
 #: What fits beside most of what may stand in front of it.
 SMALL = Step(width=2, needs=needs(1), gang=True, estimate_s=1.0)
 
@@ -62,6 +65,14 @@
     return (run,)
 
 
+def processor_full(worker_id: str, age_s: float) -> Sequence[Run]:
+    """Return a run that leaves accelerators free, and no processor."""
+    run = make_run(worker_id, 1, age_s=age_s)
+    run.needs = ROOM._replace(gpus=1)
+    run.estimate_s = 20.0
+    return (run,)
+
+
 def suspect(age_s: float) -> RunsOf:
     """Return what makes a run that started alone on its worker."""
 
@@ -173,7 +184,7 @@
         """Small jobs do not take it after the first moments."""
 
         def running(worker_id: str) -> Sequence[Run]:
-            run = make_run(worker_id, 1, age_s=0.0)
+            run = make_run(worker_id, 5, age_s=0.0)
             run.estimate_s = 10.0
             return (run,)
 
@@ -256,6 +267,56 @@
         self.assertIn('small', placed(decided))
 
 
+class MostRoomFreeTest(unittest.TestCase):
+    """While most room is free nobody waits long with nothing running."""
+
+    def test_room_that_is_kept_is_open_to_who_waits_with_most_of_it_free(
+        self,
+    ) -> None:
+        """Three workers are empty, and a gang waits for a fourth."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return () if worker_id in EMPTY else processor_full(worker_id, 0.0)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(runs, make_spec('front', gang), small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_a_suspects_worker_is_open_to_who_waits_with_most_room_free(
+        self,
+    ) -> None:
+        """New suspects start there all the time."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return suspect(0.5)(worker_id)
+            return processor_full(worker_id, 0.0)
+
+        started_s = waited_s(runs, UNPLACED, small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_room_stays_kept_in_a_full_cluster(self) -> None:
+        """The gang would never get its fourth worker otherwise."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return ()
+            run = make_run(worker_id, 8, age_s=0.0)
+            run.estimate_s = 20.0
+            return (run,)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(
+            runs,
+            make_spec('front', gang),
+            small_job(),
+            within_s=20.0,
+        )
+        self.assertIsNone(started_s)
+
+
 class BoundedWaitTest(unittest.TestCase):
     """Drawn clusters in which nothing ends."""
 
