A plan names the jobs that room was kept for

A job could wait for "room that is kept for others" and nothing told for whom. A plan now carries the ids of the jobs that reserved room in its round, or keep what a preemption frees, in the order of their turn. No decision changes: the ids are only noted where room is claimed.

--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -64,11 +64,14 @@
 
     :param stopped_for: for each of the victims, the id of the job that its
         room goes to.
+    :param reserved_for: the ids of the jobs that room is kept for, by
+        reservation or after a preemption, in the order of their turn.
     """
 
     placements: tuple[Placement, ...]
     victims: tuple[Run, ...]
     stopped_for: tuple[str, ...] = ()
+    reserved_for: tuple[str, ...] = ()
 
 
 def as_estimated(queue: str) -> float:
@@ -118,6 +121,7 @@
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
+        self._reserved_for: dict[str, None] = {}
         self._covered: set[str] = set()
         self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
@@ -143,6 +147,7 @@
             tuple(self._placements),
             tuple(self._victims),
             tuple(self._stopped_for),
+            tuple(self._reserved_for),
         )
 
     def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
@@ -189,6 +194,7 @@
         if ready.step.gang and self._reservations:
             self._reservations -= 1
             reserve(ready, groups)
+            self._reserved_for[job.spec.job_id] = None
 
     def _makes_room(self, job: ActiveJob) -> bool:
         """Return whether runs may be stopped for a job."""
@@ -309,6 +315,7 @@
         job: ActiveJob,
         needs: Resources,
     ) -> None:
+        self._reserved_for[job.spec.job_id] = None
         for run in eviction.victims:
             self._victims.append(run)
             self._stopped_for.append(job.spec.job_id)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -428,6 +428,44 @@
         self.assertLessEqual(max(taken.values()), 8)
 
 
+class KeptRoomTest(unittest.TestCase):
+    """For whom a round keeps room."""
+
+    gang = Step(width=2, needs=needs(8), gang=True)
+
+    def test_a_gang_that_does_not_fit_is_named(self) -> None:
+        """The small job that waits for what is kept is not."""
+        rooms = [
+            make_room('a1', 'r1'),
+            make_room('a2', 'r1', make_run('a2', 8, priority=1)),
+        ]
+        decided = plan(
+            rooms,
+            make_spec('j1', self.gang, accepted_at_s=NOW_S - 99),
+            make_spec('j2', Step(width=1, needs=needs(1)), priority=2),
+        )
+        self.assertEqual(placed(decided), {})
+        self.assertEqual(decided.reserved_for, ('j1',))
+
+    def test_a_job_that_others_are_stopped_for_is_named_once(self) -> None:
+        """Both of its tasks keep what becomes free."""
+        rooms = [
+            make_room('a1', 'r1', make_run('a1', 8, age_s=0.1)),
+            make_room('a2', 'r1', make_run('a2', 8, age_s=0.1)),
+        ]
+        step = Step(width=2, needs=needs(8), estimate_s=1.0)
+        decided = plan(rooms, make_spec('j1', step, priority=0))
+        self.assertEqual(len(decided.victims), 2)
+        self.assertEqual(decided.reserved_for, ('j1',))
+
+    def test_nobody_is_named_where_all_fits(self) -> None:
+        """Nothing is kept."""
+        rooms = [make_room('a1', 'r1'), make_room('a2', 'r1')]
+        decided = plan(rooms, make_spec('j1', self.gang))
+        self.assertEqual(placed(decided), {'j1': ['a1', 'a2']})
+        self.assertEqual(decided.reserved_for, ())
+
+
 class MechanismTest(unittest.TestCase):
     """What can be switched off by name."""
 
