A job that is not ready is logged with what holds it

Callers saw an accepted gang that did not start, and the log had no line of it: a job that is not ready was not logged, nor one of which a run was left over, so neither could be told from a job that runs.

Each second the leader now logs `not_ready` for the two oldest jobs of each priority of which nothing has been at work for two seconds and that cannot start: which tasks a run or a stored worker holds, the state of that run, for how long, whether it is to stop and whether the session of its worker knows it, or the due time. A run counts as at work if it and all its fellows run, are not to stop, and their workers answer. What is due later takes only slots that are left. `trace` tells the line as a sentence.

The earlier step that a job waits for is the step that the line names, with how many later ones wait: steps name only earlier ones, so the first undone step is always ready, held or at work.

No decision changes: the lines are made from what the rounds keep.

--- a/src/curranthill/commands/sentences.py
+++ b/src/curranthill/commands/sentences.py
@@ -49,6 +49,40 @@
     )
 
 
+@sentences.register('not_ready')
+def _not_ready(line: Line) -> str:
+    tasks = '; '.join(map(_held_task, line['held']))
+    unnamed = line['held_tasks'] - len(line['held'])
+    later = line['later_steps']
+    parts = [
+        f'step {line["step"]} is not ready for {line["held_s"]} s: '
+        f'held by {line["held_by"]}',
+        f' ({tasks})' if tasks else '',
+        f' and {unnamed} more' if unnamed else '',
+        f'; {later} later steps wait for it' if later else '',
+        f', due in {line["due_in_s"]} s' if line['due_in_s'] else '',
+    ]
+    return f'{"".join(parts)}; accepted {line["waited_s"]} s ago'
+
+
+def _held_task(held: Line) -> str:
+    """Return what holds one task, and what is amiss with its worker."""
+    worker = [
+        '' if held['tracked'] else 'no such run there',
+        '' if held['listed'] else 'not listed',
+        '' if held['reachable'] else 'unreachable',
+        '' if held['synced'] else 'not synced',
+        'gone' if held['gone'] else '',
+    ]
+    stop = ', to be stopped' if held['stop_wanted'] else ''
+    amiss = ', '.join(filter(None, worker)) if held['worker'] else ''
+    return (
+        f'{held["task"]} attempt {held["attempt"]} {held["state"]} for '
+        f'{held["held_s"]} s{stop} at {held["worker"] or "no worker"}'
+        f'{": " if amiss else ""}{amiss}'
+    )
+
+
 @sentences.register('placed')
 def _placed(line: Line) -> str:
     return (
--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -6,6 +6,7 @@
 
 from curranthill.admission import waits_for
 from curranthill.clock import Clock
+from curranthill.dispatch.unready import UnreadyJobs
 from curranthill.dispatch.work import Work
 from curranthill.placement import (
     ActiveJob,
@@ -28,12 +29,17 @@
 
 
 class WaitingBoard:
-    """Sets the gauges of workspaces, and logs the oldest waiting jobs."""
+    """Sets the gauges of workspaces, and logs the oldest waiting jobs.
+
+    A job that could start and finds no room waits; one that could not is not
+    ready.
+    """
 
     def __init__(self, *, clock: Clock, work: Work) -> None:
         """Start with nothing shown."""
         self._clock = clock
         self._work = work
+        self._unready = UnreadyJobs(clock=clock, sessions=work.sessions)
         self._shown: set[str] = set()
 
     def show(
@@ -47,8 +53,12 @@
         :param rooms_now: returns the workers that accept work, by service;
             asked only when a job has waited for long.
         """
-        open_jobs = [job for job in self._work.jobs.values() if not job.ended]
+        open_jobs = sorted(
+            (job for job in self._work.jobs.values() if not job.ended),
+            key=_accepted_at_s,
+        )
         self._set_gauges(job for job in open_jobs if not job.begun)
+        self._unready.show(open_jobs)
         waiting = self._oldest_waiting(open_jobs)
         if waiting:
             covered = covered_jobs(open_jobs, guaranteed)
@@ -87,11 +97,14 @@
         self,
         jobs: list[ActiveJob],
     ) -> list[tuple[ActiveJob, ReadyStep]]:
-        """Return the oldest jobs of each priority that could start."""
+        """Return the oldest jobs of each priority that could start.
+
+        :param jobs: the oldest first.
+        """
         now_s = self._clock.wall_s()
         oldest = []
         found: dict[int, int] = defaultdict(int)
-        for job in sorted(jobs, key=_accepted_at_s):
+        for job in jobs:
             if now_s - job.spec.accepted_at_s < LOGGED_FROM_S:
                 break
             if found[job.spec.queue.priority] >= LOGGED_JOBS:
--- /dev/null
+++ b/tests/test_unready.py
@@ -0,0 +1,288 @@
+"""Jobs that are not ready, and what operators are told of them.
+
+A job of which a run or a mark was left over was not logged at all: it looked
+like one that runs.
+"""
+
+import unittest
+from typing import Any
+from unittest.mock import patch
+
+from curranthill.commands.trace import told
+from curranthill.dispatch import unready
+from curranthill.dispatch.holds import (
+    ALL_DONE,
+    DUE,
+    PARTLY_DONE,
+    RUN,
+    STORED,
+    Hold,
+    Holds,
+)
+from curranthill.placement import MARKED, RUNNING, ActiveJob, Run, RunState
+from curranthill.tasks import JobProgress, JobSpec, Step, TaskKey, TaskProgress
+from tests.domain import ONE_GPU, Domain, TestHost, in_domain, make_spec
+from tests.support import ManualClock
+from tests.test_waiting import Lines
+
+GANG = Step(width=3, needs=ONE_GPU, estimate_s=20.0, gang=True)
+PLAIN = Step(width=3, needs=ONE_GPU, estimate_s=20.0)
+
+
+class Session:
+    """What the leader knows of a worker that answers."""
+
+    def __init__(self) -> None:
+        """Know no run."""
+        self.listed = True
+        self.reachable = True
+        self.synced = True
+        self.gone = False
+        self.runs: dict[Any, Run] = {}
+
+
+class Case:
+    """A job at two workers."""
+
+    def __init__(self, *steps: Step, spec: JobSpec | None = None) -> None:
+        """Start with nothing of it known."""
+        self.clock = ManualClock()
+        self.sessions = {'w0': Session(), 'w1': Session()}
+        self.job = ActiveJob(
+            spec=spec or make_spec('a1', *steps),
+            progress=JobProgress('q', tasks={}),
+        )
+
+    def add_run(
+        self,
+        rank: int,
+        *,
+        state: RunState = RUNNING,
+        worker: str = 'w0',
+    ) -> Run:
+        """Let a task of the first step have a run."""
+        key = TaskKey('a1', 0, 0, rank)
+        run = Run(
+            key=key,
+            attempt=2,
+            worker_id=worker,
+            needs=ONE_GPU,
+            priority=1,
+            checkpointable=False,
+            state=state,
+            now_s=self.clock.monotonic_s(),
+        )
+        self.job.runs[key] = run
+        self.job.progress.tasks[f'0.0.{rank}'] = TaskProgress(
+            attempt=2,
+            worker=worker,
+        )
+        self.sessions[worker].runs[run.name] = run
+        return run
+
+    def hold(self) -> Hold | None:
+        """Return what holds the job."""
+        sessions: Any = self.sessions
+        return Holds(clock=self.clock, sessions=sessions).of(self.job)
+
+    def found(self) -> Hold:
+        """Return what holds the job, which something does."""
+        hold = self.hold()
+        assert hold is not None
+        return hold
+
+
+class HoldTest(unittest.TestCase):
+    """What holds a job."""
+
+    def test_a_ready_job_is_not_held(self) -> None:
+        """It may wait for room, which is another matter."""
+        self.assertIsNone(Case(GANG).hold())
+
+    def test_a_job_at_work_is_not_held(self) -> None:
+        """One plain task does, of a gang all."""
+        plain = Case(PLAIN)
+        plain.add_run(0)
+        self.assertIsNone(plain.hold())
+        gang = Case(GANG)
+        for rank in range(3):
+            gang.add_run(rank)
+        self.assertIsNone(gang.hold())
+
+    def test_one_run_of_a_gang_holds_all_of_it(self) -> None:
+        """It runs, its fellows do not."""
+        case = Case(GANG, PLAIN._replace(after=(0,)))
+        case.add_run(1)
+        hold = case.found()
+        self.assertEqual((hold.reason, hold.step), (RUN, 0))
+        self.assertEqual(hold.later_steps, 1)
+        held = hold.tasks[0]
+        self.assertEqual(len(hold.tasks), 1)
+        self.assertEqual(held['task'], 'a1.0.0.1')
+        self.assertEqual((held['worker'], held['attempt']), ('w0', 2))
+        self.assertEqual(held['state'], RUNNING)
+        self.assertTrue(held['tracked'] and held['reachable'])
+
+    def test_a_run_that_no_session_knows_is_told(self) -> None:
+        """Left over at the leader alone."""
+        case = Case(GANG)
+        run = case.add_run(0, state=MARKED)
+        case.sessions['w0'].runs.clear()
+        held = case.found().tasks[0]
+        self.assertFalse(held['tracked'])
+        self.assertEqual(held['state'], run.state)
+        case.sessions.clear()
+        self.assertFalse(case.found().tasks[0]['listed'])
+
+    def test_a_run_that_is_to_stop_is_not_at_work(self) -> None:
+        """For as long as its end is not known."""
+        case = Case(PLAIN._replace(width=1))
+        run = case.add_run(0)
+        self.assertIsNone(case.hold())
+        run.stop_wanted = True
+        held = case.found().tasks[0]
+        self.assertTrue(held['stop_wanted'])
+
+    def test_a_run_at_a_silent_worker_is_not_at_work(self) -> None:
+        """Nobody knows whether it goes on."""
+        case = Case(GANG)
+        for rank in range(3):
+            case.add_run(rank, worker=f'w{rank % 2}')
+        case.sessions['w1'].reachable = False
+        hold = case.found()
+        self.assertEqual(
+            [task['reachable'] for task in hold.tasks],
+            [True, False, True],
+        )
+
+    def test_a_stored_worker_without_a_run_is_told(self) -> None:
+        """The store names a worker, the leader knows no run."""
+        case = Case(GANG)
+        case.add_run(0)
+        case.job.runs.clear()
+        hold = case.found()
+        self.assertEqual(hold.reason, STORED)
+        self.assertEqual(hold.tasks[0]['worker'], 'w0')
+
+    def test_a_gang_that_is_done_in_part_is_told(self) -> None:
+        """It can neither start nor end."""
+        case = Case(GANG)
+        case.job.progress.tasks['0.0.1'] = TaskProgress(attempt=1, done=True)
+        hold = case.found()
+        self.assertEqual(hold.reason, PARTLY_DONE)
+        self.assertEqual(hold.tasks[0]['task'], 'a1.0.0.1')
+
+    def test_a_due_time_is_told(self) -> None:
+        """Of the next occurrence."""
+        clock = ManualClock()
+        spec = make_spec('a1')._replace(
+            times=2,
+            start_at_s=clock.wall_s() + 30.0,
+            interval_s=60.0,
+        )
+        hold = Case(spec=spec).found()
+        self.assertEqual((hold.reason, hold.occurrence), (DUE, 0))
+        self.assertAlmostEqual(hold.due_in_s, 30.0)
+
+    def test_a_job_that_was_not_ended_is_told(self) -> None:
+        """All its steps are done."""
+        case = Case(GANG)
+        case.job.progress.done_steps.append('0.0')
+        self.assertEqual(case.found().reason, ALL_DONE)
+
+
+async def start_held_gang(domain: Domain, lines: Lines) -> TestHost:
+    """Have a gang run and lose touch with one of its workers."""
+    host = domain.start_host('h1')
+    await domain.leader()
+    step = GANG._replace(width=2, max_per_worker=1)
+    await host.accept(
+        make_spec('a1', step, accepted_at_s=domain.clock.wall_s()),
+    )
+    await domain.clock.advance(5.0)
+    assert not lines.lines
+    domain.workers['w0'].cut = True
+    return host
+
+
+class LineTest(unittest.TestCase):
+    """Jobs that are held, as operators see them."""
+
+    def test_a_gang_at_a_silent_worker_is_told_until_it_starts_again(
+        self,
+    ) -> None:
+        """Not at once, then each second, and no more once it works."""
+
+        async def case(domain: Domain) -> None:
+            lines = Lines()
+            with patch.object(unready, 'events', lines):
+                await start_held_gang(domain, lines)
+                await domain.clock.advance(unready.LOGGED_FROM_S)
+                self.assertEqual(lines.lines, [])
+                await domain.clock.advance(5.0)
+                found = list(lines.lines)
+                domain.workers['w0'].cut = False
+                await domain.clock.advance(20.0)
+                lines.lines.clear()
+                await domain.clock.advance(5.0)
+            self.assertIn(len(found), {3, 4, 5})
+            self.assertEqual(found[0]['held_by'], RUN)
+            sentence = told(found[0], 0.0)
+            self.assertIn('a1.0.0.', sentence)
+            self.assertIn('unreachable', sentence)
+            self.assertEqual(lines.lines, [])
+
+        in_domain(case, run_s=60.0)
+
+    def test_a_job_without_room_is_not_told_as_held(self) -> None:
+        """It is ready."""
+
+        async def case(domain: Domain) -> None:
+            lines = Lines()
+            with patch.object(unready, 'events', lines):
+                host = domain.start_host('h1')
+                await domain.leader()
+                wide = PLAIN._replace(width=16)
+                for name in ('a1', 'a2'):
+                    await host.accept(make_spec(name, wide))
+                await domain.clock.advance(10.0)
+            self.assertEqual(lines.lines, [])
+
+        in_domain(case, run_s=60.0)
+
+    def test_lines_are_bounded(self) -> None:
+        """Of many held jobs the oldest are told; one due later is not."""
+
+        async def case(domain: Domain) -> None:
+            lines = Lines()
+            host = domain.start_host('h1')
+            await domain.leader()
+            due_s = domain.clock.wall_s() + 500.0
+            later = make_spec('due')._replace(times=1, start_at_s=due_s)
+            await host.accept(later)
+            for number in range(8):
+                spec = make_spec(f'a{number}')
+                await host.accept(
+                    spec._replace(accepted_at_s=spec.accepted_at_s + number),
+                )
+            await domain.clock.advance(2.0)
+            for worker in domain.workers.values():
+                worker.cut = True
+            with patch.object(unready, 'events', lines):
+                await domain.clock.advance(4.5)
+                # The one that is due later leaves no slot unused.
+                names = [line['job'] for line in lines.lines]
+                self.assertIn('due', names)
+                lines.lines.clear()
+                await domain.clock.advance(1.0)
+            self.assertLessEqual(len(lines.lines), unready.LOGGED_JOBS)
+            self.assertEqual(
+                [line['job'] for line in lines.lines],
+                ['a0', 'a1'],
+            )
+
+        in_domain(case, run_s=60.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
