The line of a waiting job names for whom room is kept

A line said `room that is kept for others` and not for whom, and nothing of the workers: whether they were few, in use, or each held by one suspect could not be told.

`waiting` now has `kept_for`, the jobs of the service that room was kept for in the newest round, and how many of the service's workers are listed, accept work, run nothing, and have a suspect beside which nothing starts. A suspect that waits for an empty worker says so; it was told as `no room`. Where a step fits and no room was kept, the reason is no longer `room that is kept for others`: its advisor has allowed no such worker, or its turn has not come.

No decision changes.

--- a/src/curranthill/admission/__init__.py
+++ b/src/curranthill/admission/__init__.py
@@ -13,11 +13,12 @@
     ServiceOutlook,
     may_accept,
 )
-from curranthill.admission.reasons import waits_for
+from curranthill.admission.reasons import KEPT, waits_for
 from curranthill.admission.returns import return_after_s
 
 __all__ = (
     'FULL',
+    'KEPT',
     'MOST_OF_WORKSPACE',
     'MOST_WAITING',
     'OLD_S',
--- a/src/curranthill/admission/reasons.py
+++ b/src/curranthill/admission/reasons.py
@@ -17,6 +17,9 @@
 BEYOND_GUARANTEE: Final = 'no room, and beyond its guarantee'
 RACK: Final = 'room in one rack'
 KEPT: Final = 'room that is kept for others'
+ALONE: Final = 'an empty worker, as a suspect'
+ADVISED: Final = 'workers that its advisor allows'
+TURN: Final = 'its turn, it fits and no room is kept'
 
 
 def waits_for(
@@ -24,12 +27,16 @@
     rooms: Sequence[Room],
     *,
     beyond_guarantee: bool,
+    kept: bool = True,
+    advised: bool = False,
 ) -> str:
     """Return what a step waits for that may start by its turn.
 
     :param rooms: those of the step's service; left as they are.
     :param beyond_guarantee: whether it is urgent, and its workspace's
         guarantee is in use.
+    :param kept: whether room is kept for other jobs of the service.
+    :param advised: whether only workers that an advisor allows may run it.
     """
     step = ready.step
     wanted = len(ready.tasks) if step.gang else 1
@@ -37,12 +44,21 @@
         return NO_WORKER
     groups = groups_of(ready, ServiceRooms(rooms=rooms), patient=True)
     if any(_fits(ready, group) for group in groups):
-        return KEPT
+        return _reason_of_fit(kept=kept, advised=advised)
+    if ready.alone and _fits(ready._replace(alone=False), rooms):
+        return ALONE
     if _fits(ready, rooms):
         return RACK
     return BEYOND_GUARANTEE if beyond_guarantee else NO_ROOM
 
 
+def _reason_of_fit(*, kept: bool, advised: bool) -> str:
+    """Return why a step does not start that fits."""
+    if kept:
+        return KEPT
+    return ADVISED if advised else TURN
+
+
 def _fits(ready: ReadyStep, rooms: Sequence[Room]) -> bool:
     chosen = choose_rooms(ready, rooms)
     for key, room in chosen:
@@ -51,10 +67,13 @@
 
 
 __all__ = (
+    'ADVISED',
+    'ALONE',
     'BEYOND_GUARANTEE',
     'KEPT',
     'NO_ROOM',
     'NO_WORKER',
     'RACK',
+    'TURN',
     'waits_for',
 )
--- a/src/curranthill/commands/sentences.py
+++ b/src/curranthill/commands/sentences.py
@@ -43,9 +43,23 @@
 
 @sentences.register('waiting')
 def _waiting(line: Line) -> str:
+    named = ', '.join(line.get('kept_for', ()))
+    kept_for = f' ({named})' if named else ''
     return (
-        f'step {line["step"]} ({line["tasks"]} tasks) waits for '
-        f'{line["waits_for"]}; accepted {line["waited_s"]} s ago'
+        f'{line["job"]} step {line["step"]} ({line["tasks"]} tasks) '
+        f'waits for {line["waits_for"]}{kept_for}'
+        f'{_workers(line)}; accepted {line["waited_s"]} s ago'
+    )
+
+
+def _workers(line: Line) -> str:
+    """Return what the workers are; lines of earlier releases don't tell."""
+    if 'workers_usable' not in line:
+        return ''
+    return (
+        f'; of {line["workers_listed"]} workers {line["workers_usable"]} '
+        f'usable, {line["workers_empty"]} empty, '
+        f'{line["workers_with_suspect"]} with a suspect'
     )
 
 
@@ -55,8 +69,8 @@
     unnamed = line['held_tasks'] - len(line['held'])
     later = line['later_steps']
     parts = [
-        f'step {line["step"]} is not ready for {line["held_s"]} s: '
-        f'held by {line["held_by"]}',
+        f'{line["job"]} step {line["step"]} is not ready for ',
+        f'{line["held_s"]} s: held by {line["held_by"]}',
         f' ({tasks})' if tasks else '',
         f' and {unnamed} more' if unnamed else '',
         f'; {later} later steps wait for it' if later else '',
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -94,6 +94,7 @@
         self._revision = revision
         self._outlooks = OutlookMaker(clock=clock, work=work)
         self._board = WaitingBoard(clock=clock, work=work)
+        self._reserved_for: tuple[str, ...] = ()
         self._shown_s = 0.0
 
     async def run(self) -> None:
@@ -111,6 +112,7 @@
             self._note_outlook()
 
     def _plan_round(self) -> None:
+        self._reserved_for = ()
         if not self._work.may_order():
             return
         self._work.empty_leaving_workers()
@@ -132,6 +134,7 @@
             ratio_of=self._work.learning.ratio_of,
         )
         plan = planner.plan(self._work.jobs.values())
+        self._reserved_for = plan.reserved_for
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
         self._preempt(plan)
         for placement in plan.placements:
@@ -353,7 +356,7 @@
         if TURNING_AWAY not in self._without:
             told = msgspec.to_builtins(outlook, str_keys=True)
             self._journal.note_outlook(told)
-        self._board.show(self._guaranteed(), self._rooms)
+        self._board.show(self._guaranteed(), self._rooms, self._reserved_for)
 
 
 __all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -1,10 +1,10 @@
 """Shows operators who waits, for how long and for what."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
-from typing import Final
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Final, NamedTuple
 
-from curranthill.admission import waits_for
+from curranthill.admission import KEPT, waits_for
 from curranthill.clock import Clock
 from curranthill.dispatch.unready import UnreadyJobs
 from curranthill.dispatch.work import Work
@@ -27,6 +27,23 @@
 #: Shorter waits are not logged, in seconds.
 LOGGED_FROM_S: Final = 1.0
 
+#: Jobs that one line names as those that room is kept for.
+NAMED_JOBS: Final = 3
+
+
+class WorkerCounts(NamedTuple):
+    """What the workers of one service are.
+
+    :param usable: accept work.
+    :param empty: of these, run nothing.
+    :param with_suspect: of these, have a suspect beside which nothing starts.
+    """
+
+    listed: int
+    usable: int
+    empty: int
+    with_suspect: int
+
 
 class WaitingBoard:
     """Sets the gauges of workspaces, and logs the oldest waiting jobs.
@@ -46,12 +63,14 @@
         self,
         guaranteed: Mapping[str, int],
         rooms_now: Callable[[], Mapping[str, list[Room]]],
+        reserved_for: Sequence[str] = (),
     ) -> None:
         """Show who waits now.
 
         :param guaranteed: guaranteed accelerators by workspace.
         :param rooms_now: returns the workers that accept work, by service;
             asked only when a job has waited for long.
+        :param reserved_for: the jobs that the newest round kept room for.
         """
         open_jobs = sorted(
             (job for job in self._work.jobs.values() if not job.ended),
@@ -65,12 +84,22 @@
             rooms = rooms_now()
             for job, ready in waiting:
                 urgent = not job.spec.queue.priority
+                service_rooms = rooms.get(job.spec.queue.service, [])
+                kept_for = self._others_of(job, reserved_for)
                 reason = waits_for(
                     ready,
-                    rooms.get(job.spec.queue.service, []),
+                    service_rooms,
                     beyond_guarantee=urgent and job.spec.job_id not in covered,
+                    kept=bool(kept_for),
+                    advised=job.spec.queue.advisor,
+                )
+                self._tell(
+                    job,
+                    ready,
+                    reason,
+                    kept_for if reason == KEPT else (),
+                    self._count_workers(job, service_rooms),
                 )
-                self._tell(job, ready, reason)
 
     def _set_gauges(self, waiting: Iterable[ActiveJob]) -> None:
         now_s = self._clock.wall_s()
@@ -115,7 +144,51 @@
                 oldest.append((job, ready))
         return oldest
 
-    def _tell(self, job: ActiveJob, ready: ReadyStep, reason: str) -> None:
+    def _others_of(
+        self,
+        job: ActiveJob,
+        reserved_for: Sequence[str],
+    ) -> tuple[str, ...]:
+        """Return the other jobs of its service that room is kept for."""
+        others = (self._work.jobs.get(job_id) for job_id in reserved_for)
+        return tuple(
+            other.spec.job_id
+            for other in others
+            if other is not None
+            and other is not job
+            and other.spec.queue.service == job.spec.queue.service
+        )
+
+    def _count_workers(
+        self,
+        job: ActiveJob,
+        rooms: Sequence[Room],
+    ) -> WorkerCounts:
+        """Return what the workers of a job's service are.
+
+        :param rooms: those that accept work.
+        """
+        service = job.spec.queue.service
+        listed = [
+            session
+            for session in self._work.sessions.values()
+            if session.listed and session.entry.service == service
+        ]
+        return WorkerCounts(
+            listed=len(listed),
+            usable=len(rooms),
+            empty=sum(1 for room in rooms if not room.runs),
+            with_suspect=sum(1 for room in rooms if room.kept_alone),
+        )
+
+    def _tell(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        reason: str,
+        kept_for: Sequence[str],
+        counts: WorkerCounts,
+    ) -> None:
         spec = job.spec
         events.log(
             'waiting',
@@ -125,6 +198,11 @@
             step=ready.number,
             tasks=len(ready.tasks),
             waits_for=reason,
+            kept_for=kept_for[:NAMED_JOBS],
+            workers_listed=counts.listed,
+            workers_usable=counts.usable,
+            workers_empty=counts.empty,
+            workers_with_suspect=counts.with_suspect,
             waited_s=round(self._clock.wall_s() - spec.accepted_at_s, 1),
             begun=job.begun,
         )
@@ -134,4 +212,4 @@
     return job.spec.accepted_at_s
 
 
-__all__ = ('WaitingBoard',)
+__all__ = ('WaitingBoard', 'WorkerCounts')
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -117,6 +117,11 @@
             return math.inf
         return step.max_per_worker - self._count(key)
 
+    @property
+    def kept_alone(self) -> bool:
+        """Return whether nothing may start beside what runs here."""
+        return self._alone
+
     def near(self, rack: str) -> bool:
         """Return whether this worker stands in a rack."""
         return rack in self.entry.labels
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -45,13 +45,26 @@
     return Room(entry=entry, runs=(run,), doubt=0.0)
 
 
-def reason(step: Step, *rooms: Room, beyond: bool = False) -> str:
+def reason(
+    step: Step,
+    *rooms: Room,
+    beyond: bool = False,
+    alone: bool = False,
+    kept: bool = True,
+    advised: bool = False,
+) -> str:
     """Return what a step waits for."""
     spec = make_spec('a1', step)
     job = ActiveJob(spec=spec, progress=JobProgress('q', tasks={}))
     ready = next(job.ready_steps(spec.accepted_at_s))
     free = [room.free for room in rooms]
-    found = waits_for(ready, rooms, beyond_guarantee=beyond)
+    found = waits_for(
+        ready._replace(alone=alone),
+        rooms,
+        beyond_guarantee=beyond,
+        kept=kept,
+        advised=advised,
+    )
     assert [room.free for room in rooms] == free
     return found
 
@@ -97,6 +110,26 @@
         self.assertEqual(reason(near, *busy), 'room in one rack')
         self.assertEqual(reason(pair, *idle), 'room that is kept for others')
 
+    def test_an_empty_worker_for_a_suspect(self) -> None:
+        """Room beside others does not do."""
+        step = Step(width=1, needs=ONE_GPU, estimate_s=1.0)
+        self.assertEqual(
+            reason(step, worker(3), alone=True),
+            'an empty worker, as a suspect',
+        )
+        self.assertEqual(reason(step, worker(0), alone=True), 'no room')
+
+    def test_room_that_is_kept_for_nobody(self) -> None:
+        """It fits: the advisor has not allowed it, or it is not its turn."""
+        self.assertEqual(
+            reason(GANG, worker(8), kept=False, advised=True),
+            'workers that its advisor allows',
+        )
+        self.assertEqual(
+            reason(GANG, worker(8), kept=False),
+            'its turn, it fits and no room is kept',
+        )
+
 
 class LabelsTest(unittest.TestCase):
     """However many workspaces there are."""
@@ -158,6 +191,71 @@
 
         in_domain(case, workers=4, run_s=RUN_S)
 
+    def test_the_job_that_room_is_kept_for_is_named(self) -> None:
+        """A gang of three workers waits; a small job waits for it."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(gang('busy', domain))
+            await domain.clock.advance(1.0)
+            wide = GANG._replace(width=3)
+            await host.accept(gang('wide', domain)._replace(steps=(wide,)))
+            await host.accept(gang('small', domain, priority=2))
+            lines = Lines()
+            with patch.object(waiting, 'events', lines):
+                await domain.clock.advance(3.0)
+            told_of = {line['job']: line for line in lines.of('waiting')}
+            small = told_of['small']
+            self.assertEqual(
+                small['waits_for'],
+                'room that is kept for others',
+            )
+            self.assertEqual(small['kept_for'], ('wide',))
+            self.assertEqual(told_of['wide']['waits_for'], 'no room')
+            self.assertEqual(told_of['wide']['kept_for'], ())
+            counts = [
+                small[f'workers_{name}']
+                for name in ('listed', 'usable', 'empty', 'with_suspect')
+            ]
+            self.assertEqual(counts, [3, 3, 2, 0])
+            sentence = told(small, 0.0)
+            self.assertIn('kept for others (wide)', sentence)
+            self.assertIn('of 3 workers 3 usable, 2 empty', sentence)
+
+        in_domain(case, workers=3, run_s=RUN_S)
+
+    def test_workers_with_a_suspect_are_counted(self) -> None:
+        """Of two workers one leaves; the other has a suspect."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            one_gpu = Step(width=1, needs=ONE_GPU, estimate_s=RUN_S)
+            await host.accept(make_spec('alone', one_gpu))
+            await domain.clock.advance(1.0)
+            leader = host.leader
+            assert leader is not None
+            for run in leader.work.jobs['alone'].runs.values():
+                run.alone = True
+                name = run.worker_id
+            other = next(one for one in domain.workers if one != name)
+            entry = domain.workers[other].entry
+            domain.list_worker(entry._replace(leaving=True))
+            await domain.clock.advance(1.0)
+            await host.accept(gang('whole', domain))
+            lines = Lines()
+            with patch.object(waiting, 'events', lines):
+                await domain.clock.advance(3.0)
+            line = lines.of('waiting')[-1]
+            counts = [
+                line[f'workers_{name}']
+                for name in ('listed', 'usable', 'empty', 'with_suspect')
+            ]
+            self.assertEqual(counts, [2, 1, 0, 1])
+
+        in_domain(case, run_s=30.0)
+
     def test_workspaces_are_counted_and_forgotten(self) -> None:
         """The largest by name, the rest as one; nobody stays on the board."""
 
