Workers that are listed and accept no work are logged with the reason

A worker could be passed over in each round without a line: only the entry of another incarnation, a worker that was not synced or a data centre taken as closed knew why, and nothing counted them.

A session now tells why it accepts no work, and `accepts_work` is that no reason holds: the conditions and what they allow are as before. The leader logs `workers_unused` when the workers that have accepted no work for five seconds, or their reasons, change, at most once in five seconds and with at most 40 names. The gauge `workers_unused` counts them.

--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -13,6 +13,7 @@
 from curranthill.dispatch.outlooks import OutlookMaker
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.unused import UnusedWorkers
 from curranthill.dispatch.waiting import WaitingBoard
 from curranthill.dispatch.watch import RunWatch
 from curranthill.dispatch.work import Work
@@ -94,6 +95,7 @@
         self._revision = revision
         self._outlooks = OutlookMaker(clock=clock, work=work)
         self._board = WaitingBoard(clock=clock, work=work)
+        self._unused = UnusedWorkers(clock=clock, sessions=work.sessions)
         self._reserved_for: tuple[str, ...] = ()
         self._shown_s = 0.0
 
@@ -357,6 +359,7 @@
             told = msgspec.to_builtins(outlook, str_keys=True)
             self._journal.note_outlook(told)
         self._board.show(self._guaranteed(), self._rooms, self._reserved_for)
+        self._unused.show()
 
 
 __all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -20,6 +20,18 @@
 from curranthill.dispatch.looks import LookTurns
 from curranthill.dispatch.owner import ClosureSource, SessionOwner
 from curranthill.dispatch.runlist import RunList
+from curranthill.dispatch.unused import (
+    CLOSED,
+    GONE,
+    LEAVING,
+    NOT_LISTED,
+    NOT_SYNCED,
+    OTHER_INCARNATION,
+    REJECTED,
+    UNREACHABLE,
+    UNREADABLE,
+    UnusedReason,
+)
 from curranthill.dispatch.workers import (
     FENCE,
     LeaseOrder,
@@ -129,15 +141,28 @@
     @property
     def accepts_work(self) -> bool:
         """Return whether new tasks may be placed here."""
-        if self.gone or self.entry.leaving or not self.readable:
-            return False
-        if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
-            return False
-        if not self._is_entry_current():
-            return False
-        if not self._closures.allows_starts(self.entry.data_centre):
-            return False
-        return self.listed and self.reachable and self.synced
+        return self.unused_reason is None
+
+    @property
+    def unused_reason(self) -> UnusedReason | None:
+        """Return why no new task may be placed here, if so."""
+        rejected_s = self._clock.monotonic_s() - self.rejected_s
+        open_here = self._closures.allows_starts(self.entry.data_centre)
+        reasons: dict[UnusedReason, bool] = {
+            GONE: self.gone,
+            LEAVING: self.entry.leaving,
+            UNREADABLE: not self.readable,
+            REJECTED: rejected_s < REJECTION_PAUSE_S,
+            OTHER_INCARNATION: not _is_current(self),
+            CLOSED: not open_here,
+            NOT_LISTED: not self.listed,
+            UNREACHABLE: not self.reachable,
+            NOT_SYNCED: not self.synced,
+        }
+        if not any(reasons.values()):
+            # Asked of every worker in each round: most answers end here.
+            return None
+        return next(reason for reason, holds in reasons.items() if holds)
 
     @property
     def token(self) -> int:
@@ -159,7 +184,7 @@
         self.entry = entry
         self.listed = True
         self.readable = True
-        if news and not self._is_entry_current():
+        if news and not _is_current(self):
             self._raise_token()
 
     def wake(self) -> None:
@@ -435,14 +460,6 @@
         self._list.doubt_ordered()
         self._urgent.set()
 
-    def _is_entry_current(self) -> bool:
-        """Return whether the entry is of the incarnation that answered.
-
-        Another one may be of another kind, with other room and labels.
-        """
-        told = self.entry.incarnation and self.incarnation
-        return not told or self.entry.incarnation == self.incarnation
-
     def _read_clock(self, clock_s: float, known_s: float) -> None:
         """Take the clock of an answer to an order.
 
@@ -532,6 +549,16 @@
             self._owner.session_changed(self)
 
 
+def _is_current(session: WorkerSession) -> bool:
+    """Return whether the entry is of the incarnation that answered.
+
+    Another one may be of another kind, with other room and labels.
+    """
+    listed = session.entry.incarnation
+    told = listed and session.incarnation
+    return not told or listed == session.incarnation
+
+
 def _tell_unanswered(order: str, run: Run, error: WorkerError) -> None:
     events.log(
         f'{order}_unanswered',
--- /dev/null
+++ b/src/curranthill/dispatch/unused.py
@@ -0,0 +1,115 @@
+"""Tells operators of workers that are listed and have no use."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Final, Literal
+
+from curranthill.clock import Clock
+from curranthill.telemetry import metrics
+from curranthill.telemetry.events import events
+
+if TYPE_CHECKING:
+    from curranthill.dispatch.session import WorkerSession
+
+#: Why a worker accepts no work, in an operator's words.
+UnusedReason = Literal[
+    'gone',
+    'leaving',
+    'unreadable entry',
+    'rejected a start',
+    'entry of another incarnation',
+    'data centre not known to be open',
+    'not listed',
+    'unreachable',
+    'not synced',
+]
+
+GONE: Final = 'gone'
+LEAVING: Final = 'leaving'
+UNREADABLE: Final = 'unreadable entry'
+REJECTED: Final = 'rejected a start'
+OTHER_INCARNATION: Final = 'entry of another incarnation'
+CLOSED: Final = 'data centre not known to be open'
+NOT_LISTED: Final = 'not listed'
+UNREACHABLE: Final = 'unreachable'
+NOT_SYNCED: Final = 'not synced'
+
+#: A worker is told of that has accepted no work for so long, in seconds.
+TOLD_FROM_S: Final = 5.0
+
+#: The least time between two lines, in seconds.
+LINES_INTERVAL_S: Final = 5.0
+
+#: Workers that one line names; the rest are counted.
+NAMED_WORKERS: Final = 40
+
+
+class UnusedWorkers:
+    """Logs the listed workers that accept no work, whenever they change.
+
+    :param sessions: by worker.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        sessions: Mapping[str, 'WorkerSession'],
+    ) -> None:
+        """Start with no worker known to be unused."""
+        self._clock = clock
+        self._sessions = sessions
+        self._since_s: dict[str, float] = {}
+        self._told: dict[str, UnusedReason] = {}
+        self._told_s = clock.monotonic_s() - LINES_INTERVAL_S
+
+    def show(self) -> None:
+        """Set the gauge, and log what is unused if that has changed."""
+        unused = self._unused()
+        metrics.workers_unused.set(len(unused))
+        now_s = self._clock.monotonic_s()
+        if unused == self._told or now_s - self._told_s < LINES_INTERVAL_S:
+            return
+        self._told = unused
+        self._told_s = now_s
+        named: dict[str, list[str]] = {}
+        for worker_id in sorted(unused)[:NAMED_WORKERS]:
+            named.setdefault(unused[worker_id], []).append(worker_id)
+        events.log(
+            'workers_unused',
+            unused=len(unused),
+            listed=sum(1 for one in self._sessions.values() if one.listed),
+            workers=named,
+        )
+
+    def _unused(self) -> dict[str, UnusedReason]:
+        """Return why workers are unused that have been so for long."""
+        now_s = self._clock.monotonic_s()
+        reasons: dict[str, UnusedReason] = {}
+        for worker_id, session in self._sessions.items():
+            reason = session.unused_reason
+            if session.listed and reason is not None:
+                reasons[worker_id] = reason
+        self._since_s = {
+            worker_id: self._since_s.get(worker_id, now_s)
+            for worker_id in reasons
+        }
+        return {
+            worker_id: reason
+            for worker_id, reason in reasons.items()
+            if now_s - self._since_s[worker_id] > TOLD_FROM_S
+        }
+
+
+__all__ = (
+    'CLOSED',
+    'GONE',
+    'LEAVING',
+    'NOT_LISTED',
+    'NOT_SYNCED',
+    'OTHER_INCARNATION',
+    'REJECTED',
+    'UNREACHABLE',
+    'UNREADABLE',
+    'UnusedReason',
+    'UnusedWorkers',
+)
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -70,6 +70,7 @@
         )
         self.runs_stopped = meter.create_counter('runs_stopped')
         self.workers_unreachable = meter.create_gauge('workers_unreachable')
+        self.workers_unused = meter.create_gauge('workers_unused')
         self.workers_restarted = meter.create_counter('workers_restarted')
         self.runs_lost = meter.create_counter('runs_lost_with_worker')
         self.workers_slow = meter.create_gauge('workers_slow')
--- /dev/null
+++ b/tests/test_unused.py
@@ -0,0 +1,209 @@
+"""Workers that are listed and accept no work, and why.
+
+Nothing told that a worker was passed over in each round: an entry of another
+incarnation has no line of its own.
+"""
+
+import unittest
+from typing import Any
+from unittest.mock import patch
+
+from curranthill.dispatch import unused
+from curranthill.placement import WorkerEntry
+from curranthill.storage.rows import RowPut
+from curranthill.telemetry import metrics
+from tests.domain import WORKER_TABLE, Domain, in_domain, make_spec
+from tests.support import ManualClock
+from tests.test_waiting import Lines
+
+#: By then all that is unused has been told, a line before it included.
+TOLD_S = unused.TOLD_FROM_S + unused.LINES_INTERVAL_S + 2.0
+
+
+class Gauge:
+    """Keeps the newest value."""
+
+    def __init__(self) -> None:
+        """Start without a value."""
+        self.amount = -1
+
+    def set(self, amount: int) -> None:
+        """Keep one."""
+        self.amount = amount
+
+
+class Session:
+    """A worker that accepts work until a test says why not."""
+
+    def __init__(self) -> None:
+        """Accept work."""
+        self.listed = True
+        self.unused_reason: unused.UnusedReason | None = None
+
+
+class Watch:
+    """Workers without a network, looked at each second."""
+
+    def __init__(self, count: int = 3) -> None:
+        """Start with all of them in use."""
+        self.clock = ManualClock()
+        self.lines = Lines()
+        self.gauge = Gauge()
+        self.sessions = {f'w{number:03}': Session() for number in range(count)}
+        sessions: Any = self.sessions
+        self.board = unused.UnusedWorkers(clock=self.clock, sessions=sessions)
+
+    async def look(self, seconds: int) -> list[dict[str, Any]]:
+        """Return the lines of some seconds."""
+        self.lines.lines.clear()
+        with (
+            patch.object(unused, 'events', self.lines),
+            patch.object(metrics, 'workers_unused', self.gauge),
+        ):
+            for _ in range(seconds):
+                await self.clock.advance(1.0)
+                self.board.show()
+        return self.lines.of('workers_unused')
+
+
+class LineTest(unittest.IsolatedAsyncioTestCase):
+    """When a line is written, and what it holds."""
+
+    async def test_a_worker_is_told_of_once_it_was_unused_for_long(
+        self,
+    ) -> None:
+        """With its reason, and once."""
+        watch = Watch()
+        watch.sessions['w001'].unused_reason = unused.UNREACHABLE
+        self.assertEqual(await watch.look(5), [])
+        self.assertEqual(watch.gauge.amount, 0)
+        lines = await watch.look(20)
+        self.assertEqual(len(lines), 1)
+        self.assertEqual(lines[0]['workers'], {unused.UNREACHABLE: ['w001']})
+        self.assertEqual((lines[0]['unused'], lines[0]['listed']), (1, 3))
+        self.assertEqual(watch.gauge.amount, 1)
+
+    async def test_a_worker_that_is_used_again_is_told_too(self) -> None:
+        """As a line without it."""
+        watch = Watch()
+        watch.sessions['w001'].unused_reason = unused.LEAVING
+        await watch.look(10)
+        watch.sessions['w001'].unused_reason = None
+        lines = await watch.look(10)
+        self.assertEqual([line['workers'] for line in lines], [{}])
+        self.assertEqual(watch.gauge.amount, 0)
+
+    async def test_a_reason_that_keeps_changing_is_told_in_intervals(
+        self,
+    ) -> None:
+        """At most once in five seconds, however often it changes."""
+        watch = Watch()
+        session = watch.sessions['w002']
+        session.unused_reason = unused.NOT_SYNCED
+        await watch.look(10)
+        count = 0
+        for second in range(20):
+            session.unused_reason = (
+                unused.UNREACHABLE if second % 2 else unused.NOT_SYNCED
+            )
+            count += len(await watch.look(1))
+        self.assertIn(count, {3, 4})
+
+    async def test_a_line_names_a_bounded_number_of_workers(self) -> None:
+        """All of them are counted."""
+        watch = Watch(count=500)
+        for session in watch.sessions.values():
+            session.unused_reason = unused.CLOSED
+        lines = await watch.look(10)
+        self.assertEqual(lines[0]['unused'], 500)
+        named = lines[0]['workers'][unused.CLOSED]
+        self.assertEqual(len(named), unused.NAMED_WORKERS)
+
+    async def test_a_worker_that_is_not_listed_is_not_told(self) -> None:
+        """Nobody expects work there."""
+        watch = Watch()
+        watch.sessions['w000'].listed = False
+        watch.sessions['w000'].unused_reason = unused.NOT_LISTED
+        self.assertEqual(await watch.look(10), [])
+
+
+class ReasonTest(unittest.TestCase):
+    """Why a worker accepts no work, told by its session."""
+
+    def test_each_state_has_its_reason(self) -> None:
+        """The same that keeps work away."""
+
+        async def case(domain: Domain) -> None:
+            domain.start_host('h1')
+            await domain.leader()
+            await domain.clock.advance(1.0)
+            session = domain.session('w0')
+            self.assertIsNone(session.unused_reason)
+            self.assertTrue(session.accepts_work)
+            for name, state, reason in (
+                ('gone', True, unused.GONE),
+                ('readable', False, unused.UNREADABLE),
+                ('rejected_s', domain.clock.monotonic_s(), unused.REJECTED),
+                ('incarnation', 7, unused.OTHER_INCARNATION),
+                ('listed', False, unused.NOT_LISTED),
+                ('reachable', False, unused.UNREACHABLE),
+                ('synced', False, unused.NOT_SYNCED),
+            ):
+                with self.subTest(name), patch.object(session, name, state):
+                    self.assertEqual(session.unused_reason, reason)
+                    self.assertFalse(session.accepts_work)
+
+        in_domain(case)
+
+    def test_workers_of_a_day_are_told_with_their_reasons(self) -> None:
+        """One leaves, one has a bad row, one a closed data centre, one fails.
+
+        The last is at work no more, and no renewal is answered.
+        """
+
+        async def case(domain: Domain) -> None:
+            domain.add_worker('far', data_centre='east')
+            lines = Lines()
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.close_data_centre('east')
+            await domain.clock.advance(1.0)
+            await host.accept(make_spec('a1'))
+            await domain.clock.advance(3.0)
+            leader = host.leader
+            assert leader is not None
+            run = next(iter(leader.work.jobs['a1'].runs.values()))
+            silent, leaving, bad = sorted(
+                (name for name in domain.workers if name != 'far'),
+                key=lambda name: name != run.worker_id,
+            )
+            domain.workers[silent].cut = True
+            entry: WorkerEntry = domain.workers[leaving].entry
+            domain.list_worker(entry._replace(leaving=True))
+            domain.rows.apply((), (RowPut(WORKER_TABLE, bad, b'[]'),), ())
+            with patch.object(unused, 'events', lines):
+                await domain.clock.advance(TOLD_S)
+                found = lines.of('workers_unused')[-1]
+                silent_as = domain.session(silent).unused_reason
+            assert silent_as is not None
+            self.assertIn(silent_as, {unused.UNREACHABLE, unused.NOT_SYNCED})
+            self.assertEqual(found['unused'], 4)
+            self.assertEqual(found['listed'], 4)
+            self.assertEqual(
+                {
+                    unused.LEAVING: [leaving],
+                    unused.UNREADABLE: [bad],
+                    unused.CLOSED: ['far'],
+                },
+                {
+                    reason: names
+                    for reason, names in found['workers'].items()
+                    if names != [silent]
+                },
+            )
+
+        in_domain(case, workers=3, run_s=60.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
