`trace` and `losses` tell of a job that waits why it does

`trace` tells `not_ready` and the new fields of `waiting` in words, and shows which workers were unused from the beginning of the job's wait on: these lines name no job, so they were passed over. `losses` counts the time in which a job was not ready apart from that in which it waited; the lines name the oldest two jobs of a priority, so it is a lower bound. Lines of earlier releases are told as before.

--- a/src/curranthill/commands/sentences.py
+++ b/src/curranthill/commands/sentences.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from curranthill.commands.waits import held_task, workers_of
 from curranthill.registry import Registry
 
 Line = dict[str, Any]
@@ -48,24 +49,13 @@
     return (
         f'{line["job"]} step {line["step"]} ({line["tasks"]} tasks) '
         f'waits for {line["waits_for"]}{kept_for}'
-        f'{_workers(line)}; accepted {line["waited_s"]} s ago'
-    )
-
-
-def _workers(line: Line) -> str:
-    """Return what the workers are; lines of earlier releases don't tell."""
-    if 'workers_usable' not in line:
-        return ''
-    return (
-        f'; of {line["workers_listed"]} workers {line["workers_usable"]} '
-        f'usable, {line["workers_empty"]} empty, '
-        f'{line["workers_with_suspect"]} with a suspect'
+        f'{workers_of(line)}; accepted {line["waited_s"]} s ago'
     )
 
 
 @sentences.register('not_ready')
 def _not_ready(line: Line) -> str:
-    tasks = '; '.join(map(_held_task, line['held']))
+    tasks = '; '.join(map(held_task, line['held']))
     unnamed = line['held_tasks'] - len(line['held'])
     later = line['later_steps']
     parts = [
@@ -79,22 +69,14 @@
     return f'{"".join(parts)}; accepted {line["waited_s"]} s ago'
 
 
-def _held_task(held: Line) -> str:
-    """Return what holds one task, and what is amiss with its worker."""
-    worker = [
-        '' if held['tracked'] else 'no such run there',
-        '' if held['listed'] else 'not listed',
-        '' if held['reachable'] else 'unreachable',
-        '' if held['synced'] else 'not synced',
-        'gone' if held['gone'] else '',
-    ]
-    stop = ', to be stopped' if held['stop_wanted'] else ''
-    amiss = ', '.join(filter(None, worker)) if held['worker'] else ''
-    return (
-        f'{held["task"]} attempt {held["attempt"]} {held["state"]} for '
-        f'{held["held_s"]} s{stop} at {held["worker"] or "no worker"}'
-        f'{": " if amiss else ""}{amiss}'
+@sentences.register('workers_unused')
+def _workers_unused(line: Line) -> str:
+    workers = '; '.join(
+        f'{reason} ({", ".join(names)})'
+        for reason, names in line['workers'].items()
     )
+    told = f'{line["unused"]} of {line["listed"]} listed workers are unused'
+    return f'{told}: {workers}' if workers else told
 
 
 @sentences.register('placed')
--- a/src/curranthill/commands/timelines.py
+++ b/src/curranthill/commands/timelines.py
@@ -10,6 +10,7 @@
 
 #: How the time of a job without a useful run is told.
 WAITING: Final = 'waiting'
+NOT_READY: Final = 'not ready'
 USEFUL: Final = 'useful'
 
 #: How a run ended that was not stopped, by the name that its line gives.
@@ -69,6 +70,7 @@
         self.runs: list[RunSpan] = []
         self.open: dict[str, tuple[str, float]] = {}
         self.stopped_for: dict[str, str] = {}
+        self.held: list[tuple[float, float]] = []
 
     @property
     def late_s(self) -> float:
@@ -102,20 +104,28 @@
             ),
         )
 
+    def hold(self, began_s: float, until_s: float) -> None:
+        """Note that it was not ready for a time; later lines tell more of it.
+
+        :param began_s: a line that tells the same time again has the same.
+        """
+        if self.held and began_s <= self.held[-1][1]:
+            began_s = min(began_s, self.held.pop()[0])
+        self.held.append((began_s, until_s))
+
     def seconds_by_cause(self) -> dict[str, float]:
         """Return where the time from acceptance to the end went, in seconds.
 
         A moment counts as useful while a run is under way that ends done;
         else as the cause for which the runs under way were thrown away; else
-        as waiting.
+        as not ready, if a line tells so, or as waiting.
         """
         ended_s = self.accepted_s if self.ended_s is None else self.ended_s
         edges = {self.accepted_s, ended_s}
-        for run in self.runs:
+        spans = [(run.began_s, run.ended_s) for run in self.runs]
+        for span in (*spans, *self.held):
             edges.update(
-                edge
-                for edge in (run.began_s, run.ended_s)
-                if self.accepted_s < edge < ended_s
+                edge for edge in span if self.accepted_s < edge < ended_s
             )
         spent: dict[str, float] = {}
         moments = sorted(edges)
@@ -130,7 +140,10 @@
         ]
         if USEFUL in causes:
             return USEFUL
-        return causes[0] if causes else WAITING
+        if causes:
+            return causes[0]
+        held = any(began_s <= at_s < until_s for began_s, until_s in self.held)
+        return NOT_READY if held else WAITING
 
 
 class Timelines:
@@ -185,6 +198,11 @@
         job.begin(task, worker, line['t_s'])
 
 
+@readers.register('not_ready')
+def _not_ready(job: JobTimeline, line: Line) -> None:
+    job.hold(line['t_s'] - line['held_s'], line['t_s'])
+
+
 @readers.register('run_ended')
 def _run_ended(job: JobTimeline, line: Line) -> None:
     job.end(line['task'], line['t_s'], line['how'])
@@ -218,4 +236,11 @@
     job.ended_s = line['t_s']
 
 
-__all__ = ('USEFUL', 'WAITING', 'JobTimeline', 'RunSpan', 'Timelines')
+__all__ = (
+    'NOT_READY',
+    'USEFUL',
+    'WAITING',
+    'JobTimeline',
+    'RunSpan',
+    'Timelines',
+)
--- a/src/curranthill/commands/trace.py
+++ b/src/curranthill/commands/trace.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
 import typer
 
@@ -15,6 +15,12 @@
     typer.Argument(help='Saved log files, or folders of them.'),
 ]
 
+#: Kinds of lines of a job that is not at work.
+WAITS: Final = frozenset(('waiting', 'not_ready'))
+
+#: The kind of line that tells which workers accept no work.
+UNUSED: Final = 'workers_unused'
+
 
 def trace(
     job_id: Annotated[str, typer.Argument(help="The job's id.")],
@@ -26,9 +32,11 @@
     ] = False,
 ) -> None:
     """Tell what happened to one job, in order, over all hosts."""
-    lines = sorted(events_of(logs, job_id), key=lambda line: line['t_s'])
+    lines = sorted(events_of(logs, job_id), key=_written_s)
     if not lines:
         fail(f'No line of these logs names {job_id}.', FAILED)
+    lines.extend(_unused_workers(logs, lines, job_id))
+    lines.sort(key=_written_s)
     began_s = lines[0]['t_s']
     for line in lines:
         if as_json:
@@ -53,6 +61,39 @@
     return f'{line["t_s"] - began_s:9.3f} s  {line["host"]}  {sentence}'
 
 
+def _unused_workers(
+    logs: Iterable[Path],
+    lines: Iterable[Line],
+    job_id: str,
+) -> list[Line]:
+    """Return what is told of unused workers while a job waits.
+
+    It is told when it changes, so what holds at the beginning of the wait is
+    the newest line before.
+    """
+    waits_s = [
+        line['t_s']
+        for line in lines
+        if line['event'] in WAITS and line.get('job') == job_id
+    ]
+    if not waits_s:
+        return []
+    found = sorted(
+        (
+            line
+            for line in events_of(logs, UNUSED)
+            if line['event'] == UNUSED and line['t_s'] <= max(waits_s)
+        ),
+        key=_written_s,
+    )
+    before = [line for line in found if line['t_s'] < min(waits_s)]
+    return found[max(len(before) - 1, 0) :]
+
+
+def _written_s(line: Line) -> float:
+    return float(line['t_s'])
+
+
 def events_of(paths: Iterable[Path], named: str) -> Iterator[Line]:
     """Yield the events of saved logs.
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -9,7 +9,12 @@
 from typer.testing import CliRunner
 
 from curranthill.commands.operator import app
-from curranthill.commands.timelines import USEFUL, WAITING, Timelines
+from curranthill.commands.timelines import (
+    NOT_READY,
+    USEFUL,
+    WAITING,
+    Timelines,
+)
 
 JOB = '36d1a8d4ede4975b'
 FIRST = f'{JOB}.0.0.0'
@@ -71,6 +76,19 @@
         )
         self.assertAlmostEqual(sum(run.core_s for run in lost), 2 * 12 * 0.6)
 
+    def test_time_in_which_it_was_not_ready_is_told_apart(self) -> None:
+        """Of 1.4 s between two runs 1 s, told twice; while it ran, none."""
+        timelines = Timelines()
+        held = [
+            line(3.0, 'not_ready', job=JOB, held_s=2.0),
+            line(3.6, 'not_ready', job=JOB, held_s=2.6),
+        ]
+        timelines.read(sorted([*lines(), *held], key=lambda one: one['t_s']))
+        spent = timelines.jobs[JOB].seconds_by_cause()
+        self.assertAlmostEqual(spent[NOT_READY], 1.0 + 1.0)
+        self.assertAlmostEqual(spent[WAITING], 0.4)
+        self.assertAlmostEqual(spent['preempted'], 0.6)
+
     def test_lines_without_their_fields_are_counted(self) -> None:
         """They change nothing else."""
         timelines = Timelines()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -87,6 +87,77 @@
             ['accepted', 'placed', 'run_ended', 'job_ended'],
         )
 
+    def test_a_wait_is_told_with_what_it_is_for(self) -> None:
+        """Why it is not ready, for whom room is kept, who is unused."""
+        held = {
+            'task': f'{JOB}.0.0.1',
+            'attempt': 2,
+            'worker': 'w1',
+            'state': 'unknown',
+            'held_s': 4.0,
+            'stop_wanted': True,
+            'tracked': False,
+            'listed': True,
+            'reachable': False,
+            'synced': False,
+            'gone': False,
+        }
+        waiting = {
+            'job': JOB,
+            'step': 0,
+            'tasks': 7,
+            'waits_for': 'room that is kept for others',
+            'kept_for': ['b2'],
+            'workers_listed': 24,
+            'workers_usable': 22,
+            'workers_empty': 3,
+            'workers_with_suspect': 2,
+            'waited_s': 20.0,
+        }
+        not_ready = {
+            'job': JOB,
+            'step': 0,
+            'held_by': 'a run that is not at work',
+            'held_s': 6.0,
+            'waited_s': 30.0,
+            'held_tasks': 3,
+            'held': [held],
+            'later_steps': 1,
+            'due_in_s': 0.0,
+        }
+        logs = (
+            line(1.0, 'h2', 'workers_unused', unused=9, listed=24, workers={}),
+            line(
+                2.0,
+                'h2',
+                'workers_unused',
+                unused=2,
+                listed=24,
+                workers={'unreachable': ['w1', 'w2']},
+            ),
+            line(3.0, 'h2', 'waiting', **waiting),
+            line(9.0, 'h2', 'not_ready', **not_ready),
+            line(10.0, 'h2', 'workers_unused', unused=1, listed=24, workers={}),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / 'h2.log').write_text('\n'.join(logs), 'utf-8')
+            result = CliRunner().invoke(app, ['trace', JOB, folder])
+        told = result.output.splitlines()
+        self.assertEqual(len(told), 3, result.output)
+        self.assertIn(
+            '2 of 24 listed workers are unused: unreachable (w1, w2)',
+            told[0],
+        )
+        self.assertIn('kept for others (b2)', told[1])
+        self.assertIn('of 24 workers 22 usable, 3 empty, 2 with a', told[1])
+        self.assertIn('is not ready for 6.0 s: held by a run that', told[2])
+        self.assertIn(
+            'attempt 2 unknown for 4.0 s, to be stopped at w1: '
+            'no such run there, unreachable, not synced) and 2 more',
+            told[2],
+        )
+        self.assertIn('1 later steps wait for it', told[2])
+
     def test_an_unknown_job_is_said_so(self) -> None:
         """With exit code 1."""
         with tempfile.TemporaryDirectory() as folder:
