A start that a worker fenced off is made again

What callers saw: a task whose start was rejected for its token was not started again in that term. Cause: the run is unknown from then on, ordered under the token that is still in use, so no list can prove it absent; if the worker has started again under its id it accepts the token, and nothing raises it. Change: the rejection raises the token, like every order whose effect is not settled. Why it works: the renewal under the raised token lists the run or shuts it out; if another leader has ordered the worker, that renewal is rejected too and ends the term as before.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -290,9 +290,10 @@
             reason=rejected.reason,
         )
         if rejected.reason == FENCE:
-            # Settled by the next renewal, which also tells who leads.
+            # Settled by the next renewal, which also tells who leads. A worker
+            # that started again has forgotten the token and accepts it.
             run.state = UNKNOWN
-            self._urgent.set()
+            self._raise_token()
             return
         self.rejected_s = self._clock.monotonic_s()
         self._list.vanish(run, f'rejected: {rejected.reason}')
