--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -61,6 +61,7 @@
     :param incarnation: grows with each start of the worker under its id.
     :param rejecting: a reason for which every start is rejected.
     :param rejections: how many starts were rejected for it.
+    :param refusing: a reason for which every renewal is rejected.
     :param crashing: tasks under which the worker crashes.
     :param crash_after_s: how long after the start of such a task.
     :param crashes: how often the worker crashed, by the task that did it.
@@ -100,6 +101,7 @@
         self.failing = False
         self.rejecting = ''
         self.rejections = 0
+        self.refusing = ''
         self.crashing: set[TaskKey] = set()
         self.crash_after_s = 0.0
         self.crashes: list[TaskKey] = []
@@ -173,6 +175,8 @@
     async def renew(self, order: LeaseOrder) -> LeaseReport:
         """Renew the lease and return what runs and what ended."""
         await self._pass('renew')
+        if self.refusing:
+            raise self._rejection('renew', self.refusing)
         self._check_token(order.token, 'renew')
         self._deadline_s = max(self._deadline_s, order.deadline_s)
         self.acknowledged.extend(
--- a/tests/test_unfinished_waits.py
+++ b/tests/test_unfinished_waits.py
@@ -1,5 +1,6 @@
 """Whatever the leader waits for at a worker ends after a bounded time."""
 
+import asyncio
 import unittest
 from typing import Final
 
@@ -32,5 +33,54 @@
         in_domain(case, workers=1)
 
 
+class RejectedRenewalTest(unittest.TestCase):
+    """A worker that answers each renewal with a rejection is no good."""
+
+    def test_an_idle_worker_that_was_unreachable_is_used_again(self) -> None:
+        """It rejects the one renewal that was to tell whether it is back."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await domain.clock.advance(1)
+            worker = domain.workers['w0']
+            worker.down = True
+            accepting = asyncio.ensure_future(
+                host.desk.accept(make_spec('a1'), 3.0),
+            )
+            while domain.session('w0').reachable:
+                # Only the start finds it down, not the renewal after it.
+                await domain.clock.advance(0.0005)
+            worker.down = False
+            worker.refusing = '503'
+            await domain.clock.advance(1)
+            worker.refusing = ''
+            await accepting
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=1)
+
+    def test_runs_end_where_each_renewal_is_rejected(self) -> None:
+        """No renewal takes effect, so their lease lapses."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1'))
+            await domain.clock.until(lambda: bool(domain.starts(TASK)))
+            used = next(
+                worker for worker in domain.workers.values() if worker.starts
+            )
+            used.refusing = '503'
+            await domain.clock.until(
+                lambda: len(domain.starts(TASK)) == 2,
+                within_s=LAPSE_S,
+            )
+            self.assertEqual(len(used.starts), 1)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+
+        in_domain(case, workers=2, run_s=9)
+
+
 if __name__ == '__main__':
     unittest.main()
