A worker that was unreachable is asked until it answers

What callers saw: tasks waited while a listed worker had room that nobody used, until the next leader. Cause: a start that is not sent makes its worker unreachable; the session then asked once, and if that renewal was rejected, or not sent as the store had been away for too long, the session had nothing left to wait for and slept. Ruled out: lost answers, which raise the token, so that the session goes on. Change: only a worker that is reachable can be idle. Why it works: an unreachable one is looked at four times a second, as after a lost answer, until it answers or is gone.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -299,12 +299,10 @@
         self._list.vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
-        return (
-            self.synced
-            and not self.runs
-            and self._list.ends.settled
-            and not self._urgent.is_set()
-        )
+        if not self.reachable or not self.synced:
+            return False
+        ended = not self.runs and self._list.ends.settled
+        return ended and not self._urgent.is_set()
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
