The lease of a worker that rejects its renewals lapses

What callers saw: a task counted as running on a worker that answered each renewal with an error other than a fence, and did not start elsewhere, for as long as that went on; starts went there too, were rejected, and used up attempts. Cause: whether the lease has lapsed is asked only after a renewal without an answer, and each rejected renewal of a reachable worker counts as a grant. Change: such a worker counts as unreachable; it is looked at without a grant, and the lapse is asked for each time. Why it works: a rejected call does nothing, so the lease ends on the worker's clock by the last grant at the latest, which the leader reckons with already. Rejections for the token are treated as before.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -393,7 +393,12 @@
             reason=rejected.reason,
             token=order.token,
         )
-        if order.token == self._token and rejected.reason == FENCE:
+        if rejected.reason != FENCE:
+            # Nothing was renewed, so the lease runs out like that of a worker
+            # that is silent.
+            self._note_unreachable(rejected)
+            self._check_lapse()
+        elif order.token == self._token:
             # No order of ours had a higher token, so another leader's had.
             self._owner.fenced(self)
 
