The leader finds tasks that wait for what cannot come

What callers saw: a gang that counted as running while none of it ran; the log could not tell why. Cause: not known for that job. One way that was found: a leader whose worker is lost stores that the member is free, and is killed before the stop reaches the fellow; its successor adopts the fellow and never stops it, so the gang is not ready until the worker ends it. Ruled out: records that contradict each other within one term; reading every change of runs and marks found no path to one, so those cases of the test are made by hand. Change: once a second each open job is compared with the sessions; a run that none holds, a mark without a run, a gang that lacks a member or is partly done, and a job without an open task are told at the second look, counted, and put back: the mark is taken as a run that may exist, under a raised token, the rest of a gang is stopped, an end is noted.

--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -264,13 +264,17 @@
     def _recover_runs(self, job: ActiveJob) -> None:
         """Take each stored mark as a run that may exist."""
         for name, task in job.progress.tasks.items():
-            if not task.worker:
-                continue
-            key = TaskKey.parse(f'{job.spec.job_id}.{name}')
-            session = self._work.sessions.get(task.worker)
-            if session is None:
-                session = self._open_session(_unlisted(task.worker))
-            self._work.recover_run(job, key, session)
+            if task.worker:
+                key = TaskKey.parse(f'{job.spec.job_id}.{name}')
+                self.recover(job, key)
+
+    def recover(self, job: ActiveJob, key: TaskKey) -> None:
+        """Take a task's stored mark as a run that may exist."""
+        worker_id = job.progress.task(key).worker
+        session = self._work.sessions.get(worker_id)
+        if session is None or session.gone:
+            session = self._open_session(_unlisted(worker_id))
+        self._work.recover_run(job, key, session)
 
 
 def _unlisted(worker_id: str) -> WorkerEntry:
--- a/src/curranthill/dispatch/leader.py
+++ b/src/curranthill/dispatch/leader.py
@@ -10,6 +10,7 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.advice import Advisor, TicketOffice
 from curranthill.dispatch.cleanup import IntakeCleanup
+from curranthill.dispatch.consistency import ConsistencyCheck
 from curranthill.dispatch.feeds import Feeds, WorkerFeed
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import Leadership, LeadershipLostError
@@ -80,6 +81,12 @@
             leadership=leadership,
             closures=closures,
         )
+        self._consistency = ConsistencyCheck(
+            clock=clock,
+            work=self._work,
+            journal=self._journal,
+            recover=self._feeds.recover,
+        )
         self._rounds = Rounds(
             clock=clock,
             work=self._work,
@@ -110,6 +117,7 @@
         self._spawner.spawn(self._journal.run())
         await self._feeds.start()
         self._spawner.spawn(self._rounds.run())
+        self._spawner.spawn(self._consistency.run())
         self._spawner.spawn(self._sweep())
         self._spawner.spawn(self._cleanup.run())
         await self._spawner.over.wait()
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -160,7 +160,7 @@
         self.listed = True
         self.readable = True
         if news and not self._is_entry_current():
-            self._raise_token()
+            self.raise_token()
 
     def wake(self) -> None:
         """Look at the worker at once."""
@@ -240,7 +240,7 @@
                 )
             except WorkerError as error:
                 _tell_unanswered('stop', run, error)
-                self._raise_token()
+                self.raise_token()
             else:
                 self._read_clock(clock_s, known_clock_s)
             self._urgent.set()
@@ -259,7 +259,7 @@
             _tell_unanswered('start', run, error)
             if run.state == ORDERED:
                 run.state = UNKNOWN
-            self._raise_token()
+            self.raise_token()
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
@@ -293,7 +293,7 @@
             # Settled by the next renewal, which also tells who leads. A worker
             # that started again has forgotten the token and accepts it.
             run.state = UNKNOWN
-            self._raise_token()
+            self.raise_token()
             return
         self.rejected_s = self._clock.monotonic_s()
         self._list.vanish(run, f'rejected: {rejected.reason}')
@@ -405,7 +405,7 @@
     async def _missed(self, error: WorkerError) -> None:
         """A renewal without an answer: its effect is unknown."""
         self._note_unreachable(error)
-        self._raise_token()
+        self.raise_token()
         await self._clock.sleep(MISSED_DELAY_S)
         self._check_lapse()
 
@@ -433,7 +433,8 @@
         if not self.listed:
             self.end_life()
 
-    def _raise_token(self) -> None:
+    def raise_token(self) -> None:
+        """Shut out all orders so far, and have the worker tell what runs."""
         self._token += 1
         self.synced = False
         self._list.doubt_ordered()
@@ -464,7 +465,7 @@
             clock_s=clock_s,
         )
         self._list.begin_anew()
-        self._raise_token()
+        self.raise_token()
 
     def _check_incarnation(self, report: LeaseReport, known_s: float) -> None:
         """Begin anew with a worker that has started again under its id.
--- a/src/curranthill/dispatch/work.py
+++ b/src/curranthill/dispatch/work.py
@@ -318,7 +318,7 @@
         if end.checkpoint and job.step_of(end.task).checkpointable:
             task.checkpoint = end.checkpoint
         if end.kind == DONE and not job.step_of(end.task).perpetual:
-            self._note_done(job, end)
+            self.finish(job, end.task, end.attempt)
         elif end.kind == RUN_FAILED:
             self._note_failure(job, end)
         else:
@@ -341,14 +341,23 @@
         self._journal.note(job)
         self._cleanup.add(job_id)
 
-    def _note_done(self, job: ActiveJob, end: EndReport) -> None:
-        for key in job.members_of(end.task):
-            task = job.progress.task(key)
+    def finish(self, job: ActiveJob, key: TaskKey, attempt: int = 0) -> None:
+        """Take a task and its fellows as done.
+
+        :param attempt: runs of any other attempt are needless and stopped.
+        """
+        for member in job.members_of(key):
+            task = job.progress.task(member)
             task.done = True
             task.worker = ''
-            run = job.runs.get(key)
-            if run is not None and run.attempt != end.attempt:
+            run = job.runs.get(member)
+            if run is not None and run.attempt != attempt:
                 self.stop_run(run)
+        self.complete(job)
+
+    def complete(self, job: ActiveJob) -> None:
+        """End a job if all its tasks are done."""
+        self._journal.note(job)
         now_s = self._clock.wall_s()
         if job.check_completed(now_s):
             events.log(
@@ -357,6 +366,7 @@
                 took_s=round(now_s - job.spec.accepted_at_s, 2),
                 late_s=round(now_s - job.spec.objective_s, 2),
             )
+            self._settle(job)
 
     def _note_failure(self, job: ActiveJob, end: EndReport) -> None:
         failures = 0
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -76,6 +76,7 @@
         self.workers_fast = meter.create_gauge('workers_fast')
         self.moves = meter.create_counter('moves')
         self.tasks_given_up = meter.create_counter('tasks_given_up')
+        self.inconsistencies = meter.create_counter('job_inconsistencies')
         self.data_centres_closed = meter.create_gauge('data_centres_closed')
         self.pauses = meter.create_counter('pauses')
         self.records_bad = meter.create_counter('records_bad')
