--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -178,7 +178,7 @@
             listed=len(listed),
             usable=len(rooms),
             empty=sum(1 for room in rooms if not room.runs),
-            with_suspect=sum(1 for room in rooms if room.kept_alone),
+            with_suspect=sum(1 for room in rooms if room.held_alone),
         )
 
     def _tell(
