Reservations of one service take turns together

What callers would see: work that fits waits while several gangs in front keep room one after the other: in the pause of one the next keeps it. Cause: the pause was that of one gang, and room is kept for one gang a round. Change: turns and pauses are those of the service, kept by the leader over all rounds; a gang that has started passes its turn on at once, one that has not shares it. Why it works: in each pause no gang keeps room.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -27,6 +27,7 @@
     SPEEDS,
     ActiveJob,
     Planner,
+    ReservationTurns,
     Room,
     Run,
     WorkerEntry,
@@ -297,6 +298,7 @@
         self._workspaces = [f't{one}' for one in range(len(load.workspaces))]
         self._stops = 0
         self._looked_at_s: dict[str, float] = {}
+        self._turns = ReservationTurns()
         self._without = without
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -460,6 +462,7 @@
             guaranteed=self._guaranteed(),
             now_s=NOW_S + self._now_s,
             tickets=lambda job, ready: {},
+            turns=self._turns,
             without=self._without,
         )
         plan = planner.plan(self._jobs.values())
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -27,6 +27,7 @@
     Plan,
     Planner,
     ReadyStep,
+    ReservationTurns,
     Room,
     Run,
     checkpoint_of,
@@ -95,6 +96,7 @@
         self._revision = revision
         self._outlooks = OutlookMaker(clock=clock, work=work)
         self._board = WaitingBoard(clock=clock, work=work)
+        self._turns = ReservationTurns()
         self._unused = UnusedWorkers(clock=clock, sessions=work.sessions)
         self._reserved_for: tuple[str, ...] = ()
         self._shown_s = 0.0
@@ -132,6 +134,7 @@
             guaranteed=self._guaranteed(),
             now_s=now_s,
             tickets=self._tickets,
+            turns=self._turns,
             without=self._without,
             ratio_of=self._work.learning.ratio_of,
         )
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -46,6 +46,7 @@
     MoveReason,
     move_of,
 )
+from curranthill.placement.turns import ReservationTurns
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -76,6 +77,7 @@
     'Planner',
     'Ratio',
     'ReadyStep',
+    'ReservationTurns',
     'Room',
     'Run',
     'RunKind',
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -11,7 +11,6 @@
     TRIED_S,
     is_suspect,
 )
-from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import (
     COMPLETED,
     ENDED,
@@ -60,7 +59,6 @@
     :param chain_s: the estimated longest chain of its steps, in seconds.
     :param gpus: the accelerators that all its tasks take together.
     :param suspects: tasks that may be what crashed their workers.
-    :param turns: when its gangs may keep room that they do not get.
     """
 
     def __init__(self, *, spec: JobSpec, progress: JobProgress) -> None:
@@ -74,7 +72,6 @@
         self.chain_s = spec.chain_s
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
-        self.turns = ReservationTurns()
         self._waits_since_s: dict[TaskKey, float] = {}
         self._idle_since_s: float | None = None
         self._made_way: set[tuple[int, int]] = set()
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -40,6 +40,7 @@
 from curranthill.placement.runs import Run
 from curranthill.placement.starvation import PATIENCE_S, is_most_room_free
 from curranthill.placement.suspects import ALONE_SHARE
+from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: How many waiting jobs one round looks at: bounds a round's processor time
@@ -94,6 +95,7 @@
     :param now_s: wall-clock seconds.
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
+    :param turns: who keeps room for how long, over all rounds.
     :param without: mechanisms that are switched off.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
@@ -105,12 +107,14 @@
         guaranteed: Mapping[str, int],
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
+        turns: ReservationTurns | None = None,
         without: frozenset[str] = ALL_ON,
         ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
         """Keep the snapshot."""
         self._ratio_of = ratio_of
         self._tickets = tickets
+        self._turns = turns or ReservationTurns()
         self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
@@ -247,9 +251,14 @@
         rooms = find_room_to_keep(ready, groups)
         if not rooms:
             return
-        place = (ready.occurrence, ready.number)
-        wait_s = wait_for_room_s(rooms)
-        if job.turns.may_keep(place, self._now_s, wait_s):
+        may_keep = self._turns.may_keep(
+            job.spec.queue.service,
+            job,
+            ready.tasks[0],
+            self._now_s,
+            wait_for_room_s(rooms),
+        )
+        if may_keep:
             self._reservations -= 1
             keep(ready, rooms)
             self._reserved_for[job.spec.job_id] = None
--- a/src/curranthill/placement/turns.py
+++ b/src/curranthill/placement/turns.py
@@ -1,11 +1,16 @@
-"""For how long a gang may keep room that it does not get.
+"""For how long gangs may keep room that they do not get.
 
 Answers runs that outlast their estimates or stand still: the gang that waits
-for them would keep room from others for as long. It keeps room for a while
-that its wait asks for, then leaves it to others for as long, and so on.
+for them would keep room from others for as long, and so would the next one. A
+gang keeps room for a while that its wait asks for; then no gang of the service
+does for as long, unless it has started.
 """
 
-from typing import Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+if TYPE_CHECKING:
+    from curranthill.placement.jobs import ActiveJob
+    from curranthill.tasks import TaskKey
 
 #: The shortest time for which a gang keeps room, in seconds.
 SHORTEST_TURN_S: Final = 5.0
@@ -14,45 +19,56 @@
 #: for, by their estimates: some take longer.
 TURN_FACTOR: Final = 2.0
 
-#: The occurrence and the number of a step.
-_Place = tuple[int, int]
-
 
 class _Turn(NamedTuple):
     """A time for which room is kept; a pause as long follows.
 
+    :param job: that of the gang for which it began.
+    :param member: a task of that gang.
     :param since_s: its start, in wall-clock seconds.
     """
 
+    job: 'ActiveJob'
+    member: 'TaskKey'
     since_s: float
     length_s: float
 
-    def is_past(self, now_s: float) -> bool:
-        """Return whether the pause is over too.
+    def is_over(self, now_s: float) -> bool:
+        """Return whether another turn may begin.
 
         A start in the future is that of a clock that was set back.
         """
         age_s = now_s - self.since_s
-        return age_s < 0 or age_s >= 2 * self.length_s
+        served = self.member in self.job.runs or self.job.ended
+        return served or age_s < 0 or age_s >= 2 * self.length_s
 
 
 class ReservationTurns:
-    """The turns of one job's gangs."""
+    """The turns of all services."""
 
     def __init__(self) -> None:
         """Start with no room kept."""
-        self._turns: dict[_Place, _Turn] = {}
-
-    def may_keep(self, place: _Place, now_s: float, wait_s: float) -> bool:
-        """Return whether a step may keep room now.
-
-        :param wait_s: how long the step waits for that room, by estimates.
+        self._turns: dict[str, _Turn] = {}
+
+    def may_keep(
+        self,
+        service: str,
+        job: 'ActiveJob',
+        member: 'TaskKey',
+        now_s: float,
+        wait_s: float,
+    ) -> bool:
+        """Return whether a job's gang may keep room now.
+
+        :param member: any task of the gang.
+        :param now_s: wall-clock seconds.
+        :param wait_s: how long the gang waits for that room, by estimates.
         """
-        turn = self._turns.get(place)
-        if turn is None or turn.is_past(now_s):
+        turn = self._turns.get(service)
+        if turn is None or turn.is_over(now_s):
             length_s = max(SHORTEST_TURN_S, TURN_FACTOR * wait_s)
-            turn = _Turn(now_s, length_s)
-            self._turns[place] = turn
+            turn = _Turn(job, member, now_s, length_s)
+            self._turns[service] = turn
         return now_s - turn.since_s < turn.length_s
 
 
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -65,6 +65,13 @@
     return (run,)
 
 
+def overdue_and_full(worker_id: str) -> Sequence[Run]:
+    """Return a run like that, with more than half of a worker."""
+    run = make_run(worker_id, 5, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
 def processor_full(worker_id: str, age_s: float) -> Sequence[Run]:
     """Return a run that leaves accelerators free, and no processor."""
     run = make_run(worker_id, 1, age_s=age_s)
@@ -99,30 +106,34 @@
 
 def waited_s(
     runs_of: RunsOf,
-    in_front: JobSpec,
+    in_front: Sequence[JobSpec],
     job: ActiveJob,
     within_s: float = MOST_WAIT_S,
 ) -> float | None:
     """Return when a job starts, if it does while no run ends.
 
-    The one in front is over once it could have run.
+    Those in front are over once they could have run.
     """
-    front = make_job(in_front)
-    front_over_s = math.inf
+    front = {spec.job_id: make_job(spec) for spec in in_front}
+    over_s = dict.fromkeys(front, math.inf)
+    turns = ReservationTurns()
     for number in range(round(within_s / ROUND_S)):
         now_s = NOW_S + number * ROUND_S
-        jobs = [front, job] if now_s < front_over_s else [job]
+        waiting = [one for name, one in front.items() if now_s < over_s[name]]
         planner = Planner(
             rooms={SERVICE: rooms_with(runs_of)},
             guaranteed={},
             now_s=now_s,
             tickets=lambda ready_job, ready: {},
+            turns=turns,
         )
-        found = placed(planner.plan(jobs))
+        found = placed(planner.plan([*waiting, job]))
         if job.spec.job_id in found:
             return now_s - NOW_S
-        if in_front.job_id in found:
-            front_over_s = min(front_over_s, now_s + in_front.chain_s)
+        for one in waiting:
+            name = one.spec.job_id
+            if name in found:
+                over_s[name] = min(over_s[name], now_s + one.chain_s)
     return None
 
 
@@ -140,6 +151,21 @@
     return job
 
 
+def member_of(job: ActiveJob) -> TaskKey:
+    """Return the first task of a job."""
+    return job.keys_of(0, 0)[0]
+
+
+def may_keep(
+    turns: ReservationTurns,
+    job: ActiveJob,
+    now_s: float,
+    wait_s: float,
+) -> bool:
+    """Return whether a job's only gang may keep room."""
+    return turns.may_keep(SERVICE, job, member_of(job), now_s, wait_s)
+
+
 class ReservationTest(unittest.TestCase):
     """A gang that does not fit keeps room only if it can get it."""
 
@@ -177,7 +203,14 @@
         """Runs that do not end as estimated hold up the gang, not others."""
         gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
         job = small_job()
-        started_s = waited_s(overdue, make_spec('wide', gang), job)
+        started_s = waited_s(overdue, [make_spec('wide', gang)], job)
+        self.assertIsNotNone(started_s)
+
+    def test_gangs_that_take_turns_leave_room_to_others(self) -> None:
+        """Each of them waits for runs that do not end."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        wide = [make_spec(f'wide{number}', gang) for number in range(3)]
+        started_s = waited_s(overdue_and_full, wide, small_job())
         self.assertIsNotNone(started_s)
 
     def test_a_gang_keeps_room_while_what_it_waits_for_ends(self) -> None:
@@ -191,7 +224,7 @@
         gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
         started_s = waited_s(
             running,
-            make_spec('wide', gang),
+            [make_spec('wide', gang)],
             small_job(),
             within_s=10.0,
         )
@@ -204,19 +237,36 @@
     def test_a_turn_lasts_for_as_long_as_the_wait_asks_for(self) -> None:
         """A pause as long follows, and then another turn."""
         turns = ReservationTurns()
+        job = small_job()
         kept_s = [
             second
             for second in range(20)
-            if turns.may_keep((0, 0), NOW_S + second, 4.0)
+            if may_keep(turns, job, NOW_S + second, 4.0)
         ]
         self.assertEqual(kept_s, [*range(8), *range(16, 20)])
 
+    def test_a_pause_holds_for_all_gangs_of_a_service(self) -> None:
+        """Others would keep the room in it."""
+        turns = ReservationTurns()
+        may_keep(turns, small_job(), NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, small_job(), NOW_S + 6, 0.0))
+
+    def test_a_gang_that_starts_passes_the_turn_on_at_once(self) -> None:
+        """The next one has as long."""
+        turns = ReservationTurns()
+        first = small_job()
+        may_keep(turns, first, NOW_S, 0.0)
+        first.runs[member_of(first)] = make_run('a0', 1)
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 4, 0.0))
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 8, 0.0))
+
     def test_a_clock_that_is_set_back_does_not_prolong_a_pause(self) -> None:
         """The time passed is not known; another turn begins."""
         turns = ReservationTurns()
-        turns.may_keep((0, 0), NOW_S, 0.0)
-        self.assertFalse(turns.may_keep((0, 0), NOW_S + 9.0, 0.0))
-        self.assertTrue(turns.may_keep((0, 0), NOW_S - 60.0, 0.0))
+        job = small_job()
+        may_keep(turns, job, NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, job, NOW_S + 9.0, 0.0))
+        self.assertTrue(may_keep(turns, job, NOW_S - 60.0, 0.0))
 
 
 class SuspectRoomTest(unittest.TestCase):
@@ -251,7 +301,7 @@
         """Most room is free, and each worker runs something."""
         for width in (1, 7):
             gang = Step(width, needs(1), gang=True, estimate_s=9.0)
-            started_s = waited_s(overdue, UNPLACED, suspect_job('s1', gang))
+            started_s = waited_s(overdue, [UNPLACED], suspect_job('s1', gang))
             self.assertIsNotNone(started_s)
             self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
 
@@ -279,7 +329,7 @@
             return () if worker_id in EMPTY else processor_full(worker_id, 0.0)
 
         gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
-        started_s = waited_s(runs, make_spec('front', gang), small_job())
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
         self.assertIsNotNone(started_s)
         self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
 
@@ -293,7 +343,7 @@
                 return suspect(0.5)(worker_id)
             return processor_full(worker_id, 0.0)
 
-        started_s = waited_s(runs, UNPLACED, small_job())
+        started_s = waited_s(runs, [UNPLACED], small_job())
         self.assertIsNotNone(started_s)
         self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
 
@@ -310,7 +360,7 @@
         gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
         started_s = waited_s(
             runs,
-            make_spec('front', gang),
+            [make_spec('front', gang)],
             small_job(),
             within_s=20.0,
         )
@@ -362,7 +412,7 @@
             label='none' if labelled else '',
             estimate_s=5.0,
         )
-        started_s = waited_s(runs, make_spec('front', gang), small_job())
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
         self.assertIsNotNone(started_s)
 
 
