--- a/src/curranthill/dispatch/holds.py
+++ b/src/curranthill/dispatch/holds.py
@@ -60,6 +60,7 @@
     """What holds a job.
 
     :param step: the first one that is held, or the next one that is due.
+    :param tasks: those whose run goes on and waits for its fellows come last.
     :param later_steps: how many of the occurrence wait for earlier ones.
     :param due_in_s: 0 unless it waits for its due time.
     """
@@ -98,7 +99,7 @@
                 self._held_task(job, key)
                 for key in job.keys_of(occurrence, number)
             )
-            tasks = tuple(filter(None, found))
+            tasks = tuple(sorted(filter(None, found), key=_goes_on_alone))
             if tasks:
                 return Hold(
                     _reason_of(tasks),
@@ -192,6 +193,15 @@
         return Hold(ALL_DONE)
 
 
+def _goes_on_alone(held: HeldTask) -> bool:
+    """Return whether only its fellows keep a task's run from being at work.
+
+    What holds all of a gang is named first.
+    """
+    answers = held['reachable'] and held['tracked']
+    return held['state'] == RUNNING and answers and not held['stop_wanted']
+
+
 def _reason_of(tasks: tuple[HeldTask, ...]) -> HoldReason:
     states = {task['state'] for task in tasks}
     if states - {_STORED_TASK, _DONE_TASK}:
--- a/tests/test_unready.py
+++ b/tests/test_unready.py
@@ -144,16 +144,17 @@
         self.assertTrue(held['stop_wanted'])
 
     def test_a_run_at_a_silent_worker_is_not_at_work(self) -> None:
-        """Nobody knows whether it goes on."""
+        """Nobody knows whether it goes on; it is named before its fellows."""
         case = Case(GANG)
         for rank in range(3):
             case.add_run(rank, worker=f'w{rank % 2}')
         case.sessions['w1'].reachable = False
         hold = case.found()
         self.assertEqual(
-            [task['reachable'] for task in hold.tasks],
-            [True, False, True],
+            [task['task'] for task in hold.tasks],
+            ['a1.0.0.1', 'a1.0.0.0', 'a1.0.0.2'],
         )
+        self.assertFalse(hold.tasks[0]['reachable'])
 
     def test_a_stored_worker_without_a_run_is_told(self) -> None:
         """The store names a worker, the leader knows no run."""
