--- a/src/curranthill/dispatch/unready.py
+++ b/src/curranthill/dispatch/unready.py
@@ -59,8 +59,8 @@
         now_s = self._clock.wall_s()
         held = []
         for job in jobs:
-            if not job.begun and job.first_due_s <= now_s:
-                # Nothing can hold it: most jobs of a backlog end here.
+            if _is_free(job, now_s):
+                # Most jobs of a backlog end here.
                 continue
             hold = self._holds.of(job)
             if hold is not None:
@@ -87,6 +87,14 @@
         )
 
 
+def _is_free(job: ActiveJob, now_s: float) -> bool:
+    """Return whether it is sure at a glance that nothing holds a job."""
+    progress = job.progress
+    if job.runs or progress.done_steps or job.first_due_s > now_s:
+        return False
+    return not any(task.worker or task.done for task in progress.tasks.values())
+
+
 def _is_due_later(held: tuple[ActiveJob, Hold]) -> bool:
     return held[1].reason == DUE
 
