--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -185,7 +185,7 @@
         self.listed = True
         self.readable = True
         if news and not _is_current(self):
-            self._raise_token()
+            self.raise_token()
 
     def wake(self) -> None:
         """Look at the worker at once."""
@@ -265,7 +265,7 @@
                 )
             except WorkerError as error:
                 _tell_unanswered('stop', run, error)
-                self._raise_token()
+                self.raise_token()
             else:
                 self._read_clock(clock_s, known_clock_s)
             self._urgent.set()
@@ -284,7 +284,7 @@
             _tell_unanswered('start', run, error)
             if run.state == ORDERED:
                 run.state = UNKNOWN
-            self._raise_token()
+            self.raise_token()
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
@@ -315,20 +315,19 @@
             reason=rejected.reason,
         )
         if rejected.reason == FENCE:
-            # Settled by the next renewal, which also tells who leads.
+            # Settled by the next renewal, which also tells who leads. A worker
+            # that started again has forgotten the token and accepts it.
             run.state = UNKNOWN
-            self._urgent.set()
+            self.raise_token()
             return
         self.rejected_s = self._clock.monotonic_s()
         self._list.vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
-        return (
-            self.synced
-            and not self.runs
-            and self._list.ends.settled
-            and not self._urgent.is_set()
-        )
+        if not self.reachable or not self.synced:
+            return False
+        ended = not self.runs and self._list.ends.settled
+        return ended and not self._urgent.is_set()
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
@@ -419,14 +418,19 @@
             reason=rejected.reason,
             token=order.token,
         )
-        if order.token == self._token and rejected.reason == FENCE:
+        if rejected.reason != FENCE:
+            # Nothing was renewed, so the lease runs out like that of a worker
+            # that is silent.
+            self._note_unreachable(rejected)
+            self._check_lapse()
+        elif order.token == self._token:
             # No order of ours had a higher token, so another leader's had.
             self._owner.fenced(self)
 
     async def _missed(self, error: WorkerError) -> None:
         """A renewal without an answer: its effect is unknown."""
         self._note_unreachable(error)
-        self._raise_token()
+        self.raise_token()
         await self._clock.sleep(MISSED_DELAY_S)
         self._check_lapse()
 
@@ -454,7 +458,8 @@
         if not self.listed:
             self.end_life()
 
-    def _raise_token(self) -> None:
+    def raise_token(self) -> None:
+        """Shut out all orders so far, and have the worker tell what runs."""
         self._token += 1
         self.synced = False
         self._list.doubt_ordered()
@@ -477,7 +482,7 @@
             clock_s=clock_s,
         )
         self._list.begin_anew()
-        self._raise_token()
+        self.raise_token()
 
     def _check_incarnation(self, report: LeaseReport, known_s: float) -> None:
         """Begin anew with a worker that has started again under its id.
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -30,9 +30,17 @@
     late_jobs,
 )
 from curranthill.placement.paces import ANY, Pace, pace_of
-from curranthill.placement.reservations import RESERVATIONS, reserve
+from curranthill.placement.reservations import (
+    RESERVATIONS,
+    find_room_to_keep,
+    keep,
+    wait_for_room_s,
+)
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
+from curranthill.placement.starvation import PATIENCE_S, is_most_room_free
+from curranthill.placement.suspects import ALONE_SHARE
+from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: How many waiting jobs one round looks at: bounds a round's processor time
@@ -87,6 +95,7 @@
     :param now_s: wall-clock seconds.
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
+    :param turns: who keeps room for how long, over all rounds.
     :param without: mechanisms that are switched off.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
@@ -98,12 +107,14 @@
         guaranteed: Mapping[str, int],
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
+        turns: ReservationTurns | None = None,
         without: frozenset[str] = ALL_ON,
         ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
         """Keep the snapshot."""
         self._ratio_of = ratio_of
         self._tickets = tickets
+        self._turns = turns or ReservationTurns()
         self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
@@ -125,6 +136,7 @@
         self._covered: set[str] = set()
         self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
+        self._mostly_free: dict[str, bool] = {}
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
@@ -172,11 +184,13 @@
         urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
-        if not (urgent or advised) and shape in self._too_large:
+        starving = job.idle_s(self._now_s) >= PATIENCE_S
+        tried = not (urgent or advised or starving)
+        if tried and shape in self._too_large:
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
-        chosen = choose_group(ready, groups, pace)
+        chosen = self._choose(job, ready, groups, pace)
         if urgent and _is_held_up(ready, chosen, pace):
             give_back(ready, chosen)
             if self._make_way(job, ready, in_time(groups, pace)):
@@ -192,8 +206,61 @@
         if not advised:
             self._too_large.add(shape)
         if ready.step.gang and self._reservations:
+            self._reserve(job, ready, groups)
+
+    def _choose(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+        pace: Pace,
+    ) -> Fit:
+        """Take rooms, also ones that are kept if a job starves otherwise.
+
+        None are taken for suspects that have their share of workers.
+        """
+        chosen = choose_group(ready, groups, pace)
+        if ready.alone and chosen and self._are_too_many_alone(job):
+            give_back(ready, chosen)
+            chosen = []
+        if chosen or not self._starves(job):
+            return chosen
+        return choose_group(ready._replace(starving=True), groups, pace)
+
+    def _starves(self, job: ActiveJob) -> bool:
+        if job.idle_s(self._now_s) < PATIENCE_S:
+            return False
+        service = job.spec.queue.service
+        if service not in self._mostly_free:
+            rooms = self._services.get(service, _NO_ROOMS).rooms
+            self._mostly_free[service] = is_most_room_free(rooms)
+        return self._mostly_free[service]
+
+    def _are_too_many_alone(self, job: ActiveJob) -> bool:
+        rooms = self._services[job.spec.queue.service].rooms
+        held = sum(room.held_alone for room in rooms)
+        return held > math.ceil(ALONE_SHARE * len(rooms))
+
+    def _reserve(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+    ) -> None:
+        """Keep room for a gang that does not fit now, if it is its turn."""
+        rooms = find_room_to_keep(ready, groups)
+        if not rooms:
+            return
+        may_keep = self._turns.may_keep(
+            job.spec.queue.service,
+            job,
+            ready.tasks[0],
+            self._now_s,
+            wait_for_room_s(rooms),
+        )
+        if may_keep:
             self._reservations -= 1
-            reserve(ready, groups)
+            keep(ready, rooms)
             self._reserved_for[job.spec.job_id] = None
 
     def _makes_room(self, job: ActiveJob) -> bool:
--- /dev/null
+++ b/tests/test_starvation.py
@@ -0,0 +1,420 @@
+"""Work that fits starts in bounded time, whatever waits or runs before it."""
+
+import math
+import unittest
+from collections.abc import Callable, Sequence
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from curranthill.placement import ActiveJob, Planner, Room, Run
+from curranthill.placement.suspects import TRIED_S
+from curranthill.placement.turns import ReservationTurns
+from curranthill.tasks import JobSpec, Step, TaskKey
+from tests.domain import ROOM, SERVICE, make_spec
+from tests.test_planner import (
+    NOW_S,
+    make_job,
+    make_room,
+    make_run,
+    needs,
+    placed,
+    plan,
+)
+
+#: Eight workers of eight accelerators, in two racks.
+WORKERS = tuple(f'{rack}{number}' for rack in 'ab' for number in range(4))
+
+#: Workers that some tests leave empty.
+EMPTY = WORKERS[:3]
+
+#: What fits beside most of what may stand in front of it.
+SMALL = Step(width=2, needs=needs(1), gang=True, estimate_s=1.0)
+
+#: How long what fits may wait for whoever is before it, in seconds.
+MOST_WAIT_S = 30.0
+
+#: How long at most a job has nothing running while most room is free, in
+#: seconds.
+NOTHING_RUNNING_S = 3.0
+
+#: A job that no worker may run.
+UNPLACED = make_spec('unplaced', Step(1, needs(1), label='none'))
+
+#: The pause between two rounds, in seconds.
+ROUND_S = 0.5
+
+#: Makes the runs of one worker.
+RunsOf = Callable[[str], Sequence[Run]]
+
+
+def nothing(worker_id: str) -> Sequence[Run]:
+    """Return no runs."""
+    return ()
+
+
+def lasting(worker_id: str) -> Sequence[Run]:
+    """Return a run that ends only with its job."""
+    return (make_run(worker_id, 1, lasting=True),)
+
+
+def overdue(worker_id: str) -> Sequence[Run]:
+    """Return a run that goes on for far longer than was estimated."""
+    run = make_run(worker_id, 1, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
+def overdue_and_full(worker_id: str) -> Sequence[Run]:
+    """Return a run like that, with more than half of a worker."""
+    run = make_run(worker_id, 5, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
+def processor_full(worker_id: str, age_s: float) -> Sequence[Run]:
+    """Return a run that leaves accelerators free, and no processor."""
+    run = make_run(worker_id, 1, age_s=age_s)
+    run.needs = ROOM._replace(gpus=1)
+    run.estimate_s = 20.0
+    return (run,)
+
+
+def suspect(age_s: float) -> RunsOf:
+    """Return what makes a run that started alone on its worker."""
+
+    def runs(worker_id: str) -> Sequence[Run]:
+        run = make_run(worker_id, 1, age_s=age_s)
+        run.alone = True
+        return (run,)
+
+    return runs
+
+
+def everywhere(runs_of: RunsOf) -> list[RunsOf]:
+    """Return the same for each worker."""
+    return [runs_of for _ in WORKERS]
+
+
+def rooms_with(runs_of: RunsOf) -> list[Room]:
+    """Return all workers' rooms."""
+    return [
+        make_room(worker_id, worker_id[0], *runs_of(worker_id))
+        for worker_id in WORKERS
+    ]
+
+
+def waited_s(
+    runs_of: RunsOf,
+    in_front: Sequence[JobSpec],
+    job: ActiveJob,
+    within_s: float = MOST_WAIT_S,
+) -> float | None:
+    """Return when a job starts, if it does while no run ends.
+
+    Those in front are over once they could have run.
+    """
+    front = {spec.job_id: make_job(spec) for spec in in_front}
+    over_s = dict.fromkeys(front, math.inf)
+    turns = ReservationTurns()
+    for number in range(round(within_s / ROUND_S)):
+        now_s = NOW_S + number * ROUND_S
+        waiting = [one for name, one in front.items() if now_s < over_s[name]]
+        planner = Planner(
+            rooms={SERVICE: rooms_with(runs_of)},
+            guaranteed={},
+            now_s=now_s,
+            tickets=lambda ready_job, ready: {},
+            turns=turns,
+        )
+        found = placed(planner.plan([*waiting, job]))
+        if job.spec.job_id in found:
+            return now_s - NOW_S
+        for one in waiting:
+            name = one.spec.job_id
+            if name in found:
+                over_s[name] = min(over_s[name], now_s + one.chain_s)
+    return None
+
+
+def small_job() -> ActiveJob:
+    """Return a small gang that goes after others of its priority."""
+    return make_job(make_spec('small', SMALL, priority=2))
+
+
+def suspect_job(job_id: str, step: Step) -> ActiveJob:
+    """Return a job whose first task was lost with its worker twice."""
+    job = make_job(make_spec(job_id, step))
+    key = TaskKey(job_id, 0, 0, 0)
+    job.progress.task(key).losses = 2
+    job.note_losses(key)
+    return job
+
+
+def member_of(job: ActiveJob) -> TaskKey:
+    """Return the first task of a job."""
+    return job.keys_of(0, 0)[0]
+
+
+def may_keep(
+    turns: ReservationTurns,
+    job: ActiveJob,
+    now_s: float,
+    wait_s: float,
+) -> bool:
+    """Return whether a job's only gang may keep room."""
+    return turns.may_keep(SERVICE, job, member_of(job), now_s, wait_s)
+
+
+class ReservationTest(unittest.TestCase):
+    """A gang that does not fit keeps room only if it can get it."""
+
+    def test_a_gang_larger_than_the_cluster_keeps_nothing(self) -> None:
+        """Nine whole workers will not come, however long it waits."""
+        gang = Step(width=9, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_workers_that_its_label_rules_out(self) -> None:
+        """Nobody has its label, so nothing that ends lets it start."""
+        gang = Step(8, needs(8), gang=True, label='none', estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('labelled', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_room_beside_runs_that_last(self) -> None:
+        """A whole worker with a lasting run never gets empty."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(lasting),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_does_not_keep_room_for_ever(self) -> None:
+        """Runs that do not end as estimated hold up the gang, not others."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        job = small_job()
+        started_s = waited_s(overdue, [make_spec('wide', gang)], job)
+        self.assertIsNotNone(started_s)
+
+    def test_gangs_that_take_turns_leave_room_to_others(self) -> None:
+        """Each of them waits for runs that do not end."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        wide = [make_spec(f'wide{number}', gang) for number in range(3)]
+        started_s = waited_s(overdue_and_full, wide, small_job())
+        self.assertIsNotNone(started_s)
+
+    def test_a_gang_keeps_room_while_what_it_waits_for_ends(self) -> None:
+        """Small jobs do not take it after the first moments."""
+
+        def running(worker_id: str) -> Sequence[Run]:
+            run = make_run(worker_id, 5, age_s=0.0)
+            run.estimate_s = 10.0
+            return (run,)
+
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        started_s = waited_s(
+            running,
+            [make_spec('wide', gang)],
+            small_job(),
+            within_s=10.0,
+        )
+        self.assertIsNone(started_s)
+
+
+class TurnTest(unittest.TestCase):
+    """A gang keeps room by turns."""
+
+    def test_a_turn_lasts_for_as_long_as_the_wait_asks_for(self) -> None:
+        """A pause as long follows, and then another turn."""
+        turns = ReservationTurns()
+        job = small_job()
+        kept_s = [
+            second
+            for second in range(20)
+            if may_keep(turns, job, NOW_S + second, 4.0)
+        ]
+        self.assertEqual(kept_s, [*range(8), *range(16, 20)])
+
+    def test_a_pause_holds_for_all_gangs_of_a_service(self) -> None:
+        """Others would keep the room in it."""
+        turns = ReservationTurns()
+        may_keep(turns, small_job(), NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, small_job(), NOW_S + 6, 0.0))
+
+    def test_a_gang_that_starts_passes_the_turn_on_at_once(self) -> None:
+        """The next one has as long."""
+        turns = ReservationTurns()
+        first = small_job()
+        may_keep(turns, first, NOW_S, 0.0)
+        first.runs[member_of(first)] = make_run('a0', 1)
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 4, 0.0))
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 8, 0.0))
+
+    def test_a_clock_that_is_set_back_does_not_prolong_a_pause(self) -> None:
+        """The time passed is not known; another turn begins."""
+        turns = ReservationTurns()
+        job = small_job()
+        may_keep(turns, job, NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, job, NOW_S + 9.0, 0.0))
+        self.assertTrue(may_keep(turns, job, NOW_S - 60.0, 0.0))
+
+
+class SuspectRoomTest(unittest.TestCase):
+    """Suspects have workers for themselves for a bounded time and share."""
+
+    def test_suspects_that_have_worked_let_others_in(self) -> None:
+        """Seven eighths of all room are free."""
+        decided = plan(
+            rooms_with(suspect(20.0)),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_suspect_that_has_just_started_is_alone(self) -> None:
+        """A crash would hit what starts beside it."""
+        decided = plan(
+            [make_room('a1', 'r1', *suspect(TRIED_S / 2)('a1'))],
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertEqual(placed(decided), {})
+
+    def test_a_worker_without_a_suspect_goes_first(self) -> None:
+        """It may crash late; a fuller worker would be taken otherwise."""
+        rooms = [
+            make_room('a1', 'r1', *suspect(20.0)('a1')),
+            make_room('a2', 'r1'),
+        ]
+        decided = plan(rooms, make_spec('small', SMALL, priority=2))
+        self.assertEqual(placed(decided), {'small': ['a2', 'a2']})
+
+    def test_a_suspect_does_not_wait_long_for_an_empty_worker(self) -> None:
+        """Most room is free, and each worker runs something."""
+        for width in (1, 7):
+            gang = Step(width, needs(1), gang=True, estimate_s=9.0)
+            started_s = waited_s(overdue, [UNPLACED], suspect_job('s1', gang))
+            self.assertIsNotNone(started_s)
+            self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_suspects_do_not_take_all_workers(self) -> None:
+        """Many that start together leave workers to others."""
+        step = Step(1, needs(1), estimate_s=9.0)
+        suspects = [suspect_job(f's{number}', step) for number in range(8)]
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('small', SMALL, priority=2),
+            running=suspects,
+        )
+        self.assertIn('small', placed(decided))
+
+
+class MostRoomFreeTest(unittest.TestCase):
+    """While most room is free nobody waits long with nothing running."""
+
+    def test_room_that_is_kept_is_open_to_who_waits_with_most_of_it_free(
+        self,
+    ) -> None:
+        """Three workers are empty, and a gang waits for a fourth."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return () if worker_id in EMPTY else processor_full(worker_id, 0.0)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_a_suspects_worker_is_open_to_who_waits_with_most_room_free(
+        self,
+    ) -> None:
+        """New suspects start there all the time."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return suspect(0.5)(worker_id)
+            return processor_full(worker_id, 0.0)
+
+        started_s = waited_s(runs, [UNPLACED], small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_room_stays_kept_in_a_full_cluster(self) -> None:
+        """The gang would never get its fourth worker otherwise."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return ()
+            run = make_run(worker_id, 8, age_s=0.0)
+            run.estimate_s = 20.0
+            return (run,)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(
+            runs,
+            [make_spec('front', gang)],
+            small_job(),
+            within_s=20.0,
+        )
+        self.assertIsNone(started_s)
+
+
+class BoundedWaitTest(unittest.TestCase):
+    """Drawn clusters in which nothing ends."""
+
+    @given(
+        st.lists(
+            st.sampled_from(
+                (nothing, lasting, overdue, suspect(0.5), suspect(20.0)),
+            ),
+            min_size=len(WORKERS),
+            max_size=len(WORKERS),
+        ),
+        st.integers(1, 24),
+        st.sampled_from((1, 4, 8)),
+        st.booleans(),
+        st.booleans(),
+    )
+    @example(everywhere(overdue), 8, 8, False, False)
+    @example(everywhere(suspect(20.0)), 1, 1, False, False)
+    def test_what_fits_starts_whatever_waits_in_front(
+        self,
+        drawn: list[RunsOf],
+        width: int,
+        gpus: int,
+        same_rack: bool,  # noqa: FBT001
+        labelled: bool,  # noqa: FBT001
+    ) -> None:
+        """Runs are as old as the time that passes makes them."""
+        began = {
+            worker_id: runs_of(worker_id)
+            for worker_id, runs_of in zip(WORKERS, drawn, strict=True)
+        }
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            for run in began[worker_id]:
+                run.age_s += ROUND_S
+            return began[worker_id]
+
+        gang = Step(
+            width,
+            needs(gpus),
+            gang=True,
+            same_rack=same_rack,
+            label='none' if labelled else '',
+            estimate_s=5.0,
+        )
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
+        self.assertIsNotNone(started_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
