A round looks at the whole backlog by turns

What callers would see: a job that fits is not placed while 200 that do not fit wait before it. Cause: a round looks at the first 200 jobs that may start, on the ground that those behind could start only after them; that holds only if the first ones fit at some time. Found by looking for the same cause elsewhere: a wait that ends only if others' waits do. Change: a round looks at the first 200 and at 50 more, from where the round before stopped. Why it works: each job is looked at every few rounds, and a round's time stays bounded.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -26,6 +26,7 @@
     RUNNING,
     SPEEDS,
     ActiveJob,
+    BacklogCursor,
     Planner,
     ReservationTurns,
     Room,
@@ -299,6 +300,7 @@
         self._stops = 0
         self._looked_at_s: dict[str, float] = {}
         self._turns = ReservationTurns()
+        self._backlog = BacklogCursor()
         self._without = without
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -463,6 +465,7 @@
             now_s=NOW_S + self._now_s,
             tickets=lambda job, ready: {},
             turns=self._turns,
+            backlog=self._backlog,
             without=self._without,
         )
         plan = planner.plan(self._jobs.values())
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -23,6 +23,7 @@
     SPEEDS,
     TURNING_AWAY,
     ActiveJob,
+    BacklogCursor,
     Placement,
     Plan,
     Planner,
@@ -97,6 +98,7 @@
         self._outlooks = OutlookMaker(clock=clock, work=work)
         self._board = WaitingBoard(clock=clock, work=work)
         self._turns = ReservationTurns()
+        self._backlog = BacklogCursor()
         self._unused = UnusedWorkers(clock=clock, sessions=work.sessions)
         self._reserved_for: tuple[str, ...] = ()
         self._shown_s = 0.0
@@ -135,6 +137,7 @@
             now_s=now_s,
             tickets=self._tickets,
             turns=self._turns,
+            backlog=self._backlog,
             without=self._without,
             ratio_of=self._work.learning.ratio_of,
         )
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -3,6 +3,7 @@
 Decisions only: no input or output, no clock, no event loop, no log lines.
 """
 
+from curranthill.placement.backlog import BacklogCursor
 from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.earnings import LATE_UNTIL
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
@@ -68,6 +69,7 @@
     'UNKNOWN',
     'URGENT',
     'ActiveJob',
+    'BacklogCursor',
     'DurationBook',
     'Move',
     'MoveReason',
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
 from curranthill.placement.evictions import Eviction, Evictions
 from curranthill.placement.fitting import (
     Fit,
@@ -43,10 +44,6 @@
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
-#: How many waiting jobs one round looks at: bounds a round's processor time
-#: under a backlog; jobs further back could start only after these.
-JOBS_PER_ROUND: Final = 200
-
 #: A task waits so many of its estimated run times for room in the right rack:
 #: away from it, it runs longer by about as much.
 PATIENCE_FOR_RACK: Final = 2.0
@@ -96,6 +93,7 @@
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
     :param turns: who keeps room for how long, over all rounds.
+    :param backlog: where a long backlog is gone on with, over all rounds.
     :param without: mechanisms that are switched off.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
@@ -108,6 +106,7 @@
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
         turns: ReservationTurns | None = None,
+        backlog: BacklogCursor | None = None,
         without: frozenset[str] = ALL_ON,
         ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
@@ -115,6 +114,7 @@
         self._ratio_of = ratio_of
         self._tickets = tickets
         self._turns = turns or ReservationTurns()
+        self._backlog = backlog or BacklogCursor()
         self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
@@ -145,16 +145,9 @@
         waiting = [job for job in known if not job.ended]
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
-        looked_at = 0
-        for job in self._in_order(waiting):
-            ready_steps = list(job.ready_steps(self._now_s))
-            if not ready_steps:
-                continue
-            looked_at += 1
-            if looked_at > JOBS_PER_ROUND:
-                break
-            for ready in ready_steps:
-                self._place_step(job, self._with_tickets(job, ready))
+        later = self._place_first(self._in_order(waiting))
+        for job in self._backlog.take(later):
+            self._place_job(job)
         return Plan(
             tuple(self._placements),
             tuple(self._victims),
@@ -162,6 +155,22 @@
             tuple(self._reserved_for),
         )
 
+    def _place_first(self, jobs: Sequence[ActiveJob]) -> Sequence[ActiveJob]:
+        """Look at the first jobs that may start; return the others."""
+        looked_at = 0
+        for number, job in enumerate(jobs):
+            if looked_at >= JOBS_PER_ROUND:
+                return jobs[number:]
+            looked_at += self._place_job(job)
+        return ()
+
+    def _place_job(self, job: ActiveJob) -> bool:
+        """Place what may start of a job; return whether anything may."""
+        ready_steps = list(job.ready_steps(self._now_s))
+        for ready in ready_steps:
+            self._place_step(job, self._with_tickets(job, ready))
+        return bool(ready_steps)
+
     def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
         late: set[str] = set()
         if HOPELESS_LAST not in self._without:
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from curranthill.placement import ActiveJob, Planner, Room, Run
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
 from curranthill.placement.suspects import TRIED_S
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import JobSpec, Step, TaskKey
@@ -117,6 +118,7 @@
     front = {spec.job_id: make_job(spec) for spec in in_front}
     over_s = dict.fromkeys(front, math.inf)
     turns = ReservationTurns()
+    backlog = BacklogCursor()
     for number in range(round(within_s / ROUND_S)):
         now_s = NOW_S + number * ROUND_S
         waiting = [one for name, one in front.items() if now_s < over_s[name]]
@@ -126,6 +128,7 @@
             now_s=now_s,
             tickets=lambda ready_job, ready: {},
             turns=turns,
+            backlog=backlog,
         )
         found = placed(planner.plan([*waiting, job]))
         if job.spec.job_id in found:
@@ -317,6 +320,22 @@
         self.assertIn('small', placed(decided))
 
 
+class BacklogTest(unittest.TestCase):
+    """More jobs wait than a round looks at."""
+
+    def test_a_job_behind_many_that_do_not_fit_starts(self) -> None:
+        """Its turn to be looked at comes."""
+        unplaced = [
+            make_spec(
+                f'unplaced{number}',
+                Step(1, needs(1), label='none', estimate_s=1.0 + number),
+            )
+            for number in range(2 * JOBS_PER_ROUND)
+        ]
+        started_s = waited_s(nothing, unplaced, small_job())
+        self.assertIsNotNone(started_s)
+
+
 class MostRoomFreeTest(unittest.TestCase):
     """While most room is free nobody waits long with nothing running."""
 
