--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -194,8 +194,8 @@
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
         starving = job.idle_s(self._now_s) >= PATIENCE_S
-        tried = not (urgent or advised or starving)
-        if tried and shape in self._too_large:
+        may_skip = not (urgent or advised or starving)
+        if may_skip and shape in self._too_large:
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
