A gang waits for no rack that never has its room

What callers would see: a gang that must stand in one rack waits for twice its estimate though no rack can have room for it, with workers empty in both. Found by a review. Cause: racks were asked whether they would hold the gang if they were idle; one with a lasting run never is. Change: they are asked whether they hold it once all runs but lasting ones have ended, as for kept room.

--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -231,7 +231,7 @@
         return self._labelled.get(rack, [])
 
     def racks_that_hold(self, step: Step, wanted: int) -> list[str]:
-        """Return the racks that would hold so many tasks if they were idle."""
+        """Return the racks that hold so many tasks once runs have ended."""
         found = self._holding.get((step, wanted))
         if found is None:
             found = [
@@ -241,10 +241,10 @@
         return found
 
     def holds_in(self, rack: str, step: Step, wanted: int) -> bool:
-        """Return whether an idle rack would hold so many tasks of a step."""
+        """Return whether a rack holds so many tasks once runs have ended."""
         held = 0
         for room in self.in_rack(rack):
-            held += copies(room, step)
+            held += copies_once_free(room, step)
             if held >= wanted:
                 return True
         return False
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -234,6 +234,20 @@
         self.assertIsNone(started_s)
 
 
+class RackTest(unittest.TestCase):
+    """Waits for a rack that never has the room."""
+
+    def test_a_gang_waits_for_no_rack_with_a_run_that_lasts(self) -> None:
+        """One lasts in each rack; the gang needs four whole workers."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return lasting(worker_id) if worker_id[1] == '0' else ()
+
+        gang = Step(4, needs(8), gang=True, same_rack=True, estimate_s=60.0)
+        decided = plan(rooms_with(runs), make_spec('gang', gang))
+        self.assertIn('gang', placed(decided))
+
+
 class TurnTest(unittest.TestCase):
     """A gang keeps room by turns."""
 
