Waits for a rack or an empty worker end though the clock is set back

What callers would see: a job waits for as long as the leader's time of day was set back. Found by a review. Cause: both waits are told from the time of day alone. Change: a suspect whose wait began in the future begins it anew; a job accepted more than 5 s in the future waits for no rack, as nobody knows how long it has waited.

--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -257,6 +257,10 @@
         if self.step_of(key).perpetual:
             patience_s = LASTING_PATIENCE_S
         since_s = self._waits_since_s.setdefault(key, now_s)
+        if now_s < since_s:
+            # The clock was set back; it is not known by how much.
+            self._waits_since_s[key] = now_s
+            return True
         return now_s - since_s < patience_s
 
     def _note_step_done(self, place: tuple[int, int]) -> None:
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -48,6 +48,10 @@
 #: away from it, it runs longer by about as much.
 PATIENCE_FOR_RACK: Final = 2.0
 
+#: The clocks of the host that accepted a job and of the leader differ by no
+#: more than this unless one was set, in seconds.
+MOST_SKEW_S: Final = 5.0
+
 #: An urgent job that no guarantee covers may throw away at most so many times
 #: its own work: more of it would serve others worse than it serves its caller.
 MOST_LOSS_SHARE: Final = 3.0
@@ -308,6 +312,9 @@
         if RACK_PATIENCE in self._without:
             return False
         waited_s = self._now_s - job.spec.accepted_at_s
+        if waited_s < -MOST_SKEW_S:
+            # Clocks that differ so much were set; nobody knows the wait.
+            return False
         return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
 
     def _make_way(
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -248,6 +248,40 @@
         self.assertIn('gang', placed(decided))
 
 
+class ClockTest(unittest.TestCase):
+    """The wall clock is set back by an hour while a job waits."""
+
+    def test_a_suspect_does_not_wait_for_the_time_set_back(self) -> None:
+        """No worker is empty; it starts beside others after its patience."""
+        gang = Step(7, needs(1), gang=True, estimate_s=9.0)
+        self.check_starts(suspect_job('s1', gang), rooms_with(overdue))
+
+    def test_a_task_does_not_wait_for_its_rack_for_the_time_set_back(
+        self,
+    ) -> None:
+        """Its rack is full; it waits for twice its estimate of a second."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return (make_run(worker_id, 8),) if worker_id[0] == 'a' else ()
+
+        step = Step(1, needs(1), near_rack='ra', estimate_s=1.0)
+        job = make_job(make_spec('near', step, accepted_at_s=NOW_S))
+        self.check_starts(job, rooms_with(runs))
+
+    def check_starts(self, job: ActiveJob, rooms: list[Room]) -> None:
+        """Check that a job starts within 10 s after the clock was set."""
+        for passed_s in (0.0, 1.0, -3600.0, -3595.0, -3590.0):
+            planner = Planner(
+                rooms={SERVICE: rooms},
+                guaranteed={},
+                now_s=NOW_S + passed_s,
+                tickets=lambda waiting, ready: {},
+            )
+            if placed(planner.plan([job])):
+                return
+        self.fail('not within 10 s')
+
+
 class TurnTest(unittest.TestCase):
     """A gang keeps room by turns."""
 
