A worker that fenced a start off is given no other at once

What callers would see: a task does not start while a worker fences off each start and accepts renewals; another worker is idle. Cause: such a worker was placed on again at once, unlike after other rejections.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -314,13 +314,13 @@
             worker=self.worker_id,
             reason=rejected.reason,
         )
+        self.rejected_s = self._clock.monotonic_s()
         if rejected.reason == FENCE:
             # Settled by the next renewal, which also tells who leads. A worker
             # that started again has forgotten the token and accepts it.
             run.state = UNKNOWN
             self.raise_token()
             return
-        self.rejected_s = self._clock.monotonic_s()
         self._list.vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
--- a/tests/test_unfinished_waits.py
+++ b/tests/test_unfinished_waits.py
@@ -33,6 +33,22 @@
         in_domain(case, workers=1)
 
 
+class FencingWorkerTest(unittest.TestCase):
+    """A worker that fences off each start and accepts renewals."""
+
+    def test_its_tasks_start_at_another_worker(self) -> None:
+        """It would be chosen again at once each time."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            domain.workers['w0'].rejecting = 'fence'
+            await host.accept(make_spec('a1'))
+            self.assertEqual(await domain.ended('a1', LAPSE_S), 'completed')
+
+        in_domain(case, workers=2)
+
+
 class RejectedRenewalTest(unittest.TestCase):
     """A worker that answers each renewal with a rejection is no good."""
 
