What the consistency check takes up may still be under way

A run of this term that was taken up again counted as ordered before any token, so that a list made before its start came through would prove it absent, and a second run could start beside it: it is proven absent only by a list under a token above that of its start now. And jobs that have ended were not looked at: a cancelled job with a run that no session holds stayed for ever.

--- a/src/curranthill/dispatch/consistency.py
+++ b/src/curranthill/dispatch/consistency.py
@@ -161,15 +161,16 @@
         for finding in self._found & before:
             self._tell(finding)
             job = self._work.jobs.get(finding.key.job_id)
-            if job is not None and not job.ended:
+            if job is not None:
                 self._repairs[finding.kind](job, finding)
 
     def _findings(self) -> Iterator[Finding]:
+        sessions = self._work.sessions
         for job in self._work.jobs.values():
-            if job.ended:
-                continue
-            for kind in finders:
-                yield from finders.get(kind)(job, self._work.sessions)
+            # A job that has ended is kept until its runs have.
+            kinds = (RUN_UNHELD,) if job.ended else finders
+            for kind in kinds:
+                yield from finders.get(kind)(job, sessions)
 
     def _tell(self, finding: Finding) -> None:
         if finding in self._told:
@@ -193,8 +194,10 @@
         job.progress.task(finding.key).worker = finding.worker_id
         self._journal.note(job)
         self._recover(job, finding.key)
-        # Its start may have been ordered in this term.
-        self._work.sessions[finding.worker_id].raise_token()
+        session = self._work.sessions[finding.worker_id]
+        # Its start may have been ordered in this term, by the newest token.
+        job.runs[finding.key].ordered_token = session.token
+        session.raise_token()
 
     def _stop(self, job: ActiveJob, finding: Finding) -> None:
         run = job.runs.get(finding.key)
--- a/tests/test_consistency.py
+++ b/tests/test_consistency.py
@@ -3,7 +3,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Any, Final
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from curranthill.dispatch import consistency
 from curranthill.dispatch.work import Work
@@ -152,6 +152,63 @@
         self.assertEqual(lines.found, ['end_not_noted'])
 
 
+class EndedJobTest(unittest.TestCase):
+    """A job that has ended is kept until its runs have."""
+
+    def test_a_cancelled_job_whose_run_nobody_holds_is_dropped(self) -> None:
+        """Its rows and its place in memory would stay."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', PAIR))
+            await domain.clock.until(lambda: bool(domain.starts(SECOND)))
+            await domain.clock.advance(0.5)
+            assert host.leader is not None
+            work = host.leader.work
+            drop_session_run(domain, work)
+            work.cancel('a1')
+            await domain.clock.until(
+                lambda: 'a1' not in work.jobs,
+                within_s=MENDED_S,
+            )
+
+        in_domain(case, workers=2, run_s=3)
+
+
+class RecoveredMarkTest(unittest.TestCase):
+    """A run of this term whose mark is taken up again may exist."""
+
+    def test_a_list_under_the_token_of_its_start_does_not_end_it(self) -> None:
+        """That list may have been made before the start came through."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', PAIR))
+            await domain.clock.until(lambda: bool(domain.starts(SECOND)))
+            await domain.clock.advance(0.5)
+            assert host.leader is not None
+            work = host.leader.work
+            run = work.jobs['a1'].runs[FIRST]
+            session = work.sessions[run.worker_id]
+            token = session.token
+            check = consistency.ConsistencyCheck(
+                clock=domain.clock,
+                work=work,
+                journal=Mock(),
+                recover=lambda job, key: work.recover_run(job, key, session),
+            )
+            drop_known_run(domain, work)
+            check.look()
+            check.look()
+            found = work.jobs['a1'].runs[FIRST]
+            self.assertEqual(found.ordered_token, token)
+            self.assertGreater(session.token, token)
+
+        in_domain(case, workers=1, run_s=30)
+
+
 class TakeoverTest(unittest.TestCase):
     """What a former leader left half done is ended."""
 
