--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -197,8 +197,7 @@
         urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
-        starving = job.idle_s(self._now_s) >= PATIENCE_S
-        may_skip = not (urgent or advised or starving)
+        may_skip = not (urgent or advised or self._starves(job))
         if may_skip and shape in self._too_large:
             return
         groups = self._groups(job, ready)
