A suspect that starves does not start beside a fresh one

What callers would see: two tasks that may crash their worker side by side, so that a crash tells nothing of either. The new test failed before and passes.

--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -123,7 +123,8 @@
         key,
         ready.step,
         alone=ready.alone,
-        starving=ready.starving,
+        # Two suspects side by side would not tell which one crashes.
+        starving=ready.starving and not ready.suspect,
     )
 
 
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -27,6 +27,7 @@
 
     :param tickets: by worker, for queues whose policy allows only some.
     :param alone: nothing else may run on their workers.
+    :param suspect: one of the tasks may be what crashed its workers.
     :param starving: their job has waited for long while most room is free, and
         takes room that is kept.
     """
@@ -37,6 +38,7 @@
     tasks: tuple[TaskKey, ...]
     tickets: dict[str, str] | None = None
     alone: bool = False
+    suspect: bool = False
     starving: bool = False
 
     @property
@@ -217,7 +219,8 @@
             yield ready
             return
         if ready.step.gang:
-            yield ready._replace(alone=self._waits_alone(suspects[0], now_s))
+            alone = self._waits_alone(suspects[0], now_s)
+            yield ready._replace(alone=alone, suspect=True)
             return
         others = tuple(key for key in ready.tasks if key not in self.suspects)
         if others:
@@ -225,7 +228,8 @@
         if self._is_trying() and not ready.step.perpetual:
             return
         alone = self._waits_alone(suspects[0], now_s)
-        yield ready._replace(tasks=(suspects[0],), alone=alone)
+        first = (suspects[0],)
+        yield ready._replace(tasks=first, alone=alone, suspect=True)
 
     def _is_trying(self) -> bool:
         """Return whether a suspect runs that may yet crash its worker."""
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -205,9 +205,10 @@
     def test_a_gang_does_not_keep_room_for_ever(self) -> None:
         """Runs that do not end as estimated hold up the gang, not others."""
         gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
-        job = small_job()
-        started_s = waited_s(overdue, [make_spec('wide', gang)], job)
-        self.assertIsNotNone(started_s)
+        for runs_of in (overdue, overdue_and_full):
+            job = small_job()
+            started_s = waited_s(runs_of, [make_spec('wide', gang)], job)
+            self.assertIsNotNone(started_s)
 
     def test_gangs_that_take_turns_leave_room_to_others(self) -> None:
         """Each of them waits for runs that do not end."""
@@ -318,6 +319,7 @@
         may_keep(turns, job, NOW_S, 0.0)
         self.assertFalse(may_keep(turns, job, NOW_S + 9.0, 0.0))
         self.assertTrue(may_keep(turns, job, NOW_S - 60.0, 0.0))
+        self.assertFalse(may_keep(turns, job, NOW_S - 54.0, 0.0))
 
 
 class SuspectRoomTest(unittest.TestCase):
@@ -465,6 +467,26 @@
         self.assertIsNotNone(started_s)
         self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
 
+    def test_two_suspects_do_not_start_side_by_side(self) -> None:
+        """Each worker has one that has just started."""
+        step = Step(1, needs(1), estimate_s=9.0)
+        job = suspect_job('s1', step)
+        self.assertIsNone(waited_s(suspect(0.5), [UNPLACED], job, 4.0))
+
+    def test_a_start_ends_the_wait(self) -> None:
+        """A job that was stopped right away waits anew."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.end_wait(member_of(job))
+        self.assertEqual(job.idle_s(NOW_S + 9.0), 0.0)
+
+    def test_a_clock_that_is_set_back_begins_the_wait_anew(self) -> None:
+        """It would last for as long as the clock was set back."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.idle_s(NOW_S - 60.0)
+        self.assertEqual(job.idle_s(NOW_S - 57.0), 3.0)
+
     def test_a_full_processor_is_no_free_room(self) -> None:
         """One of eight workers is empty, and kept for a gang of two."""
 
@@ -508,7 +530,14 @@
     @given(
         st.lists(
             st.sampled_from(
-                (nothing, lasting, overdue, suspect(0.5), suspect(20.0)),
+                (
+                    nothing,
+                    lasting,
+                    overdue,
+                    overdue_and_full,
+                    suspect(0.5),
+                    suspect(20.0),
+                ),
             ),
             min_size=len(WORKERS),
             max_size=len(WORKERS),
@@ -519,6 +548,7 @@
         st.booleans(),
     )
     @example(everywhere(overdue), 8, 8, False, False)
+    @example(everywhere(overdue_and_full), 8, 8, False, False)
     @example(everywhere(suspect(20.0)), 1, 1, False, False)
     def test_what_fits_starts_whatever_waits_in_front(
         self,
