The soak hands in gangs and looks for work that waits beside free room

What the soak lacked: its jobs were small and short, so that nothing waited once the faults were over. Change: with gangs, the default by hand, there are 16 workers; gangs of several widths come, of whole workers, of two tasks a worker that leave accelerators unused, up to three wider than all workers, and tasks of 15 to 35 s; workers crash again and again, so that tasks become suspects; after 100 s of faults or more all hosts are killed at once. What is new draws from a generator of its own, and former seeds are played without it, so their draws stay. States of ended jobs are kept for longer than a soak lasts, since long ones read them more than two minutes after the end. The report tells how many jobs waited in calm and the longest wait beside free room, so that a run without either is seen.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -21,6 +21,7 @@
 class SoakCallers:
     """Hands in jobs until it is told to stop.
 
+    :param jobs: all jobs that were handed in, by their ids.
     :param accepted: jobs that a host accepted.
     :param refused: jobs of which every answer said that they had not run.
     :param stopped: set once no new job is to be handed in.
@@ -28,6 +29,7 @@
 
     def __init__(self, *, addresses: list[str], drawn: random.Random) -> None:
         """Start with no job handed in."""
+        self.jobs: dict[str, dict[str, Any]] = {}
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.stopped = asyncio.Event()
@@ -41,9 +43,18 @@
             for number in range(FAITHFUL_CALLERS):
                 callers.create_task(self._call_faithfully(number + 1))
 
+    async def state(self, job_id: str) -> str:
+        """Return a job's state as some host tells it, or nothing."""
+        async with open_session() as session:
+            for host in self._addresses:
+                state = await _get_state(session, host, job_id)
+                if state:
+                    return state
+        return ''
+
     async def _call_anywhere(self) -> None:
         """Hand in jobs over shared connections, some at several hosts."""
-        async with _session() as session, asyncio.TaskGroup() as callers:
+        async with open_session() as session, asyncio.TaskGroup() as callers:
             number = 0
             while not self.stopped.is_set():
                 number += 1
@@ -55,7 +66,7 @@
         """Use one connection to a host until the host ends it, and again."""
         number = 0
         while not self.stopped.is_set():
-            async with _session(connections=1) as session:
+            async with open_session(connections=1) as session:
                 number = await self._use(session, caller, number)
             await asyncio.sleep(0.2)
 
@@ -71,7 +82,8 @@
         while answer and not self.stopped.is_set():
             number += 1
             job_id = f'{caller:04x}{number:012x}'
-            answer = await self._post(session, host, job_id, self._job())
+            job = self._new_job(job_id)
+            answer = await self._post(session, host, job_id, job)
             if answer == _OK:
                 self.accepted.add(job_id)
             elif answer == _REFUSED:
@@ -84,7 +96,7 @@
         session: aiohttp.ClientSession,
         job_id: str,
     ) -> None:
-        job = self._job()
+        job = self._new_job(job_id)
         answers = set()
         for _ in range(TRIES):
             host = self._drawn.choice(self._addresses)
@@ -104,15 +116,17 @@
         job: dict[str, Any],
     ) -> int:
         """Hand a job in once; return the status, or 0 without an answer."""
-        queue = int(job_id, 16) % 3
-        path = f'{host}/q{queue}/{job_id}'
         try:
-            async with session.post(path, json=job) as response:
+            async with session.post(
+                _path(host, job_id),
+                json=job,
+            ) as response:
                 return response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0
 
-    def _job(self) -> dict[str, Any]:
+    def _new_job(self, job_id: str) -> dict[str, Any]:
+        """Draw a job and keep it."""
         step = {
             'count': self._drawn.randint(1, 3),
             'cpu': 500,
@@ -121,10 +135,31 @@
             'estimate_ms': 500,
             'gang': self._drawn.choice((True, False, False)),
         }
-        return {'spec': 'text', 'steps': [step]}
+        self.jobs[job_id] = {'spec': 'text', 'steps': [step]}
+        return self.jobs[job_id]
+
+
+def _path(host: str, job_id: str) -> str:
+    """Return where a host takes a job in and tells its state."""
+    return f'{host}/q{int(job_id, 16) % 3}/{job_id}'
+
+
+async def _get_state(
+    session: aiohttp.ClientSession,
+    host: str,
+    job_id: str,
+) -> str:
+    """Return a job's state as one host tells it, or nothing."""
+    try:
+        async with session.get(_path(host, job_id)) as response:
+            fields = await response.json()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return ''
+    return str(fields.get('state', ''))
 
 
-def _session(connections: int = 100) -> aiohttp.ClientSession:
+def open_session(connections: int = 100) -> aiohttp.ClientSession:
+    """Return a session of a caller with so many connections at most."""
     return aiohttp.ClientSession(
         headers={'Host': 'jobs.example'},
         timeout=aiohttp.ClientTimeout(total=PATIENCE_S),
@@ -132,4 +167,4 @@
     )
 
 
-__all__ = ('SoakCallers',)
+__all__ = ('FAITHFUL_CALLERS', 'SoakCallers', 'open_session')
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,9 +1,10 @@
 """What a soak may inject, by name."""
 
 import asyncio
+import random
 import signal
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Final
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any, Final
 
 from bench.proxy import Mode, Proxy
 from bench.soak_workers import DATA_CENTRES, ROOM
@@ -11,7 +12,7 @@
 if TYPE_CHECKING:
     from bench.soak_hosts import Soak
 
-Fault = Callable[['Soak'], Awaitable[None]]
+Fault = Callable[['Soak'], Coroutine[Any, Any, None]]
 
 #: All faults; a name leads to what it does.
 FAULTS: Final[dict[str, Fault]] = {}
@@ -28,6 +29,9 @@
 #: Tasks of one soak that crash their workers: each takes some down.
 MOST_CRASHING: Final = 3
 
+#: The longest times between crashes of workers, in seconds; a soak has one.
+CRASH_PAUSES_S: Final = (1.0, 2.0, 6.0)
+
 #: What another writer may put in place of a worker's entry.
 BAD_ENTRIES: Final = (b'', b'\xff', b'[]', b'{}', b'{"service": ["calc"]}')
 
@@ -205,6 +209,24 @@
     soak.workers.list_again(name)
 
 
+async def crash_workers(soak: 'Soak', drawn: random.Random) -> None:
+    """Crash some worker again and again, until cancelled."""
+    longest_s = drawn.choice(CRASH_PAUSES_S)
+    while True:
+        await asyncio.sleep(drawn.uniform(0, longest_s))
+        model = drawn.choice(soak.workers.listed())
+        if not model.down:
+            model.crash()
+
+
+async def lose_power(soak: 'Soak') -> None:
+    """Kill all hosts at once and start them again."""
+    hosts = range(len(soak.processes))
+    for number in hosts:
+        soak.signal(number, signal.SIGKILL)
+    await asyncio.gather(*(soak.restart(number) for number in hosts))
+
+
 async def _disturb(soak: 'Soak', proxies: list[Proxy]) -> None:
     mode = soak.random.choice(MODES)
     for proxy in proxies:
@@ -214,4 +236,4 @@
         proxy.change('pass')
 
 
-__all__ = ('FAULTS', 'Fault', 'fault')
+__all__ = ('FAULTS', 'Fault', 'crash_workers', 'fault', 'lose_power')
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -6,7 +6,9 @@
 under their ids, fail what they run, crash under chosen tasks and lose room,
 data centres are closed and opened, and entries come that no worker wrote. A
 host can't be suspended from outside: a pause by a signal is one that every
-clock counts.
+clock counts. Gangs and long tasks may be handed in too, some gangs wider than
+all workers, while workers crash so often that tasks become suspects; a long
+soak of that kind ends with all hosts without power at once.
 Faults come singly and in series. All the while callers hand in jobs, some over
 one connection for as long as it stays open, and the promises are checked from
 what callers and workers see.
@@ -18,7 +20,8 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from itertools import chain
 from pathlib import Path
 from signal import SIGCONT, Signals
 from typing import Annotated, Any, Final
@@ -29,10 +32,13 @@
 from bench.proxy import Proxy
 from bench.soak_callers import SoakCallers
 from bench.soak_closings import SoakClosings
-from bench.soak_faults import FAULTS
+from bench.soak_faults import FAULTS, crash_workers, lose_power
+from bench.soak_gangs import MOST_IMPOSSIBLE, GangCallers
 from bench.soak_revisions import IN_FORCE_S, QUEUE, SoakRevisions
-from bench.soak_workers import SoakWorkers
+from bench.soak_waits import WaitWatch
+from bench.soak_workers import RUN_TIMES_S, WORKERS, SoakWorkers
 from curranthill.clock import SystemClock
+from curranthill.placement.suspects import SUSPECT_LOSSES
 from curranthill.standin.rows import RowModel
 from curranthill.tasks import (
     COMPLETED,
@@ -67,6 +73,18 @@
 #: in more than the workers do in that time, with all accelerators in use.
 HEALING_S: Final = 45.0
 
+#: With faults for so long all hosts lose power at their end, in seconds.
+LONG_S: Final = 100.0
+
+#: How long states of ended jobs are kept, in seconds: past the end of a soak,
+#: which reads them after its last fault.
+STATUS_S: Final = 3600
+
+#: The workers of a soak with gangs, and their time for a small job's task:
+#: gangs get room beside small jobs.
+GANG_WORKERS: Final = 16
+GANG_RUN_TIMES_S: Final = (0.3, 1.5)
+
 QUEUES: Final = tuple(
     {
         **QUEUE,
@@ -85,6 +103,9 @@
     :param started: every process that was started.
     :param injected: how often each fault was injected.
     :param faults: names of what may be injected; all by default.
+    :param gangs: whether gangs are handed in too, to more workers, which
+        crash besides.
+    :param most_impossible: how many of those are wider than all workers.
     """
 
     def __init__(
@@ -95,6 +116,8 @@
         folder: Path,
         hosts: int = HOSTS,
         faults: Sequence[str] = (),
+        gangs: bool = False,
+        most_impossible: int = MOST_IMPOSSIBLE,
     ) -> None:
         """Make the stand-ins; nothing is started yet."""
         self.random = random.Random(seed)  # noqa: S311
@@ -108,6 +131,8 @@
             rows=self.rows,
             clock=SystemClock(),
             drawn=self.random,
+            count=GANG_WORKERS if gangs else WORKERS,
+            run_times_s=GANG_RUN_TIMES_S if gangs else RUN_TIMES_S,
         )
         self.closings = SoakClosings(
             rows=self.rows,
@@ -126,10 +151,31 @@
             addresses=self._addresses,
             drawn=self.random,
         )
+        self._apart = random.Random(seed)  # noqa: S311
+        self._gang_callers = GangCallers(
+            addresses=self._addresses,
+            drawn=self._apart,
+            workers=GANG_WORKERS,
+            most_impossible=most_impossible,
+            lengths_s=self.workers.lengths_s,
+            ended=self._ended,
+        )
         self._watch = PromiseWatch(
             workers=lambda: self.workers.models,
             attempts=ATTEMPTS,
         )
+        self._waits = WaitWatch(
+            handed_in=lambda: self._callers.jobs | self._gang_callers.jobs,
+            accepted=lambda: self._accepted,
+            workers=self.workers.listed,
+            former=lambda: self.workers.models,
+            calm_s=self._calm_s,
+            state_of=self._callers.state,
+            clock=SystemClock(),
+        )
+        self._gangs = gangs
+        self._injected_s = 0.0
+        self._under_way: set[asyncio.Task[None]] = set()
         self._hosts = hosts
         self._faults = faults or sorted(FAULTS)
         self._fault_s = fault_s
@@ -148,14 +194,19 @@
         finally:
             await self._close()
         return {
-            'accepted': len(self._callers.accepted),
-            'refused': len(self._callers.refused),
+            'accepted': len(self._accepted),
+            'refused': len(self._refused),
+            'impossible': len(self._gang_callers.impossible),
             'injected': self.injected,
+            'suspects': self._suspects(),
+            'waited': len(self._waits.seen - self._gang_callers.impossible),
+            'longest_wait_s': round(self._waits.longest_s, 1),
             'faults': sorted(
                 {
                     *self._watch.faults,
                     *self.closings.late,
                     *self.revisions.outdated,
+                    *self._waits.faults,
                 },
             ),
         }
@@ -193,7 +244,10 @@
             self.processes.append(await self._start_host(number))
         self._spawn(self._look())
         await self._until_ready()
+        self._spawn(self._waits.run())
         self._spawn(self._callers.run())
+        if self._gangs:
+            self._spawn(self._gang_callers.run())
         self._spawn(self.revisions.run())
 
     def _write_settings(self, number: int, proxy: Proxy) -> str:
@@ -213,6 +267,7 @@
                 'grace_s': 2,
                 'config_apply_ms': IN_FORCE_S * 1000,
                 'evacuate_ms': Timing().evacuate_s * 1000,
+                'status_s': STATUS_S,
             },
         }
         path = self._folder / f'h{number}.json'
@@ -252,6 +307,17 @@
         raise TimeoutError('no host leads')
 
     async def _inject(self) -> None:
+        crashes = None
+        if self._gangs:
+            crashes = self._spawn(crash_workers(self, self._apart))
+        await self._inject_drawn()
+        if crashes is not None:
+            crashes.cancel()
+        if self._gangs and self._fault_s >= LONG_S:
+            await lose_power(self)
+        self._injected_s = asyncio.get_running_loop().time()
+
+    async def _inject_drawn(self) -> None:
         until = asyncio.get_running_loop().time() + self._fault_s
         while asyncio.get_running_loop().time() < until:
             self._inject_one(self.random.choice(self._faults))
@@ -261,10 +327,24 @@
 
     def _inject_one(self, name: str) -> None:
         self.injected[name] = self.injected.get(name, 0) + 1
-        self._spawn(FAULTS[name](self))
+        task = self._spawn(FAULTS[name](self))
+        self._under_way.add(task)
+        task.add_done_callback(self._note_healed)
+
+    def _note_healed(self, task: asyncio.Task[None]) -> None:
+        self._under_way.discard(task)
+        self._injected_s = asyncio.get_running_loop().time()
+
+    def _calm_s(self) -> float:
+        """Return the seconds since the last fault."""
+        if self._under_way or not self._callers.stopped.is_set():
+            return 0.0
+        now_s = asyncio.get_running_loop().time()
+        return min(now_s - self._injected_s, self.workers.calm_s)
 
     async def _heal(self) -> None:
         self._callers.stopped.set()
+        self._gang_callers.stopped.set()
         self.closings.open_all()
         self.store.silent_tables.clear()
         self.workers.heal()
@@ -290,7 +370,7 @@
         longer than the workers take for all of it.
         """
         until = asyncio.get_running_loop().time() + HEALING_S
-        open_jobs = set(self._callers.accepted)
+        open_jobs = self._accepted - self._gang_callers.impossible
         while open_jobs and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.5)
             left = {one for one in open_jobs if not self._ended(one)}
@@ -300,10 +380,18 @@
         self._watch.faults.extend(f'{one} has not ended' for one in open_jobs)
         self._watch.faults.extend(
             f'{one} was refused and stored'
-            for one in self._callers.refused
+            for one in self._refused
             if {('intake', one), ('progress', one)} & self.rows.rows.keys()
         )
 
+    @property
+    def _accepted(self) -> set[str]:
+        return self._callers.accepted | self._gang_callers.accepted
+
+    @property
+    def _refused(self) -> set[str]:
+        return self._callers.refused | self._gang_callers.refused
+
     def _ended(self, job_id: str) -> bool:
         """Return whether a job ended; one that failed must have a cause."""
         row = self.rows.rows.get(('progress', job_id))
@@ -327,6 +415,15 @@
             },
         )
 
+    def _suspects(self) -> int:
+        """Return how many tasks were lost with their workers repeatedly."""
+        lost = Counter(
+            chain.from_iterable(
+                model.lost_runs for model in self.workers.models
+            ),
+        )
+        return sum(1 for count in lost.values() if count >= SUSPECT_LOSSES)
+
     def _crashes(self, job_id: str) -> int:
         """Return the most workers that went down under a task of a job."""
         lost = Counter(
@@ -337,10 +434,11 @@
         )
         return max(lost.values(), default=0)
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _close(self) -> None:
         self._closing = True
@@ -361,6 +459,11 @@
     count: Annotated[int, typer.Option(help='How many seeds.')] = 1,
     fault_s: Annotated[float, typer.Option(help='Seconds of faults.')] = 10.0,
     hosts: Annotated[int, typer.Option(help='How many hosts.')] = HOSTS,
+    gangs: Annotated[bool, typer.Option(help='Hand in gangs too.')] = True,
+    impossible: Annotated[
+        int,
+        typer.Option(help='How many gangs are wider than all workers.'),
+    ] = MOST_IMPOSSIBLE,
     keep: Annotated[str, typer.Option(help='Where logs are kept.')] = '',
 ) -> None:
     """Run seeds one after the other; a broken promise ends with 1."""
@@ -374,6 +477,8 @@
                 fault_s=fault_s,
                 folder=folder,
                 hosts=hosts,
+                gangs=gangs,
+                most_impossible=impossible,
             )
             report = asyncio.run(soak.run())
         broken += bool(report['faults'])
--- a/bench/soak_workers.py
+++ b/bench/soak_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import Final
 
 from bench.proxy import Proxy
@@ -32,6 +33,8 @@
     :param models: every worker that there ever was.
     :param proxies: what hosts reach each worker through.
     :param crashing: tasks that crash each worker that starts them.
+    :param lengths_s: how long some tasks take instead of their worker's time.
+    :param disturbed_s: when a worker last crashed or came back.
     """
 
     def __init__(
@@ -40,11 +43,21 @@
         rows: RowModel,
         clock: Clock,
         drawn: random.Random,
+        count: int = WORKERS,
+        run_times_s: Sequence[float] = RUN_TIMES_S,
     ) -> None:
-        """Start without workers."""
+        """Start without workers.
+
+        :param count: how many there are to be.
+        :param run_times_s: what each worker's time for a task is drawn from.
+        """
         self.models: list[TaskWorkerModel] = []
         self.proxies: dict[str, Proxy] = {}
         self.crashing: set[TaskKey] = set()
+        self.lengths_s: dict[TaskKey, float] = {}
+        self.disturbed_s = clock.monotonic_s()
+        self._count = count
+        self._run_times_s = run_times_s
         self._servers: dict[str, WorkerServer] = {}
         self._rows = rows
         self._clock = clock
@@ -53,9 +66,20 @@
 
     async def open(self) -> None:
         """Start the workers."""
-        for number in range(WORKERS):
+        for number in range(self._count):
             await self._add(f'w{number}')
 
+    def listed(self) -> list[TaskWorkerModel]:
+        """Return the workers that are listed now."""
+        return [server.model for server in self._servers.values()]
+
+    @property
+    def calm_s(self) -> float:
+        """Return the seconds since a crash; 0 while a worker is away."""
+        if self._coming_back:
+            return 0.0
+        return self._clock.monotonic_s() - self.disturbed_s
+
     def draw(self) -> str:
         """Return the name of some worker."""
         return self._drawn.choice(sorted(self._servers))
@@ -110,7 +134,11 @@
     def _crashed(self, model: TaskWorkerModel) -> None:
         task = asyncio.ensure_future(self._come_back(model.entry.worker_id))
         self._coming_back.add(task)
-        task.add_done_callback(self._coming_back.discard)
+        task.add_done_callback(self._is_back)
+
+    def _is_back(self, task: asyncio.Task[None]) -> None:
+        self._coming_back.discard(task)
+        self.disturbed_s = self._clock.monotonic_s()
 
     def heal(self) -> None:
         """Make all workers reachable, sound and well listed."""
@@ -133,9 +161,10 @@
         model = TaskWorkerModel(
             entry=entry,
             clock=self._clock,
-            run_s=self._drawn.choice(RUN_TIMES_S),
+            run_s=self._drawn.choice(self._run_times_s),
         )
         model.crashing = self.crashing
+        model.lengths_s = self.lengths_s
         model.on_crash = self._crashed
         server = WorkerServer(model=model)
         _, address = await serve(server.handle)
--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -55,6 +55,15 @@
 )
 
 
+#: Seeds that are played with gangs and failed, with seconds of faults and how
+#: many gangs are wider than all workers. 7940: everything waited behind those.
+#: 7931: small jobs waited beside suspects and behind gangs of whole workers.
+GANG_SEEDS = (
+    (7940, 6.0, 3),
+    (7931, 20.0, 0),
+)
+
+
 class EndedDuringRestarts(Soak):
     """A soak that ends while every host is being started again."""
 
@@ -92,6 +101,21 @@
             self.assertEqual(report['faults'], [], f'seed {seed}')
             self.assertGreater(report['accepted'], 10, f'seed {seed}')
 
+    def test_no_job_waits_beside_free_room(self) -> None:
+        """Behind wide gangs, and beside suspects."""
+        for seed, fault_s, impossible in GANG_SEEDS:
+            with tempfile.TemporaryDirectory() as folder:
+                soak = Soak(
+                    seed=seed,
+                    fault_s=fault_s,
+                    folder=Path(folder),
+                    gangs=True,
+                    most_impossible=impossible,
+                )
+                report = asyncio.run(soak.run())
+            self.assertEqual(report['faults'], [], f'seed {seed}')
+            self.assertGreater(report['accepted'], 10, f'seed {seed}')
+
     def test_every_process_that_was_started_is_ended(self) -> None:
         """Also one whose start is under way when the soak ends."""
         with tempfile.TemporaryDirectory() as folder:
