A job that no longer waits for one rack is not told to

A waiting job was told as waiting for `room in one rack` for as long as it waited, though after twice its estimate it takes workers of any rack: the line of a gang that fitted so named no job that room was kept for.

--- a/src/curranthill/admission/reasons.py
+++ b/src/curranthill/admission/reasons.py
@@ -29,6 +29,7 @@
     beyond_guarantee: bool,
     kept: bool = True,
     advised: bool = False,
+    patient: bool = True,
 ) -> str:
     """Return what a step waits for that may start by its turn.
 
@@ -37,12 +38,13 @@
         guarantee is in use.
     :param kept: whether room is kept for other jobs of the service.
     :param advised: whether only workers that an advisor allows may run it.
+    :param patient: whether it goes on waiting for the right rack.
     """
     step = ready.step
     wanted = len(ready.tasks) if step.gang else 1
     if sum(copies(room, step) for room in rooms) < wanted:
         return NO_WORKER
-    groups = groups_of(ready, ServiceRooms(rooms=rooms), patient=True)
+    groups = groups_of(ready, ServiceRooms(rooms=rooms), patient=patient)
     if any(_fits(ready, group) for group in groups):
         return _reason_of_fit(kept=kept, advised=advised)
     if ready.alone and _fits(ready._replace(alone=False), rooms):
--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -13,6 +13,7 @@
     ReadyStep,
     Room,
     covered_jobs,
+    waits_for_rack,
 )
 from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
@@ -92,6 +93,7 @@
                     beyond_guarantee=urgent and job.spec.job_id not in covered,
                     kept=bool(kept_for),
                     advised=job.spec.queue.advisor,
+                    patient=waits_for_rack(job, ready, self._clock.wall_s()),
                 )
                 self._tell(
                     job,
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -5,6 +5,7 @@
 
 from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.earnings import LATE_UNTIL
+from curranthill.placement.fitting import waits_for_rack
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
@@ -96,4 +97,5 @@
     'mechanisms',
     'move_of',
     'room_needed',
+    'waits_for_rack',
 )
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -7,13 +7,17 @@
 
 import heapq
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-from curranthill.placement.jobs import ReadyStep
+from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.paces import ANY, Pace
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
+#: A task waits so many of its estimated run times for room in the right rack:
+#: away from it, it runs longer by about as much.
+PATIENCE_FOR_RACK: Final = 2.0
+
 Fit = list[tuple[TaskKey, Room]]
 
 
@@ -31,6 +35,12 @@
     position: int
 
 
+def waits_for_rack(job: ActiveJob, ready: ReadyStep, now_s: float) -> bool:
+    """Return whether a job goes on waiting for the right rack."""
+    waited_s = now_s - job.spec.accepted_at_s
+    return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+
+
 def groups_of(
     ready: ReadyStep,
     rooms: ServiceRooms,
@@ -195,4 +205,5 @@
     'give_back',
     'groups_of',
     'in_time',
+    'waits_for_rack',
 )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -11,6 +11,7 @@
     give_back,
     groups_of,
     in_time,
+    waits_for_rack,
 )
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
@@ -47,10 +48,6 @@
 #: under a backlog; jobs further back could start only after these.
 JOBS_PER_ROUND: Final = 200
 
-#: A task waits so many of its estimated run times for room in the right rack:
-#: away from it, it runs longer by about as much.
-PATIENCE_FOR_RACK: Final = 2.0
-
 #: An urgent job that no guarantee covers may throw away at most so many times
 #: its own work: more of it would serve others worse than it serves its caller.
 MOST_LOSS_SHARE: Final = 3.0
@@ -294,8 +291,7 @@
         """Return whether a job goes on waiting for the right rack."""
         if RACK_PATIENCE in self._without:
             return False
-        waited_s = self._now_s - job.spec.accepted_at_s
-        return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+        return waits_for_rack(job, ready, self._now_s)
 
     def _make_way(
         self,
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -52,6 +52,7 @@
     alone: bool = False,
     kept: bool = True,
     advised: bool = False,
+    patient: bool = True,
 ) -> str:
     """Return what a step waits for."""
     spec = make_spec('a1', step)
@@ -64,6 +65,7 @@
         beyond_guarantee=beyond,
         kept=kept,
         advised=advised,
+        patient=patient,
     )
     assert [room.free for room in rooms] == free
     return found
@@ -110,6 +112,22 @@
         self.assertEqual(reason(near, *busy), 'room in one rack')
         self.assertEqual(reason(pair, *idle), 'room that is kept for others')
 
+    def test_a_gang_that_has_waited_for_its_rack_waits_for_others(
+        self,
+    ) -> None:
+        """It was told to wait for one rack, though any would do by then."""
+        pair = GANG._replace(width=2, same_rack=True)
+        full = (worker(0, 'r1'), worker(0, 'r2'))
+        workers = (worker(8, 'r1'), worker(8, 'r2'), *full)
+        self.assertEqual(
+            reason(pair, *workers, patient=False),
+            'room that is kept for others',
+        )
+        self.assertEqual(
+            reason(pair, *workers, patient=False, kept=False),
+            'its turn, it fits and no room is kept',
+        )
+
     def test_an_empty_worker_for_a_suspect(self) -> None:
         """Room beside others does not do."""
         step = Step(width=1, needs=ONE_GPU, estimate_s=1.0)
