--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -12,6 +12,7 @@
     give_back,
     groups_of,
     in_time,
+    waits_for_rack,
 )
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
@@ -44,13 +45,6 @@
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
-#: A task waits so many of its estimated run times for room in the right rack:
-#: away from it, it runs longer by about as much.
-PATIENCE_FOR_RACK: Final = 2.0
-
-#: The clocks of the host that accepted a job and of the leader differ by no
-#: more than this unless one was set, in seconds.
-MOST_SKEW_S: Final = 5.0
 
 #: An urgent job that no guarantee covers may throw away at most so many times
 #: its own work: more of it would serve others worse than it serves its caller.
@@ -310,11 +304,7 @@
         """Return whether a job goes on waiting for the right rack."""
         if RACK_PATIENCE in self._without:
             return False
-        waited_s = self._now_s - job.spec.accepted_at_s
-        if waited_s < -MOST_SKEW_S:
-            # Clocks that differ so much were set; nobody knows the wait.
-            return False
-        return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+        return waits_for_rack(job, ready, self._now_s)
 
     def _make_way(
         self,
