Gangs through long faults: drawn sequences

Change: a test draws losses, restarts, takeovers, rejections and cut-offs of up to 110 s against gangs of seven over five workers, and asks that each accepted job ends within 150 s after the last fault, that no task runs twice, that no worker is too full, and that no job is found inconsistent but for gangs that a takeover left half stopped.

--- /dev/null
+++ b/tests/test_gangs_end.py
@@ -0,0 +1,197 @@
+"""Gangs through long faults: once these are over, each accepted job ends."""
+
+import unittest
+from typing import Any, Final
+from unittest.mock import patch
+
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from curranthill.dispatch import consistency
+from curranthill.errors import RefusedError
+from curranthill.tasks import JobProgress, Resources, Step, tables
+from curranthill.tasks.progress import ENDED
+from tests.domain import Domain, in_domain, make_spec
+from tests.promises import PromiseWatch
+from tests.test_dispatch_faults import ATTEMPTS, Faults, heal, pass_time
+
+#: Two tasks fit a worker, and four of the workers hold a gang.
+HALF_WORKER: Final = Resources(cpu_millis=16_000, memory_mb=32_000, gpus=4)
+TASKS_PER_WORKER: Final = 2
+WORKERS: Final = 5
+WIDTH: Final = 7
+JOBS: Final = 5
+RUN_TIMES_S: Final = (0.9, 9.0)
+
+#: Some time between two faults: from none to one that outlasts all leases.
+WAITS_S: Final = (0.0, 0.02, 0.3, 1.1, 2.6, 15.0, 110.0)
+
+#: A lease after a takeover, the wait of a suspect for a worker of its own,
+#: and five gangs one after another.
+HEALING_S: Final = 150.0
+LOOK_S: Final = 5.0
+
+ACTIONS: Final = (
+    'accept',
+    'accept',
+    'accept',
+    'kill_leader',
+    'stop_leader',
+    'cut_store',
+    'heal_store',
+    'lose_writes',
+    'drop_history',
+    'cut_worker',
+    'cut_worker',
+    'lose_worker',
+    'restart_worker',
+    'late_starts',
+    'reject_starts',
+    'reject_renewals',
+)
+
+STEPS: Final = st.lists(
+    st.tuples(
+        st.sampled_from(ACTIONS),
+        st.integers(0, 11),
+        st.sampled_from(WAITS_S),
+    ),
+    min_size=4,
+    max_size=12,
+)
+
+
+class GangFaults(Faults):
+    """Faults, gangs that take most workers, and single tasks."""
+
+    async def accept(self, domain: Domain, pick: int) -> None:
+        """Hand in one more job at some host."""
+        if len(self.submitted) >= JOBS or not domain.hosts:
+            return
+        job_id = f'job{len(self.submitted)}'
+        self.submitted.append(job_id)
+        hosts = list(domain.hosts.values())
+        host = hosts[pick % len(hosts)]
+        gang = pick % 4 > 0
+        width = WIDTH if gang else 1
+        step = Step(width=width, needs=HALF_WORKER, estimate_s=1.0, gang=gang)
+        spec = make_spec(job_id, step, priority=pick % 3)
+
+        async def hand_in() -> None:
+            try:
+                await host.desk.accept(spec, 3.0)
+            except RefusedError:
+                self.refused.add(job_id)
+
+        self._spawn(hand_in())
+
+    async def reject_starts(self, domain: Domain, pick: int) -> None:
+        """Have some worker reject starts, or no longer."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        reasons = ('fence', 'old', 'room')
+        worker.rejecting = '' if worker.rejecting else reasons[pick % 3]
+
+    async def reject_renewals(self, domain: Domain, pick: int) -> None:
+        """Have some worker reject renewals, or no longer."""
+        worker = domain.workers[f'w{pick % WORKERS}']
+        worker.refusing = '' if worker.refusing else '503'
+
+
+class Watch(PromiseWatch):
+    """Looks for second runs, for workers that are too full, and for ends.
+
+    :param ended: jobs whose end was stored; their rows go after some time.
+    """
+
+    def __init__(self, domain: Domain) -> None:
+        """Watch every start."""
+        super().__init__(workers=domain.workers.values, attempts=ATTEMPTS)
+        self.ended: dict[str, JobProgress] = {}
+        self._domain = domain
+
+    def look(self) -> None:
+        """Count each worker's runs and read the jobs' states too."""
+        super().look()
+        for worker in self._domain.workers.values():
+            if len(worker.runs) > TASKS_PER_WORKER:
+                self.faults.append(f'{worker.entry.worker_id} is too full')
+        for table, key in self._domain.rows.rows:
+            if table == tables.PROGRESS:
+                progress = self._domain.progress(key)
+                if progress.state in ENDED:
+                    self.ended[key] = progress
+
+
+class Lines:
+    """Keeps what is told of inconsistent jobs."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.found: list[str] = []
+
+    def log(self, kind: str, **fields: Any) -> None:
+        """Keep what was found."""
+        if kind == 'job_inconsistent':
+            self.found.append(fields['found'])
+
+
+class GangsEndTest(unittest.TestCase):
+    """Random long faults against the real leader, sessions and election."""
+
+    @settings(max_examples=10, phases=(Phase.explicit, Phase.generate))
+    @given(STEPS, st.sampled_from(RUN_TIMES_S))
+    def test_each_accepted_job_ends(
+        self,
+        steps: list[tuple[str, int, float]],
+        run_s: float,
+    ) -> None:
+        """A bounded time after the last fault."""
+        faults = GangFaults()
+        lines = Lines()
+
+        async def case(domain: Domain) -> None:
+            watch = Watch(domain)
+            faults.start_host(domain)
+            faults.start_host(domain)
+            await domain.leader()
+            for name, pick, wait_s in steps:
+                await getattr(faults, name)(domain, pick)
+                await pass_time(domain, watch, wait_s)
+            await heal(domain, faults)
+            for worker in domain.workers.values():
+                worker.rejecting = ''
+                worker.refusing = ''
+            await until_ended(domain, faults, watch)
+            self.assertEqual(watch.faults, [])
+            self.check_ends(faults, watch)
+
+        with patch.object(consistency, 'events', lines):
+            in_domain(case, workers=WORKERS, run_s=run_s)
+        # What a takeover may leave half stopped; all else is a fault.
+        self.assertLessEqual(set(lines.found), {'gang_incomplete'})
+
+    def check_ends(self, faults: GangFaults, watch: Watch) -> None:
+        """Each accepted job has ended; it fails only by its lost workers."""
+        for job_id in set(faults.submitted) - faults.refused:
+            self.assertIn(job_id, watch.ended)
+            progress = watch.ended[job_id]
+            if 'lost with its worker' not in progress.reason:
+                self.assertEqual(progress.state, 'completed', job_id)
+
+
+async def until_ended(
+    domain: Domain,
+    faults: GangFaults,
+    watch: Watch,
+) -> None:
+    """Move time on until all accepted jobs have ended, as long as allowed."""
+    left_s = HEALING_S
+    accepted = set(faults.submitted) - faults.refused
+    while left_s > 0 and not accepted <= watch.ended.keys():
+        await pass_time(domain, watch, LOOK_S)
+        left_s -= LOOK_S
+        accepted = set(faults.submitted) - faults.refused
+
+
+if __name__ == '__main__':
+    unittest.main()
