--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -106,7 +106,7 @@
         if place is None:
             board.plan.put_back(unit, planned)
             return None
-        self._reservations.drop(job.job_id)
+        self._reservations.started(job.job_id, place)
         return board.place(
             waiting,
             place,
@@ -211,7 +211,7 @@
             if place is None:
                 failed.add(trial)
                 continue
-            self._reservations.drop(job.job_id)
+            self._reservations.started(job.job_id, place)
             return board.place(
                 waiting,
                 place,
@@ -257,7 +257,7 @@
 
     def _review(self, board: Board, now_s: float) -> None:
         """Keep workers for those who are first in order and do not fit."""
-        self._reservations.clear()
+        self._reservations.clear(now_s)
         # A single slot fits wherever one is free: nothing is kept for it.
         gangs = [
             head
--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from curranthill.jobs import Job
+from curranthill.jobs import Job, Member
 from curranthill.scheduler.board import Board
 from curranthill.scheduler.cluster import Rack, WorkerState
 from curranthill.scheduler.search import Barred
+from curranthill.scheduler.turns import WorkerTurns
 
 #: The most jobs for which workers are kept at the same time.
 MOST_KEPT = 4
@@ -35,24 +36,33 @@
 
     Only slots that no promise covers are counted on: a worker that drains
     for a gang into a guarantee's hands would never be free for it.
+
+    A worker that was kept in vain for its turn is open to everybody for as
+    long: work on it, or on those kept with it, may outlast its estimate.
     """
 
     def __init__(self) -> None:
         """Start with no worker kept."""
         self._kept: dict[str, Reservation] = {}
+        self._turns = WorkerTurns()
 
     @property
     def full(self) -> bool:
         """Return whether no more jobs can be given workers."""
         return len(self._kept) >= MOST_KEPT
 
-    def clear(self) -> None:
+    def clear(self, now_s: float) -> None:
         """Keep no worker any more."""
+        kept = [one.workers for one in self._kept.values()]
+        self._turns.forget_except(frozenset().union(*kept), now_s)
         self._kept.clear()
 
-    def drop(self, job_id: str) -> None:
-        """Keep no worker for a job any more."""
-        self._kept.pop(job_id, None)
+    def started(self, job_id: str, members: Iterable[Member]) -> None:
+        """Keep no worker any more for a job that has a place now."""
+        reservation = self._kept.pop(job_id, None)
+        if reservation is not None:
+            used = {member.worker for member in members}
+            self._turns.end(reservation.workers & used)
 
     def get(self, job_id: str) -> Reservation | None:
         """Return what is kept for a job."""
@@ -61,9 +71,10 @@
     def keep_for(self, board: Board, job: Job, now_s: float) -> None:
         """Keep the workers on which a job will fit first, if any are left."""
         taken = self.barred(self._kept)
+        closed = _with_workers(board, taken, self._turns.pausing(now_s))
         best: Reservation | None = None
         for name, rack in board.cluster.racks.items():
-            found = _in_rack(board, rack, job, taken.get(name))
+            found = _in_rack(board, rack, job, closed.get(name))
             if found and (best is None or found.until_s < best.until_s):
                 best = found
         if best is None or best.until_s == _NEVER:
@@ -75,6 +86,12 @@
         ):
             until_s = max(now_s, best.until_s)
             self._kept[job.job_id] = best._replace(until_s=until_s)
+            self._turns.begin(
+                best.workers,
+                now_s,
+                least_s=board.run_time_s(job),
+                wait_s=until_s - now_s,
+            )
 
     def before(self, board: Board, job: Job, now_s: float) -> frozenset[str]:
         """Return the jobs whose kept workers a job may not use."""
@@ -97,24 +114,34 @@
         return barred
 
 
+def _with_workers(board: Board, barred: Barred, names: Iterable[str]) -> Barred:
+    """Return barred workers, by rack, with some more of them."""
+    workers = board.cluster.workers
+    more = dict(barred)
+    for worker in filter(None, map(workers.get, names)):
+        others = more.get(worker.rack, frozenset())
+        more[worker.rack] = others | {worker.name}
+    return more
+
+
 def _in_rack(
     board: Board,
     rack: Rack,
     job: Job,
-    taken: frozenset[str] | None,
+    closed: frozenset[str] | None,
 ) -> Reservation | None:
     """Return the workers of a rack on which a job would fit first."""
     memo_key = (job.slots, job.adjacent)
-    if taken is None and memo_key in rack.memo:
+    if closed is None and memo_key in rack.memo:
         found: Reservation | None = rack.memo[memo_key]
         return found and found._replace(job_id=job.job_id)
     able = [
         worker
         for worker in rack.workers
-        if worker.usable and not (taken and worker.name in taken)
+        if worker.usable and not (closed and worker.name in closed)
     ]
     found = _first_fitting(board, rack, job, able)
-    if taken is None:
+    if closed is None:
         rack.memo[memo_key] = found
     return found
 
