A gang that was stopped often has workers kept after four times the wait

What callers would see: in a data centre whose guarantees are used again and again, a large gang that borrows waits beside a stream of small jobs, longer after each stop. Cause: the wait before workers are kept for a gang doubled with each stop, without a bound. The setting preemptions (default 5) is none: after so many stops a job is placed to stay only if promises leave a place, else it borrows again. From 1024 stops on the doubling raised OverflowError, in the decision itself. Change: the first two stops double the wait. Why it works: the wait is at most four times that of a gang that was not stopped.

--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -30,6 +30,10 @@
 #: for it.
 PATIENCE: Final = 4.0
 
+#: So many stops double that wait, later ones do not: how often a job is
+#: stopped has no bound where promises leave no place to stay.
+STOPS_COUNTED: Final = 2
+
 #: How often the order of all lines is looked at, in seconds.
 REVIEW_S: Final = 1.0
 
@@ -284,11 +288,12 @@
 
     Draining costs others most where a gang takes most of the data centre,
     and is lost where the gang is then stopped for a guarantee: so a large
-    part waits longer, and each stop doubles the wait.
+    part waits longer, and each of the first stops doubles the wait.
     """
     run_s = max(board.run_time_s(job), LEAST_RUN_S)
     part = job.slots / max(1, board.cluster.slots)
-    return PATIENCE * run_s * max(1, 4 * part) * 2.0**job.preemptions
+    stops = min(job.preemptions, STOPS_COUNTED)
+    return PATIENCE * run_s * max(1, 4 * part) * 2.0**stops
 
 
 def _failure_price(job: Job) -> Price | None:
--- a/tests/test_own_starvation.py
+++ b/tests/test_own_starvation.py
@@ -11,9 +11,6 @@
 #: seconds.
 MOST_WAIT_S = 2 * SHORTEST_TURN_S
 
-#: How long a gang may wait beside a stream of small jobs, in seconds.
-GANG_WAIT_S = 3600
-
 #: How long a gang may wait once the work that it waits for has ended, in
 #: seconds: small jobs of the stream run on, and a pause may come between.
 REST_WAIT_S = 120
@@ -149,5 +146,34 @@
         self.assertIsNotNone(started_s)
 
 
+class StoppedGangTest(unittest.TestCase):
+    """A gang of one second beside a stream of small jobs."""
+
+    def test_a_gang_that_was_not_stopped_has_workers_kept(self) -> None:
+        """After sixteen of its run times."""
+        self.assert_starts(preemptions=0, within_s=60)
+
+    def test_a_gang_that_was_stopped_often_has_workers_kept(self) -> None:
+        """Stops lengthen the wait four times at most."""
+        for preemptions in (2, 5, 12, 2000):
+            with self.subTest(preemptions=preemptions):
+                self.assert_starts(preemptions=preemptions, within_s=120)
+
+    def assert_starts(self, *, preemptions: int, within_s: float) -> None:
+        """Check that a gang of both workers starts in time."""
+        player = Player()
+        player.stream()
+        player.step()
+        gang = make_job(
+            'gang',
+            slots=BOTH,
+            run_time_s=1.0,
+            preemptions=preemptions,
+        )
+        wait_on(player.board, gang, player.now_s)
+        started_s = player.started_s('gang', within_s, streaming=True)
+        self.assertIsNotNone(started_s)
+
+
 if __name__ == '__main__':
     unittest.main()
