The drawn gangs work only as a whole

Why: the stand-in's workers let a member of a gang go on without its fellows, so a gang that the leader took for running for ever came to its end in the drawn test all the same. Change: in that test members whose fellows do not come end alone, those that lose one end broken, and nothing is done before all are there; the stand-in worker can hold and end a run for that. The sequence that fences off one worker's starts is an example that is always played. Why it works: a gang that is not ready shows as a job that does not end.

--- a/src/curranthill/standin/tasks.py
+++ b/src/curranthill/standin/tasks.py
@@ -49,6 +49,7 @@
     :param stalled: whether tasks make no progress.
     :param gangs: jobs whose tasks stay, with all their work done, until one
         of them is as old as the longest takes; then they end together.
+    :param held: runs that do not come to their end, whatever their age.
     :param failures: all ends as failed, heard of or not.
     :param voided: ends that were listed when the lease lapsed: such an end may
         be given up, since nobody had heard of it in time.
@@ -86,6 +87,7 @@
         self.lengths_s: dict[TaskKey, float] = {}
         self.stalled = False
         self.gangs: set[str] = set()
+        self.held: set[tuple[TaskKey, int]] = set()
         self.starts: list[StartOrder] = []
         self.runs: dict[tuple[TaskKey, int], ActiveRun] = {}
         self.ends: list[EndReport] = []
@@ -202,6 +204,14 @@
             incarnation=self.incarnation,
         )
 
+    def end(self, name: tuple[TaskKey, int], kind: EndKind) -> None:
+        """End a run in some way."""
+        self._end(self.runs[name], kind)
+
+    def age_s(self, name: tuple[TaskKey, int]) -> float:
+        """Return how long a run has been there."""
+        return self._clock_s() - self.runs[name].began_s
+
     def tick(self) -> None:
         """End what is over by now."""
         now_s = self._clock_s()
@@ -216,7 +226,9 @@
                 self._end(run, 'lapsed')
 
     def _is_done(self, run: ActiveRun, by_s: float) -> bool:
-        return not self.stalled and run.began_s + self._length_s(run) <= by_s
+        if self.stalled or (run.task, run.attempt) in self.held:
+            return False
+        return run.began_s + self._length_s(run) <= by_s
 
     def _length_s(self, run: ActiveRun) -> float:
         if run.task.job_id in self.gangs:
--- a/tests/test_gangs_end.py
+++ b/tests/test_gangs_end.py
@@ -1,15 +1,26 @@
 """Gangs through long faults: once these are over, each accepted job ends."""
 
 import unittest
-from typing import Any, Final
+from collections import defaultdict
+from typing import Any, Final, NamedTuple
 from unittest.mock import patch
 
-from hypothesis import Phase, given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
 from curranthill.dispatch import consistency
 from curranthill.errors import RefusedError
-from curranthill.tasks import JobProgress, Resources, Step, tables
+from curranthill.standin.tasks import TaskWorkerModel
+from curranthill.tasks import (
+    JobProgress,
+    JobSpec,
+    Resources,
+    Step,
+    TaskKey,
+    Timing,
+    decode,
+    tables,
+)
 from curranthill.tasks.progress import ENDED
 from tests.domain import Domain, in_domain, make_spec
 from tests.promises import PromiseWatch
@@ -21,6 +32,8 @@
 WORKERS: Final = 5
 WIDTH: Final = 7
 JOBS: Final = 5
+#: How long a member waits for its fellows, in seconds.
+GANG_TIMEOUT_S: Final = Timing().gang_timeout_s
 RUN_TIMES_S: Final = (0.9, 9.0)
 
 #: Some time between two faults: from none to one that outlasts all leases.
@@ -97,6 +110,68 @@
         worker.refusing = '' if worker.refusing else '503'
 
 
+class Member(NamedTuple):
+    """One run of a gang and where it is."""
+
+    worker: TaskWorkerModel
+    run: tuple[TaskKey, int]
+
+
+class GangRule:
+    """Has gangs work only as a whole, which a worker alone can't tell.
+
+    A member whose fellows do not come ends ``alone``, one that loses a fellow
+    ``broken``, and the end of one as done lets the others come to theirs.
+    """
+
+    def __init__(self, domain: Domain) -> None:
+        """Start with no gang seen."""
+        self._domain = domain
+        self._whole: set[tuple[str, int]] = set()
+        self._done: set[tuple[str, int]] = set()
+        self._widths: dict[str, int] = {}
+
+    def look(self) -> None:
+        """Hold or end the runs of gangs that are not whole."""
+        gangs: dict[tuple[str, int], list[Member]] = defaultdict(list)
+        for worker in self._domain.workers.values():
+            self._note_done(worker)
+            for key, attempt in worker.runs:
+                member = Member(worker, (key, attempt))
+                gangs[(key.job_id, attempt)].append(member)
+        for name, members in gangs.items():
+            if len(members) == self._width(name[0]):
+                self._whole.add(name)
+            self._judge(name, members)
+
+    def _note_done(self, worker: TaskWorkerModel) -> None:
+        self._done.update(
+            (end.task.job_id, end.attempt)
+            for end in (*worker.ends, *worker.acknowledged)
+            if end.kind == 'done'
+        )
+
+    def _width(self, job_id: str) -> int:
+        """Return a gang's width; its row goes once the job has ended."""
+        row = self._domain.rows.rows.get((tables.INTAKE, job_id))
+        if row is not None:
+            spec = decode(row.content, JobSpec)
+            self._widths[job_id] = spec.steps[0].width
+        return self._widths[job_id]
+
+    def _judge(self, name: tuple[str, int], members: list[Member]) -> None:
+        whole = len(members) == self._width(name[0]) or name in self._done
+        for worker, run in members:
+            worker.held.discard(run)
+            if whole:
+                continue
+            worker.held.add(run)
+            if name in self._whole:
+                worker.end(run, 'broken')
+            elif worker.age_s(run) > GANG_TIMEOUT_S:
+                worker.end(run, 'alone')
+
+
 class Watch(PromiseWatch):
     """Looks for second runs, for workers that are too full, and for ends.
 
@@ -108,9 +183,11 @@
         super().__init__(workers=domain.workers.values, attempts=ATTEMPTS)
         self.ended: dict[str, JobProgress] = {}
         self._domain = domain
+        self._rule = GangRule(domain)
 
     def look(self) -> None:
         """Count each worker's runs and read the jobs' states too."""
+        self._rule.look()
         super().look()
         for worker in self._domain.workers.values():
             if len(worker.runs) > TASKS_PER_WORKER:
@@ -139,6 +216,16 @@
     """Random long faults against the real leader, sessions and election."""
 
     @settings(max_examples=10, phases=(Phase.explicit, Phase.generate))
+    @example([('reject_starts', 0, 0.3), ('accept', 1, 15.0)], 0.9)
+    @example(
+        [
+            ('accept', 1, 2.6),
+            ('reject_renewals', 0, 15.0),
+            ('reject_renewals', 1, 15.0),
+            ('accept', 2, 110.0),
+        ],
+        9.0,
+    )
     @given(STEPS, st.sampled_from(RUN_TIMES_S))
     def test_each_accepted_job_ends(
         self,
