--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -18,6 +18,10 @@
 #: away from it, it runs longer by about as much.
 PATIENCE_FOR_RACK: Final = 2.0
 
+#: The clocks of the host that accepted a job and of the leader differ by no
+#: more than this unless one was set, in seconds.
+MOST_SKEW_S: Final = 5.0
+
 Fit = list[tuple[TaskKey, Room]]
 
 
@@ -38,6 +42,9 @@
 def waits_for_rack(job: ActiveJob, ready: ReadyStep, now_s: float) -> bool:
     """Return whether a job goes on waiting for the right rack."""
     waited_s = now_s - job.spec.accepted_at_s
+    if waited_s < -MOST_SKEW_S:
+        # Clocks that differ so much were set; nobody knows the wait.
+        return False
     return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
 
 
@@ -133,7 +140,8 @@
         key,
         ready.step,
         alone=ready.alone,
-        starving=ready.starving,
+        # Two suspects side by side would not tell which one crashes.
+        starving=ready.starving and not ready.suspect,
     )
 
 
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from curranthill.placement import ActiveJob, Planner, Room, Run
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
 from curranthill.placement.suspects import TRIED_S
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import JobSpec, Step, TaskKey
@@ -99,7 +100,7 @@
 def rooms_with(runs_of: RunsOf) -> list[Room]:
     """Return all workers' rooms."""
     return [
-        make_room(worker_id, worker_id[0], *runs_of(worker_id))
+        make_room(worker_id, f'r{worker_id[0]}', *runs_of(worker_id))
         for worker_id in WORKERS
     ]
 
@@ -117,6 +118,7 @@
     front = {spec.job_id: make_job(spec) for spec in in_front}
     over_s = dict.fromkeys(front, math.inf)
     turns = ReservationTurns()
+    backlog = BacklogCursor()
     for number in range(round(within_s / ROUND_S)):
         now_s = NOW_S + number * ROUND_S
         waiting = [one for name, one in front.items() if now_s < over_s[name]]
@@ -126,6 +128,7 @@
             now_s=now_s,
             tickets=lambda ready_job, ready: {},
             turns=turns,
+            backlog=backlog,
         )
         found = placed(planner.plan([*waiting, job]))
         if job.spec.job_id in found:
@@ -202,9 +205,10 @@
     def test_a_gang_does_not_keep_room_for_ever(self) -> None:
         """Runs that do not end as estimated hold up the gang, not others."""
         gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
-        job = small_job()
-        started_s = waited_s(overdue, [make_spec('wide', gang)], job)
-        self.assertIsNotNone(started_s)
+        for runs_of in (overdue, overdue_and_full):
+            job = small_job()
+            started_s = waited_s(runs_of, [make_spec('wide', gang)], job)
+            self.assertIsNotNone(started_s)
 
     def test_gangs_that_take_turns_leave_room_to_others(self) -> None:
         """Each of them waits for runs that do not end."""
@@ -231,6 +235,54 @@
         self.assertIsNone(started_s)
 
 
+class RackTest(unittest.TestCase):
+    """Waits for a rack that never has the room."""
+
+    def test_a_gang_waits_for_no_rack_with_a_run_that_lasts(self) -> None:
+        """One lasts in each rack; the gang needs four whole workers."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return lasting(worker_id) if worker_id[1] == '0' else ()
+
+        gang = Step(4, needs(8), gang=True, same_rack=True, estimate_s=60.0)
+        decided = plan(rooms_with(runs), make_spec('gang', gang))
+        self.assertIn('gang', placed(decided))
+
+
+class ClockTest(unittest.TestCase):
+    """The wall clock is set back by an hour while a job waits."""
+
+    def test_a_suspect_does_not_wait_for_the_time_set_back(self) -> None:
+        """No worker is empty; it starts beside others after its patience."""
+        gang = Step(7, needs(1), gang=True, estimate_s=9.0)
+        self.check_starts(suspect_job('s1', gang), rooms_with(overdue))
+
+    def test_a_task_does_not_wait_for_its_rack_for_the_time_set_back(
+        self,
+    ) -> None:
+        """Its rack is full; it waits for twice its estimate of a second."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return (make_run(worker_id, 8),) if worker_id[0] == 'a' else ()
+
+        step = Step(1, needs(1), near_rack='ra', estimate_s=1.0)
+        job = make_job(make_spec('near', step, accepted_at_s=NOW_S))
+        self.check_starts(job, rooms_with(runs))
+
+    def check_starts(self, job: ActiveJob, rooms: list[Room]) -> None:
+        """Check that a job starts within 10 s after the clock was set."""
+        for passed_s in (0.0, 1.0, -3600.0, -3595.0, -3590.0):
+            planner = Planner(
+                rooms={SERVICE: rooms},
+                guaranteed={},
+                now_s=NOW_S + passed_s,
+                tickets=lambda waiting, ready: {},
+            )
+            if placed(planner.plan([job])):
+                return
+        self.fail('not within 10 s')
+
+
 class TurnTest(unittest.TestCase):
     """A gang keeps room by turns."""
 
@@ -267,6 +319,7 @@
         may_keep(turns, job, NOW_S, 0.0)
         self.assertFalse(may_keep(turns, job, NOW_S + 9.0, 0.0))
         self.assertTrue(may_keep(turns, job, NOW_S - 60.0, 0.0))
+        self.assertFalse(may_keep(turns, job, NOW_S - 54.0, 0.0))
 
 
 class SuspectRoomTest(unittest.TestCase):
@@ -317,6 +370,73 @@
         self.assertIn('small', placed(decided))
 
 
+class StreamTest(unittest.TestCase):
+    """Small jobs that come one after the other beside a large gang."""
+
+    def test_small_jobs_do_not_starve_a_gang_of_all_workers(self) -> None:
+        """Three of eight workers are in use on average."""
+        self.check_gang(width=8, every_s=1.7)
+
+    def test_small_jobs_do_not_starve_a_gang_of_half_the_workers(self) -> None:
+        """Hardly a processor is free, and most accelerators are."""
+        self.check_gang(width=4, every_s=0.6)
+
+    def check_gang(self, *, width: int, every_s: float) -> None:
+        """Check that a gang of whole workers starts within 60 s."""
+        gang = Step(width, needs(8), gang=True, estimate_s=5.0)
+        front = make_job(make_spec('front', gang))
+        small = Step(1, ROOM._replace(gpus=1), gang=True, estimate_s=5.0)
+        running = {name: processor_full(name, 0.0) for name in WORKERS}
+        for index, name in enumerate(WORKERS):
+            running[name][0].age_s = 15.0 + index / 2
+        waiting: list[ActiveJob] = []
+        came = 0
+        turns = ReservationTurns()
+        for number in range(round(60.0 / ROUND_S)):
+            passed_s = number * ROUND_S
+            while came * every_s <= passed_s:
+                accepted_at_s = NOW_S + passed_s
+                spec = make_spec(f's{came}', small, accepted_at_s=accepted_at_s)
+                waiting.append(make_job(spec))
+                came += 1
+            for name in WORKERS:
+                for run in running[name]:
+                    run.age_s += ROUND_S
+                left = [run for run in running[name] if run.left_s > 0]
+                running[name] = left
+            planner = Planner(
+                rooms={SERVICE: rooms_with(running.__getitem__)},
+                guaranteed={},
+                now_s=NOW_S + passed_s,
+                tickets=lambda job, ready: {},
+                turns=turns,
+            )
+            found = placed(planner.plan([front, *waiting]))
+            if 'front' in found:
+                return
+            for workers in found.values():
+                run = processor_full(workers[0], 15.0)[0]
+                running[workers[0]] = [run]
+            waiting = [one for one in waiting if one.spec.job_id not in found]
+        self.fail('not within 60 s')
+
+
+class BacklogTest(unittest.TestCase):
+    """More jobs wait than a round looks at."""
+
+    def test_a_job_behind_many_that_do_not_fit_starts(self) -> None:
+        """Its turn to be looked at comes."""
+        unplaced = [
+            make_spec(
+                f'unplaced{number}',
+                Step(1, needs(1), label='none', estimate_s=1.0 + number),
+            )
+            for number in range(2 * JOBS_PER_ROUND)
+        ]
+        started_s = waited_s(nothing, unplaced, small_job())
+        self.assertIsNotNone(started_s)
+
+
 class MostRoomFreeTest(unittest.TestCase):
     """While most room is free nobody waits long with nothing running."""
 
@@ -347,6 +467,43 @@
         self.assertIsNotNone(started_s)
         self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
 
+    def test_two_suspects_do_not_start_side_by_side(self) -> None:
+        """Each worker has one that has just started."""
+        step = Step(1, needs(1), estimate_s=9.0)
+        job = suspect_job('s1', step)
+        self.assertIsNone(waited_s(suspect(0.5), [UNPLACED], job, 4.0))
+
+    def test_a_start_ends_the_wait(self) -> None:
+        """A job that was stopped right away waits anew."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.end_wait(member_of(job))
+        self.assertEqual(job.idle_s(NOW_S + 9.0), 0.0)
+
+    def test_a_clock_that_is_set_back_begins_the_wait_anew(self) -> None:
+        """It would last for as long as the clock was set back."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.idle_s(NOW_S - 60.0)
+        self.assertEqual(job.idle_s(NOW_S - 57.0), 3.0)
+
+    def test_a_full_processor_is_no_free_room(self) -> None:
+        """One of eight workers is empty, and kept for a gang of two."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id == WORKERS[0]:
+                return ()
+            return processor_full(worker_id, 0.0)
+
+        gang = Step(width=2, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(
+            runs,
+            [make_spec('front', gang)],
+            small_job(),
+            within_s=20.0,
+        )
+        self.assertIsNone(started_s)
+
     def test_room_stays_kept_in_a_full_cluster(self) -> None:
         """The gang would never get its fourth worker otherwise."""
 
@@ -373,7 +530,14 @@
     @given(
         st.lists(
             st.sampled_from(
-                (nothing, lasting, overdue, suspect(0.5), suspect(20.0)),
+                (
+                    nothing,
+                    lasting,
+                    overdue,
+                    overdue_and_full,
+                    suspect(0.5),
+                    suspect(20.0),
+                ),
             ),
             min_size=len(WORKERS),
             max_size=len(WORKERS),
@@ -384,6 +548,7 @@
         st.booleans(),
     )
     @example(everywhere(overdue), 8, 8, False, False)
+    @example(everywhere(overdue_and_full), 8, 8, False, False)
     @example(everywhere(suspect(20.0)), 1, 1, False, False)
     def test_what_fits_starts_whatever_waits_in_front(
         self,
