A job that waits since the clock was set back is logged

A job accepted at what is the future of the leader's clock counted as one that has just come, so it and all that came later had no `waiting` line until the clock had caught up. Such a job is logged now; one that has waited for less than a second, within the usual difference of clocks, is not, as before. The new test fails without the change.

--- a/src/curranthill/dispatch/waiting.py
+++ b/src/curranthill/dispatch/waiting.py
@@ -9,6 +9,7 @@
 from curranthill.dispatch.unready import UnreadyJobs
 from curranthill.dispatch.work import Work
 from curranthill.placement import (
+    MOST_SKEW_S,
     ActiveJob,
     ReadyStep,
     Room,
@@ -136,8 +137,9 @@
         oldest = []
         found: dict[int, int] = defaultdict(int)
         for job in jobs:
-            if now_s - job.spec.accepted_at_s < LOGGED_FROM_S:
-                break
+            waited_s = now_s - job.spec.accepted_at_s
+            if -MOST_SKEW_S <= waited_s < LOGGED_FROM_S:
+                continue
             if found[job.spec.queue.priority] >= LOGGED_JOBS:
                 continue
             ready = next(job.ready_steps(now_s), None)
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -6,7 +6,7 @@
 from curranthill.placement.backlog import BacklogCursor
 from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.earnings import LATE_UNTIL
-from curranthill.placement.fitting import waits_for_rack
+from curranthill.placement.fitting import MOST_SKEW_S, waits_for_rack
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
@@ -57,6 +57,7 @@
     'FILLING',
     'LATE_UNTIL',
     'MARKED',
+    'MOST_SKEW_S',
     'ORDERED',
     'PLAIN',
     'RUNNING',
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -207,6 +207,8 @@
 
 
 __all__ = (
+    'MOST_SKEW_S',
+    'PATIENCE_FOR_RACK',
     'Fit',
     'choose_group',
     'choose_rooms',
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -243,6 +243,26 @@
 
         in_domain(case, workers=3, run_s=RUN_S)
 
+    def test_a_job_that_waits_since_the_clock_was_set_back_is_told(
+        self,
+    ) -> None:
+        """It was accepted in what is the future now, and was passed over."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            wide = GANG._replace(width=3)
+            spec = gang('late', domain)._replace(steps=(wide,))
+            ahead_s = spec.accepted_at_s + 60.0
+            await host.accept(spec._replace(accepted_at_s=ahead_s))
+            lines = Lines()
+            with patch.object(waiting, 'events', lines):
+                await domain.clock.advance(4.0)
+            told_of = {line['job'] for line in lines.of('waiting')}
+            self.assertEqual(told_of, {'late'})
+
+        in_domain(case, run_s=RUN_S)
+
     def test_workers_with_a_suspect_are_counted(self) -> None:
         """Of two workers one leaves; the other has a suspect."""
 
