Questions to an advisor take turns

What callers would see: in queues with an advisor, jobs that may run do not start as long as one step before them in order gets no answer, or as a few wide gangs before them wait for room. Each round asked for the first step in order that lacked tickets, also if its last question had failed or its tickets had lapsed unused; so it was asked for again and again. Ruled out: several questions at a time, since advisors take one; longer pauses after failures, which hold up all others, too; that first questions always go before, since new jobs could then keep a repeated question from ever being asked. Change: a round notes what could be asked and asks once it has looked at all. First questions go before repeated ones, in the steps' order as before; repeated ones take turns, and one is asked after four first ones at the most. Why it works: a step's first questions are as many as its workers ask for, and a repeated one waits for at most four others for each repeated one before it.

--- a/src/curranthill/dispatch/advice.py
+++ b/src/curranthill/dispatch/advice.py
@@ -1,11 +1,14 @@
 """Tickets for queues whose policy lets only some workers run a step.
 
 Only an advisor outside of the product knows the policy. It is asked for many
-workers at once and one call after the other, since it takes one at a time.
+workers at once and one call after the other, since it takes one at a time. So
+the steps that wait for tickets share it: what was not asked yet goes before
+what was asked in vain, and that takes turns.
 """
 
-from collections.abc import Mapping
-from typing import Final, NamedTuple, Protocol
+from collections.abc import Mapping, Sequence
+from itertools import count
+from typing import Any, Final, NamedTuple, Protocol
 
 from curranthill.clock import Clock
 from curranthill.errors import CurranthillError
@@ -15,6 +18,9 @@
 #: Workers named in one question: the advisor takes longer for each.
 WORKERS_PER_QUESTION: Final = 30
 
+#: So many first questions may go before a repeated one that waits.
+FIRST_IN_A_ROW: Final = 4
+
 #: The pause after a question that was not answered, in seconds.
 RETRY_S: Final = 0.3
 
@@ -60,6 +66,19 @@
     incarnation: int
 
 
+class Question(NamedTuple):
+    """What could be asked next for a step.
+
+    :param workers: the incarnations of the workers by their ids.
+    :param repeated: whether the workers were asked for before, or the step's
+        last question failed.
+    """
+
+    ready: ReadyStep
+    workers: dict[str, int]
+    repeated: bool
+
+
 class TicketOffice:
     """Asks for tickets and keeps them while they are good."""
 
@@ -69,6 +88,10 @@
         self._clock = clock
         self._tickets: dict[str, dict[str, Ticket]] = {}
         self._asked: dict[str, set[tuple[str, int]]] = {}
+        self._failed: dict[str, bool] = {}
+        self._numbers = count(1)
+        self._last_numbers: dict[str, int] = {}
+        self._first_in_a_row = 0
 
     def good(
         self,
@@ -89,46 +112,62 @@
             and (worker_id, ticket.incarnation) in usable
         }
 
-    def unasked(
+    def question(
         self,
         ready: ReadyStep,
         workers: Mapping[str, int],
-    ) -> tuple[str, ...]:
-        """Return the workers to ask for next.
+    ) -> Question | None:
+        """Return what to ask next for a step, if anything.
 
         Each incarnation of a worker is asked for once; when all have been and
         no ticket is good any more, those that had tickets are asked again.
+
+        :param workers: the incarnations of the workers by their ids.
         """
-        asked = self._asked.setdefault(ready.name, set())
-        fresh = [
-            name for name, one in workers.items() if (name, one) not in asked
-        ]
-        if not fresh:
+        asked = self._asked.get(ready.name, set())
+        names = [one for one in workers.items() if one not in asked]
+        repeated = not names or self._failed.get(ready.name, False)
+        if not names:
             had = self._tickets.get(ready.name, {})
-            fresh = [one for one in workers if one in had]
-        return tuple(fresh[:WORKERS_PER_QUESTION])
+            names = [one for one in workers.items() if one[0] in had]
+        if not names:
+            return None
+        return Question(ready, dict(names[:WORKERS_PER_QUESTION]), repeated)
 
-    async def ask(self, ready: ReadyStep, workers: Mapping[str, int]) -> None:
-        """Ask for some workers; the answer is kept.
+    def choose(self, questions: Sequence[Question]) -> Question | None:
+        """Return the question to ask now.
 
-        :param workers: the incarnations of the workers by their ids.
+        :param questions: one of each step at the most, in the steps' order.
         """
+        first = next((one for one in questions if not one.repeated), None)
+        repeats = [one for one in questions if one.repeated]
+        due = self._first_in_a_row >= FIRST_IN_A_ROW
+        if first is not None and not (due and repeats):
+            return first
+        return min(repeats, key=self._last_number, default=None)
+
+    async def ask(self, question: Question) -> None:
+        """Ask for some workers; the answer is kept."""
+        self._count(question)
+        name, workers = question.ready.name, question.workers
         try:
-            advice = await self._advisor.ask(ready.name, tuple(workers))
+            advice = await self._advisor.ask(name, tuple(workers))
         except AdvisorError as error:
-            events.log('advice_failed', step=ready.name, error=str(error))
+            self._failed[name] = True
+            events.log('advice_failed', step=name, error=str(error))
             await self._clock.sleep(RETRY_S)
             return
+        self._failed[name] = False
         until_s = self._clock.monotonic_s() + advice.validity_s
         events.log(
             'advised',
-            step=ready.name,
+            step=name,
             asked=len(workers),
             good=len(advice.tickets),
             validity_s=advice.validity_s,
         )
-        self._asked.setdefault(ready.name, set()).update(workers.items())
-        kept = self._tickets.setdefault(ready.name, {})
+        self._asked.setdefault(name, set()).update(workers.items())
+        kept = self._tickets.setdefault(name, {})
         for worker_id, incarnation in workers.items():
             text = advice.tickets.get(worker_id)
             if text is not None:
@@ -136,10 +175,28 @@
 
     def forget_except(self, job_ids: set[str]) -> None:
         """Drop what is kept of jobs that are over."""
-        for kept in (self._tickets, self._asked):
+        known: tuple[dict[str, Any], ...] = (
+            self._tickets,
+            self._asked,
+            self._failed,
+            self._last_numbers,
+        )
+        for kept in known:
             for name in list(kept):
                 if name.split('.', 1)[0] not in job_ids:
                     kept.pop(name)
 
+    def _count(self, question: Question) -> None:
+        """Note that a question is asked now, for the turns of others."""
+        self._last_numbers[question.ready.name] = next(self._numbers)
+        if question.repeated:
+            self._first_in_a_row = 0
+        else:
+            self._first_in_a_row += 1
+
+    def _last_number(self, question: Question) -> int:
+        """Return the number of a step's last question."""
+        return self._last_numbers.get(question.ready.name, 0)
+
 
-__all__ = ('Advice', 'Advisor', 'AdvisorError', 'TicketOffice')
+__all__ = ('Advice', 'Advisor', 'AdvisorError', 'Question', 'TicketOffice')
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -1,13 +1,12 @@
 """Rounds of placement: a snapshot, decisions, stored starts, orders."""
 
 import asyncio
-from collections.abc import Mapping
 from typing import Final, Protocol
 
 import msgspec
 
 from curranthill.clock import Clock, wait_at_most
-from curranthill.dispatch.advice import TicketOffice
+from curranthill.dispatch.advice import Question, TicketOffice
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import LeadershipLostError
 from curranthill.dispatch.outlooks import OutlookMaker
@@ -90,6 +89,7 @@
         )
         self._office = office
         self._asking = False
+        self._questions: list[Question] = []
         self._clock = clock
         self._work = work
         self._journal = journal
@@ -131,6 +131,7 @@
             # Most rounds end here: reports and ends cause rounds too, and
             # adding up all workers' room is the costly part of a round.
             return
+        self._questions.clear()
         planner = Planner(
             rooms=self._rooms(),
             guaranteed=self._guaranteed(),
@@ -142,6 +143,7 @@
             ratio_of=self._work.learning.ratio_of,
         )
         plan = planner.plan(self._work.jobs.values())
+        self._ask_next()
         self._reserved_for = plan.reserved_for
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
         self._preempt(plan)
@@ -180,7 +182,7 @@
         )
 
     def _tickets(self, job: ActiveJob, ready: ReadyStep) -> dict[str, str]:
-        """Return a step's good tickets; ask for more if they do not do."""
+        """Return a step's good tickets; note what to ask if they do not do."""
         usable = {
             session.worker_id: session.incarnation
             for session in self._work.sessions.values()
@@ -194,16 +196,21 @@
                 for worker_id, incarnation in usable.items()
                 if worker_id not in good
             }
-            unasked = self._office.unasked(ready, without)
-            if unasked:
-                self._asking = True
-                asked = {one: usable[one] for one in unasked}
-                self._spawner.spawn(self._ask(ready, asked))
+            question = self._office.question(ready, without)
+            if question is not None:
+                self._questions.append(question)
         return good
 
-    async def _ask(self, ready: ReadyStep, workers: Mapping[str, int]) -> None:
+    def _ask_next(self) -> None:
+        """Ask one of the questions of this round."""
+        question = self._office.choose(self._questions)
+        if question is not None:
+            self._asking = True
+            self._spawner.spawn(self._ask(question))
+
+    async def _ask(self, question: Question) -> None:
         try:
-            await self._office.ask(ready, workers)
+            await self._office.ask(question)
         finally:
             self._asking = False
         self._office.forget_except(set(self._work.jobs))
