A worker that stays after all is used again by a data centre's scheduler

What callers would see: less room than there is, until the scheduler's term ends: a worker that was listed as leaving, or said so, and then stays or starts again under its name, gets no work. Cause: one set kept who leaves, filled by the host list, by workers' answers and by operators, and emptied only when a worker was removed, which needs that no job holds it as the list drops it. Ruled out: to go by the newest word of anyone, since the list lags behind the worker, the worker may not know what the platform plans, and neither knows what an operator drained. Change: each source is followed by itself, and any of them keeps work off. A worker that is listed no more, with jobs, keeps the last that was listed of it.

--- a/src/curranthill/scheduler/roster.py
+++ b/src/curranthill/scheduler/roster.py
@@ -53,7 +53,11 @@
         self._on_change = on_change
         self._begun = False
         self._silent: set[str] = set()
-        self._leaving: set[str] = set()
+        # Each source is followed by itself: the host list lags behind what
+        # a worker says, and neither takes back what an operator said.
+        self._listed_leaving: set[str] = set()
+        self._says_leaving: set[str] = set()
+        self._drained: set[str] = set()
 
     def begin(self) -> None:
         """Poll all workers from now on."""
@@ -68,8 +72,7 @@
         for entry in entries:
             if entry.host not in cluster.workers:
                 self._add(entry)
-            if entry.leaving:
-                self._leaving.add(entry.host)
+            _mark(self._listed_leaving, entry.host, entry.leaving)
         for name, worker in list(cluster.workers.items()):
             if name not in listed and not worker.jobs:
                 self._remove(name)
@@ -79,7 +82,7 @@
         """Place no new work on a worker; return whether it is known."""
         if name not in self._board.cluster.workers:
             return False
-        self._leaving.add(name)
+        self._drained.add(name)
         self.judge()
         return True
 
@@ -110,11 +113,15 @@
             self.judge()
 
     def _is_usable(self, worker: WorkerState) -> bool:
-        return not (
-            worker.name in self._silent
-            or worker.name in self._leaving
-            or self.health.quarantined(worker.name)
+        reasons = (
+            self._silent,
+            self._listed_leaving,
+            self._says_leaving,
+            self._drained,
         )
+        if any(worker.name in names for names in reasons):
+            return False
+        return not self.health.quarantined(worker.name)
 
     def _add(self, entry: HostEntry) -> None:
         self._board.cluster.add(
@@ -144,19 +151,24 @@
         if watch is not None:
             watch.close()
         self._silent.discard(name)
-        self._leaving.discard(name)
+        self._listed_leaving.discard(name)
+        self._says_leaving.discard(name)
+        self._drained.discard(name)
 
     def _on_contact(self, worker: str, answers: bool, leaving: bool) -> None:
-        was_silent = worker in self._silent
+        changed = _mark(self._silent, worker, not answers)
         if answers:
-            self._silent.discard(worker)
-        else:
-            self._silent.add(worker)
-        newly_leaving = leaving and worker not in self._leaving
-        if newly_leaving:
-            self._leaving.add(worker)
-        if newly_leaving or was_silent == answers:
+            changed |= _mark(self._says_leaving, worker, leaving)
+        if changed:
             self.judge()
 
 
+def _mark(names: set[str], name: str, is_in: bool) -> bool:
+    """Have a name in a set or not; return whether that is a change."""
+    if (name in names) == is_in:
+        return False
+    names.symmetric_difference_update((name,))
+    return True
+
+
 __all__ = ('Roster',)
