How long a gang will run does not lengthen the turn of its workers

What callers would see: a small job waits beside an idle worker for as long as a gang of many hours would run, though the gang waits for a job that is overdue. Cause: the turn of a worker was at least as long as its gang's own run time, meant to save what had drained for it. Ruled out: that a short turn costs the gang its place for good: what starts in the pause has an estimate, and the next turn is twice the wait for that. Change: the turn is twice the wait that estimates tell, and 5 s at least, as at the leader of entry hosts.

--- a/src/curranthill/scheduler/reservations.py
+++ b/src/curranthill/scheduler/reservations.py
@@ -86,12 +86,7 @@
         ):
             until_s = max(now_s, best.until_s)
             self._kept[job.job_id] = best._replace(until_s=until_s)
-            self._turns.begin(
-                best.workers,
-                now_s,
-                least_s=board.run_time_s(job),
-                wait_s=until_s - now_s,
-            )
+            self._turns.begin(best.workers, now_s, until_s - now_s)
 
     def before(self, board: Board, job: Job, now_s: float) -> frozenset[str]:
         """Return the jobs whose kept workers a job may not use."""
--- a/src/curranthill/scheduler/turns.py
+++ b/src/curranthill/scheduler/turns.py
@@ -50,15 +50,13 @@
         self,
         workers: Iterable[str],
         now_s: float,
-        least_s: float,
         wait_s: float,
     ) -> None:
         """Keep workers from now on; those that are kept already go on.
 
-        :param least_s: for how long the gang may keep them in any case.
         :param wait_s: how long the gang waits for them, by estimates.
         """
-        length_s = max(SHORTEST_TURN_S, least_s, TURN_FACTOR * wait_s)
+        length_s = max(SHORTEST_TURN_S, TURN_FACTOR * wait_s)
         for name in workers:
             self._turns.setdefault(name, _Turn(now_s, length_s))
 
