--- a/tests/test_unfinished_waits.py
+++ b/tests/test_unfinished_waits.py
@@ -98,5 +98,28 @@
         in_domain(case, workers=2, run_s=9)
 
 
+class QueuedStartTest(unittest.TestCase):
+    """Starts go to a worker one after another."""
+
+    def test_starts_do_not_queue_for_a_worker_that_is_silent(self) -> None:
+        """Each of them would wait for an answer and extend the lease."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await domain.clock.advance(1)
+            domain.workers['w0'].cut = True
+            tasks = [TaskKey(f'j{one}', 0, 0, 0) for one in range(8)]
+            for task in tasks:
+                await host.accept(make_spec(task.job_id))
+            domain.add_worker('w1')
+            await domain.clock.until(
+                lambda: all(domain.starts(task) for task in tasks),
+                within_s=LAPSE_S,
+            )
+
+        in_domain(case, workers=1)
+
+
 if __name__ == '__main__':
     unittest.main()
