A worker that is silent is noticed despite unanswered orders

What callers saw: eight tasks placed on an idle worker that had fallen silent started elsewhere after 11.7 s, and the worker passed for reachable meanwhile. Cause: each order without an answer raises the token, which gives up the renewal under way; while orders follow each other every 0.6 s no renewal is ever missed, and each start extends the lease that has to lapse. Change: after a raise of the token the next order waits until a renewal is answered or missed; a start that finds its worker unreachable then is let go. Why it works: a worker that answers does so within milliseconds, and its list settles the order before; one that is silent costs one order and one renewal.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -132,6 +132,10 @@
         )
         self._urgent = asyncio.Event()
         self._order_turn = asyncio.Lock()
+        # Not set from a raise of the token until a renewal under it tells what
+        # became of the orders before, or that the worker is silent.
+        self._settled = asyncio.Event()
+        self._settled.set()
 
     @property
     def worker_id(self) -> str:
@@ -211,15 +215,18 @@
     async def start(self, run: Run, payload: str) -> None:
         """Order one start; the run's state tells what became of it."""
         async with self._order_turn:
+            await self._settled.wait()
             if run.state != MARKED or self.runs.get(run.name) is not run:
                 return
             if run.incarnation != self.incarnation:
                 # Placed by the room of a former incarnation.
                 self._list.vanish(run, 'placed before a restart')
                 return
-            if self.entry.leaving:
-                # It said so while orders without an answer held this one up.
-                self._list.vanish(run, 'worker leaving')
+            if self.entry.leaving or not self.reachable:
+                # So since orders without an answer held this one up.
+                leaving = self.entry.leaving
+                reason = 'worker leaving' if leaving else 'worker unreachable'
+                self._list.vanish(run, reason)
                 return
             if not self._closures.allows_starts(self.entry.data_centre):
                 # It was closed while the start waited for its turn.
@@ -248,6 +255,7 @@
     async def stop(self, run: Run) -> None:
         """Order one stop; the run takes room until its end is listed."""
         async with self._order_turn:
+            await self._settled.wait()
             if self.runs.get(run.name) is not run or self._worker is None:
                 return
             if run.state == MARKED:
@@ -449,6 +457,7 @@
 
     def _check_lapse(self) -> None:
         """Give up all runs once no lease can reach this far."""
+        self._settled.set()
         if not self._lease.lapsed:
             return
         for run in self.runs.values():
@@ -462,6 +471,8 @@
         """Shut out all orders so far, and have the worker tell what runs."""
         self._token += 1
         self.synced = False
+        if not self.gone:
+            self._settled.clear()
         self._list.doubt_ordered()
         self._urgent.set()
 
@@ -522,6 +533,7 @@
         if replaced:
             self.doubtful.settle(crashed=not self.entry.leaving)
         self.gone = True
+        self._settled.set()
         events.log(
             'worker_gone',
             worker=self.worker_id,
@@ -547,6 +559,7 @@
             events.log('worker_reachable', worker=self.worker_id)
         if order.token == self._token:
             self.synced = True
+            self._settled.set()
             # Orders of lower tokens are shut out, so no lease is longer.
             self._lease.bound()
         self._list.take(report, order, sent_s)
