Gangs keep no room for 2 s between two turns

What callers would see: a large gang whose turn ends in vain loses its room to others for as long as the turn was, up to a minute. Cause: the pause was as long as the turn; in its first rounds all that waits and fits is placed, and the rest of it only gives later work the room too. Change: a pause of 2 s. Why it works: some rounds of placement fall into it, so that the wait of others stays bounded by the turn.

--- a/src/curranthill/placement/turns.py
+++ b/src/curranthill/placement/turns.py
@@ -3,7 +3,7 @@
 Answers runs that outlast their estimates or stand still: the gang that waits
 for them would keep room from others for as long, and so would the next one. A
 gang keeps room for a while that its wait asks for; then no gang of the service
-does for as long, unless it has started.
+does for a moment, in which all that fits starts.
 """
 
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -19,9 +19,13 @@
 #: for, by their estimates: some take longer.
 TURN_FACTOR: Final = 2.0
 
+#: For how long no gang keeps room after a turn, in seconds: some rounds of
+#: placement fall into it.
+PAUSE_S: Final = 2.0
+
 
 class _Turn(NamedTuple):
-    """A time for which room is kept; a pause as long follows.
+    """A time for which room is kept; a pause follows.
 
     :param job: that of the gang for which it began.
     :param member: a task of that gang.
@@ -40,7 +44,7 @@
         """
         age_s = now_s - self.since_s
         served = self.member in self.job.runs or self.job.ended
-        return served or age_s < 0 or age_s >= 2 * self.length_s
+        return served or age_s < 0 or age_s >= self.length_s + PAUSE_S
 
 
 class ReservationTurns:
@@ -72,4 +76,4 @@
         return now_s - turn.since_s < turn.length_s
 
 
-__all__ = ('SHORTEST_TURN_S', 'TURN_FACTOR', 'ReservationTurns')
+__all__ = ('PAUSE_S', 'SHORTEST_TURN_S', 'TURN_FACTOR', 'ReservationTurns')
