--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -7,13 +7,21 @@
 
 import heapq
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-from curranthill.placement.jobs import ReadyStep
+from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.paces import ANY, Pace
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
+#: A task waits so many of its estimated run times for room in the right rack:
+#: away from it, it runs longer by about as much.
+PATIENCE_FOR_RACK: Final = 2.0
+
+#: The clocks of the host that accepted a job and of the leader differ by no
+#: more than this unless one was set, in seconds.
+MOST_SKEW_S: Final = 5.0
+
 Fit = list[tuple[TaskKey, Room]]
 
 
@@ -31,6 +39,15 @@
     position: int
 
 
+def waits_for_rack(job: ActiveJob, ready: ReadyStep, now_s: float) -> bool:
+    """Return whether a job goes on waiting for the right rack."""
+    waited_s = now_s - job.spec.accepted_at_s
+    if waited_s < -MOST_SKEW_S:
+        # Clocks that differ so much were set; nobody knows the wait.
+        return False
+    return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+
+
 def groups_of(
     ready: ReadyStep,
     rooms: ServiceRooms,
@@ -123,7 +140,8 @@
         key,
         ready.step,
         alone=ready.alone,
-        starving=ready.starving,
+        # Two suspects side by side would not tell which one crashes.
+        starving=ready.starving and not ready.suspect,
     )
 
 
@@ -195,4 +213,5 @@
     'give_back',
     'groups_of',
     'in_time',
+    'waits_for_rack',
 )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
 from curranthill.placement.evictions import Eviction, Evictions
 from curranthill.placement.fitting import (
     Fit,
@@ -11,6 +12,7 @@
     give_back,
     groups_of,
     in_time,
+    waits_for_rack,
 )
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
@@ -43,13 +45,6 @@
 from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
-#: How many waiting jobs one round looks at: bounds a round's processor time
-#: under a backlog; jobs further back could start only after these.
-JOBS_PER_ROUND: Final = 200
-
-#: A task waits so many of its estimated run times for room in the right rack:
-#: away from it, it runs longer by about as much.
-PATIENCE_FOR_RACK: Final = 2.0
 
 #: An urgent job that no guarantee covers may throw away at most so many times
 #: its own work: more of it would serve others worse than it serves its caller.
@@ -96,6 +91,7 @@
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
     :param turns: who keeps room for how long, over all rounds.
+    :param backlog: where a long backlog is gone on with, over all rounds.
     :param without: mechanisms that are switched off.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
@@ -108,6 +104,7 @@
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
         turns: ReservationTurns | None = None,
+        backlog: BacklogCursor | None = None,
         without: frozenset[str] = ALL_ON,
         ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
@@ -115,6 +112,7 @@
         self._ratio_of = ratio_of
         self._tickets = tickets
         self._turns = turns or ReservationTurns()
+        self._backlog = backlog or BacklogCursor()
         self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
@@ -145,16 +143,9 @@
         waiting = [job for job in known if not job.ended]
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
-        looked_at = 0
-        for job in self._in_order(waiting):
-            ready_steps = list(job.ready_steps(self._now_s))
-            if not ready_steps:
-                continue
-            looked_at += 1
-            if looked_at > JOBS_PER_ROUND:
-                break
-            for ready in ready_steps:
-                self._place_step(job, self._with_tickets(job, ready))
+        later = self._place_first(self._in_order(waiting))
+        for job in self._backlog.take(later):
+            self._place_job(job)
         return Plan(
             tuple(self._placements),
             tuple(self._victims),
@@ -162,6 +153,22 @@
             tuple(self._reserved_for),
         )
 
+    def _place_first(self, jobs: Sequence[ActiveJob]) -> Sequence[ActiveJob]:
+        """Look at the first jobs that may start; return the others."""
+        looked_at = 0
+        for number, job in enumerate(jobs):
+            if looked_at >= JOBS_PER_ROUND:
+                return jobs[number:]
+            looked_at += self._place_job(job)
+        return ()
+
+    def _place_job(self, job: ActiveJob) -> bool:
+        """Place what may start of a job; return whether anything may."""
+        ready_steps = list(job.ready_steps(self._now_s))
+        for ready in ready_steps:
+            self._place_step(job, self._with_tickets(job, ready))
+        return bool(ready_steps)
+
     def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
         late: set[str] = set()
         if HOPELESS_LAST not in self._without:
@@ -184,9 +191,8 @@
         urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
-        starving = job.idle_s(self._now_s) >= PATIENCE_S
-        tried = not (urgent or advised or starving)
-        if tried and shape in self._too_large:
+        may_skip = not (urgent or advised or self._starves(job))
+        if may_skip and shape in self._too_large:
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
@@ -241,6 +247,10 @@
         held = sum(room.held_alone for room in rooms)
         return held > math.ceil(ALONE_SHARE * len(rooms))
 
+    def _workers_of(self, job: ActiveJob) -> int:
+        """Return how many workers of a job's service accept work."""
+        return len(self._services[job.spec.queue.service].rooms)
+
     def _reserve(
         self,
         job: ActiveJob,
@@ -260,7 +270,7 @@
         )
         if may_keep:
             self._reservations -= 1
-            keep(ready, rooms)
+            keep(ready, rooms, of_workers=self._workers_of(job))
             self._reserved_for[job.spec.job_id] = None
 
     def _makes_room(self, job: ActiveJob) -> bool:
@@ -294,8 +304,7 @@
         """Return whether a job goes on waiting for the right rack."""
         if RACK_PATIENCE in self._without:
             return False
-        waited_s = self._now_s - job.spec.accepted_at_s
-        return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+        return waits_for_rack(job, ready, self._now_s)
 
     def _make_way(
         self,
