--- a/bench/replay.py
+++ b/bench/replay.py
@@ -26,7 +26,9 @@
     RUNNING,
     SPEEDS,
     ActiveJob,
+    BacklogCursor,
     Planner,
+    ReservationTurns,
     Room,
     Run,
     WorkerEntry,
@@ -297,6 +299,8 @@
         self._workspaces = [f't{one}' for one in range(len(load.workspaces))]
         self._stops = 0
         self._looked_at_s: dict[str, float] = {}
+        self._turns = ReservationTurns()
+        self._backlog = BacklogCursor()
         self._without = without
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -460,6 +464,8 @@
             guaranteed=self._guaranteed(),
             now_s=NOW_S + self._now_s,
             tickets=lambda job, ready: {},
+            turns=self._turns,
+            backlog=self._backlog,
             without=self._without,
         )
         plan = planner.plan(self._jobs.values())
--- a/src/curranthill/commands/sentences.py
+++ b/src/curranthill/commands/sentences.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from curranthill.commands.waits import held_task, workers_of
 from curranthill.registry import Registry
 
 Line = dict[str, Any]
@@ -43,12 +44,41 @@
 
 @sentences.register('waiting')
 def _waiting(line: Line) -> str:
+    named = ', '.join(line.get('kept_for', ()))
+    kept_for = f' ({named})' if named else ''
     return (
-        f'step {line["step"]} ({line["tasks"]} tasks) waits for '
-        f'{line["waits_for"]}; accepted {line["waited_s"]} s ago'
+        f'{line["job"]} step {line["step"]} ({line["tasks"]} tasks) '
+        f'waits for {line["waits_for"]}{kept_for}'
+        f'{workers_of(line)}; accepted {line["waited_s"]} s ago'
     )
 
 
+@sentences.register('not_ready')
+def _not_ready(line: Line) -> str:
+    tasks = '; '.join(map(held_task, line['held']))
+    unnamed = line['held_tasks'] - len(line['held'])
+    later = line['later_steps']
+    parts = [
+        f'{line["job"]} step {line["step"]} is not ready for ',
+        f'{line["held_s"]} s: held by {line["held_by"]}',
+        f' ({tasks})' if tasks else '',
+        f' and {unnamed} more' if unnamed else '',
+        f'; {later} later steps wait for it' if later else '',
+        f', due in {line["due_in_s"]} s' if line['due_in_s'] else '',
+    ]
+    return f'{"".join(parts)}; accepted {line["waited_s"]} s ago'
+
+
+@sentences.register('workers_unused')
+def _workers_unused(line: Line) -> str:
+    workers = '; '.join(
+        f'{reason} ({", ".join(names)})'
+        for reason, names in line['workers'].items()
+    )
+    told = f'{line["unused"]} of {line["listed"]} listed workers are unused'
+    return f'{told}: {workers}' if workers else told
+
+
 @sentences.register('placed')
 def _placed(line: Line) -> str:
     return (
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -1,18 +1,18 @@
 """Rounds of placement: a snapshot, decisions, stored starts, orders."""
 
 import asyncio
-from collections.abc import Mapping
 from typing import Final, Protocol
 
 import msgspec
 
 from curranthill.clock import Clock, wait_at_most
-from curranthill.dispatch.advice import TicketOffice
+from curranthill.dispatch.advice import Question, TicketOffice
 from curranthill.dispatch.journal import Journal
 from curranthill.dispatch.leadership import LeadershipLostError
 from curranthill.dispatch.outlooks import OutlookMaker
 from curranthill.dispatch.session import WorkerSession
 from curranthill.dispatch.spawner import Spawner
+from curranthill.dispatch.unused import UnusedWorkers
 from curranthill.dispatch.waiting import WaitingBoard
 from curranthill.dispatch.watch import RunWatch
 from curranthill.dispatch.work import Work
@@ -22,10 +22,12 @@
     SPEEDS,
     TURNING_AWAY,
     ActiveJob,
+    BacklogCursor,
     Placement,
     Plan,
     Planner,
     ReadyStep,
+    ReservationTurns,
     Room,
     Run,
     checkpoint_of,
@@ -87,6 +89,7 @@
         )
         self._office = office
         self._asking = False
+        self._questions: list[Question] = []
         self._clock = clock
         self._work = work
         self._journal = journal
@@ -94,6 +97,10 @@
         self._revision = revision
         self._outlooks = OutlookMaker(clock=clock, work=work)
         self._board = WaitingBoard(clock=clock, work=work)
+        self._turns = ReservationTurns()
+        self._backlog = BacklogCursor()
+        self._unused = UnusedWorkers(clock=clock, sessions=work.sessions)
+        self._reserved_for: tuple[str, ...] = ()
         self._shown_s = 0.0
 
     async def run(self) -> None:
@@ -111,6 +118,7 @@
             self._note_outlook()
 
     def _plan_round(self) -> None:
+        self._reserved_for = ()
         if not self._work.may_order():
             return
         self._work.empty_leaving_workers()
@@ -123,15 +131,20 @@
             # Most rounds end here: reports and ends cause rounds too, and
             # adding up all workers' room is the costly part of a round.
             return
+        self._questions.clear()
         planner = Planner(
             rooms=self._rooms(),
             guaranteed=self._guaranteed(),
             now_s=now_s,
             tickets=self._tickets,
+            turns=self._turns,
+            backlog=self._backlog,
             without=self._without,
             ratio_of=self._work.learning.ratio_of,
         )
         plan = planner.plan(self._work.jobs.values())
+        self._ask_next()
+        self._reserved_for = plan.reserved_for
         metrics.decision_s.record(self._clock.monotonic_s() - began_s)
         self._preempt(plan)
         for placement in plan.placements:
@@ -169,7 +182,7 @@
         )
 
     def _tickets(self, job: ActiveJob, ready: ReadyStep) -> dict[str, str]:
-        """Return a step's good tickets; ask for more if they do not do."""
+        """Return a step's good tickets; note what to ask if they do not do."""
         usable = {
             session.worker_id: session.incarnation
             for session in self._work.sessions.values()
@@ -183,16 +196,21 @@
                 for worker_id, incarnation in usable.items()
                 if worker_id not in good
             }
-            unasked = self._office.unasked(ready, without)
-            if unasked:
-                self._asking = True
-                asked = {one: usable[one] for one in unasked}
-                self._spawner.spawn(self._ask(ready, asked))
+            question = self._office.question(ready, without)
+            if question is not None:
+                self._questions.append(question)
         return good
 
-    async def _ask(self, ready: ReadyStep, workers: Mapping[str, int]) -> None:
+    def _ask_next(self) -> None:
+        """Ask one of the questions of this round."""
+        question = self._office.choose(self._questions)
+        if question is not None:
+            self._asking = True
+            self._spawner.spawn(self._ask(question))
+
+    async def _ask(self, question: Question) -> None:
         try:
-            await self._office.ask(ready, workers)
+            await self._office.ask(question)
         finally:
             self._asking = False
         self._office.forget_except(set(self._work.jobs))
@@ -283,6 +301,7 @@
             session = self._work.sessions[worker_id]
             task.incarnation = session.incarnation
             run = self._work.new_run(job, key, attempt, session)
+            run.alone = placement.ready.alone
             run.checkpoint = checkpoint if gang else task.checkpoint
             run.ticket = (placement.ready.tickets or {}).get(worker_id, '')
             runs.append(run)
@@ -353,7 +372,8 @@
         if TURNING_AWAY not in self._without:
             told = msgspec.to_builtins(outlook, str_keys=True)
             self._journal.note_outlook(told)
-        self._board.show(self._guaranteed(), self._rooms)
+        self._board.show(self._guaranteed(), self._rooms, self._reserved_for)
+        self._unused.show()
 
 
 __all__ = ('RevisionSource', 'Rounds')
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -20,6 +20,18 @@
 from curranthill.dispatch.looks import LookTurns
 from curranthill.dispatch.owner import ClosureSource, SessionOwner
 from curranthill.dispatch.runlist import RunList
+from curranthill.dispatch.unused import (
+    CLOSED,
+    GONE,
+    LEAVING,
+    NOT_LISTED,
+    NOT_SYNCED,
+    OTHER_INCARNATION,
+    REJECTED,
+    UNREACHABLE,
+    UNREADABLE,
+    UnusedReason,
+)
 from curranthill.dispatch.workers import (
     FENCE,
     LeaseOrder,
@@ -129,15 +141,28 @@
     @property
     def accepts_work(self) -> bool:
         """Return whether new tasks may be placed here."""
-        if self.gone or self.entry.leaving or not self.readable:
-            return False
-        if self._clock.monotonic_s() - self.rejected_s < REJECTION_PAUSE_S:
-            return False
-        if not self._is_entry_current():
-            return False
-        if not self._closures.allows_starts(self.entry.data_centre):
-            return False
-        return self.listed and self.reachable and self.synced
+        return self.unused_reason is None
+
+    @property
+    def unused_reason(self) -> UnusedReason | None:
+        """Return why no new task may be placed here, if so."""
+        rejected_s = self._clock.monotonic_s() - self.rejected_s
+        open_here = self._closures.allows_starts(self.entry.data_centre)
+        reasons: dict[UnusedReason, bool] = {
+            GONE: self.gone,
+            LEAVING: self.entry.leaving,
+            UNREADABLE: not self.readable,
+            REJECTED: rejected_s < REJECTION_PAUSE_S,
+            OTHER_INCARNATION: not _is_current(self),
+            CLOSED: not open_here,
+            NOT_LISTED: not self.listed,
+            UNREACHABLE: not self.reachable,
+            NOT_SYNCED: not self.synced,
+        }
+        if not any(reasons.values()):
+            # Asked of every worker in each round: most answers end here.
+            return None
+        return next(reason for reason, holds in reasons.items() if holds)
 
     @property
     def token(self) -> int:
@@ -159,8 +184,8 @@
         self.entry = entry
         self.listed = True
         self.readable = True
-        if news and not self._is_entry_current():
-            self._raise_token()
+        if news and not _is_current(self):
+            self.raise_token()
 
     def wake(self) -> None:
         """Look at the worker at once."""
@@ -240,7 +265,7 @@
                 )
             except WorkerError as error:
                 _tell_unanswered('stop', run, error)
-                self._raise_token()
+                self.raise_token()
             else:
                 self._read_clock(clock_s, known_clock_s)
             self._urgent.set()
@@ -259,7 +284,7 @@
             _tell_unanswered('start', run, error)
             if run.state == ORDERED:
                 run.state = UNKNOWN
-            self._raise_token()
+            self.raise_token()
         else:
             self._read_clock(clock_s, known_clock_s)
             run.settled_s = self._clock.monotonic_s()
@@ -289,21 +314,20 @@
             worker=self.worker_id,
             reason=rejected.reason,
         )
+        self.rejected_s = self._clock.monotonic_s()
         if rejected.reason == FENCE:
-            # Settled by the next renewal, which also tells who leads.
+            # Settled by the next renewal, which also tells who leads. A worker
+            # that started again has forgotten the token and accepts it.
             run.state = UNKNOWN
-            self._urgent.set()
+            self.raise_token()
             return
-        self.rejected_s = self._clock.monotonic_s()
         self._list.vanish(run, f'rejected: {rejected.reason}')
 
     def _is_idle(self) -> bool:
-        return (
-            self.synced
-            and not self.runs
-            and self._list.ends.settled
-            and not self._urgent.is_set()
-        )
+        if not self.reachable or not self.synced:
+            return False
+        ended = not self.runs and self._list.ends.settled
+        return ended and not self._urgent.is_set()
 
     async def _renew(self) -> None:
         """Make one renewal and take in its answer."""
@@ -394,14 +418,19 @@
             reason=rejected.reason,
             token=order.token,
         )
-        if order.token == self._token and rejected.reason == FENCE:
+        if rejected.reason != FENCE:
+            # Nothing was renewed, so the lease runs out like that of a worker
+            # that is silent.
+            self._note_unreachable(rejected)
+            self._check_lapse()
+        elif order.token == self._token:
             # No order of ours had a higher token, so another leader's had.
             self._owner.fenced(self)
 
     async def _missed(self, error: WorkerError) -> None:
         """A renewal without an answer: its effect is unknown."""
         self._note_unreachable(error)
-        self._raise_token()
+        self.raise_token()
         await self._clock.sleep(MISSED_DELAY_S)
         self._check_lapse()
 
@@ -429,20 +458,13 @@
         if not self.listed:
             self.end_life()
 
-    def _raise_token(self) -> None:
+    def raise_token(self) -> None:
+        """Shut out all orders so far, and have the worker tell what runs."""
         self._token += 1
         self.synced = False
         self._list.doubt_ordered()
         self._urgent.set()
 
-    def _is_entry_current(self) -> bool:
-        """Return whether the entry is of the incarnation that answered.
-
-        Another one may be of another kind, with other room and labels.
-        """
-        told = self.entry.incarnation and self.incarnation
-        return not told or self.entry.incarnation == self.incarnation
-
     def _read_clock(self, clock_s: float, known_s: float) -> None:
         """Take the clock of an answer to an order.
 
@@ -460,7 +482,7 @@
             clock_s=clock_s,
         )
         self._list.begin_anew()
-        self._raise_token()
+        self.raise_token()
 
     def _check_incarnation(self, report: LeaseReport, known_s: float) -> None:
         """Begin anew with a worker that has started again under its id.
@@ -532,6 +554,16 @@
             self._owner.session_changed(self)
 
 
+def _is_current(session: WorkerSession) -> bool:
+    """Return whether the entry is of the incarnation that answered.
+
+    Another one may be of another kind, with other room and labels.
+    """
+    listed = session.entry.incarnation
+    told = listed and session.incarnation
+    return not told or listed == session.incarnation
+
+
 def _tell_unanswered(order: str, run: Run, error: WorkerError) -> None:
     events.log(
         f'{order}_unanswered',
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -3,8 +3,10 @@
 Decisions only: no input or output, no clock, no event loop, no log lines.
 """
 
+from curranthill.placement.backlog import BacklogCursor
 from curranthill.placement.durations import DurationBook, Ratio
 from curranthill.placement.earnings import LATE_UNTIL
+from curranthill.placement.fitting import MOST_SKEW_S, waits_for_rack
 from curranthill.placement.jobs import ActiveJob, ReadyStep, checkpoint_of
 from curranthill.placement.mechanisms import (
     ALL_ON,
@@ -46,6 +48,7 @@
     MoveReason,
     move_of,
 )
+from curranthill.placement.turns import ReservationTurns
 from curranthill.placement.workers import WorkerEntry
 
 __all__ = (
@@ -54,6 +57,7 @@
     'FILLING',
     'LATE_UNTIL',
     'MARKED',
+    'MOST_SKEW_S',
     'ORDERED',
     'PLAIN',
     'RUNNING',
@@ -67,6 +71,7 @@
     'UNKNOWN',
     'URGENT',
     'ActiveJob',
+    'BacklogCursor',
     'DurationBook',
     'Move',
     'MoveReason',
@@ -76,6 +81,7 @@
     'Planner',
     'Ratio',
     'ReadyStep',
+    'ReservationTurns',
     'Room',
     'Run',
     'RunKind',
@@ -94,4 +100,5 @@
     'mechanisms',
     'move_of',
     'room_needed',
+    'waits_for_rack',
 )
--- a/src/curranthill/placement/fitting.py
+++ b/src/curranthill/placement/fitting.py
@@ -7,19 +7,47 @@
 
 import heapq
 from collections.abc import Sequence
+from typing import Final, NamedTuple
 
-from curranthill.placement.jobs import ReadyStep
+from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.paces import ANY, Pace
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.tasks import Resources, TaskKey
 
-#: A worker's rank among those that a task fits on, the least first: doubt,
-#: that of its speed, accelerators left over, processor left, place in the list.
-_Rank = tuple[float, int, int, int, int]
+#: A task waits so many of its estimated run times for room in the right rack:
+#: away from it, it runs longer by about as much.
+PATIENCE_FOR_RACK: Final = 2.0
+
+#: The clocks of the host that accepted a job and of the leader differ by no
+#: more than this unless one was set, in seconds.
+MOST_SKEW_S: Final = 5.0
 
 Fit = list[tuple[TaskKey, Room]]
 
 
+class _Rank(NamedTuple):
+    """A worker's rank among those that a task fits on, the least first.
+
+    :param position: its place in the list of workers.
+    """
+
+    doubt: float
+    shared_with_suspect: bool
+    speed: int
+    left_gpus: int
+    left_cpu_millis: int
+    position: int
+
+
+def waits_for_rack(job: ActiveJob, ready: ReadyStep, now_s: float) -> bool:
+    """Return whether a job goes on waiting for the right rack."""
+    waited_s = now_s - job.spec.accepted_at_s
+    if waited_s < -MOST_SKEW_S:
+        # Clocks that differ so much were set; nobody knows the wait.
+        return False
+    return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+
+
 def groups_of(
     ready: ReadyStep,
     rooms: ServiceRooms,
@@ -85,23 +113,18 @@
     queue = [
         _rank(room, needs, index, pace)
         for index, room in enumerate(rooms)
-        if room.fits_now(needs)
-        and room.allows(ready.tasks[0], ready.step, alone=ready.alone)
+        if _takes(room, ready, ready.tasks[0])
     ]
     heapq.heapify(queue)
     chosen: Fit = []
     for key in ready.tasks:
         if not queue:
             break
-        index = heapq.heappop(queue)[-1]
+        index = heapq.heappop(queue).position
         room = rooms[index]
         room.place(key, ready.step, alone=ready.alone)
         chosen.append((key, room))
-        if room.fits_now(needs) and room.allows(
-            key,
-            ready.step,
-            alone=ready.alone,
-        ):
+        if _takes(room, ready, key):
             heapq.heappush(queue, _rank(room, needs, index, pace))
     whole = ready.step.gang or ready.step.same_rack
     if whole and len(chosen) < len(ready.tasks):
@@ -110,6 +133,18 @@
     return chosen
 
 
+def _takes(room: Room, ready: ReadyStep, key: TaskKey) -> bool:
+    """Return whether a room takes one more task of a step now."""
+    needs = room_needed(ready.step)
+    return room.fits_now(needs, starving=ready.starving) and room.allows(
+        key,
+        ready.step,
+        alone=ready.alone,
+        # Two suspects side by side would not tell which one crashes.
+        starving=ready.starving and not ready.suspect,
+    )
+
+
 def _choose_alike(
     ready: ReadyStep,
     rooms: Sequence[Room],
@@ -139,9 +174,14 @@
 
 
 def _rank(room: Room, needs: Resources, index: int, pace: Pace) -> _Rank:
-    left_gpus = room.free.gpus - needs.gpus
-    rank = pace.rank(room)
-    return (room.doubt, rank, left_gpus, room.free.cpu_millis, index)
+    return _Rank(
+        doubt=room.doubt,
+        shared_with_suspect=room.shared_with_suspect,
+        speed=pace.rank(room),
+        left_gpus=room.free.gpus - needs.gpus,
+        left_cpu_millis=room.free.cpu_millis,
+        position=index,
+    )
 
 
 def give_back(ready: ReadyStep, chosen: Fit) -> None:
@@ -167,10 +207,13 @@
 
 
 __all__ = (
+    'MOST_SKEW_S',
+    'PATIENCE_FOR_RACK',
     'Fit',
     'choose_group',
     'choose_rooms',
     'give_back',
     'groups_of',
     'in_time',
+    'waits_for_rack',
 )
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -27,6 +27,9 @@
 
     :param tickets: by worker, for queues whose policy allows only some.
     :param alone: nothing else may run on their workers.
+    :param suspect: one of the tasks may be what crashed its workers.
+    :param starving: their job has waited for long while most room is free, and
+        takes room that is kept.
     """
 
     occurrence: int
@@ -35,6 +38,8 @@
     tasks: tuple[TaskKey, ...]
     tickets: dict[str, str] | None = None
     alone: bool = False
+    suspect: bool = False
+    starving: bool = False
 
     @property
     def name(self) -> str:
@@ -70,6 +75,7 @@
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
         self._waits_since_s: dict[TaskKey, float] = {}
+        self._idle_since_s: float | None = None
         self._made_way: set[tuple[int, int]] = set()
         self._done_steps: set[tuple[int, int]] = set()
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
@@ -188,6 +194,20 @@
             return False
         return any(one in self.suspects for one in self.members_of(key))
 
+    def idle_s(self, now_s: float) -> float:
+        """Return how long it has had something ready and nothing running.
+
+        Counted from the first call, and anew after each start and when the
+        clock was set back.
+
+        :param now_s: wall-clock seconds.
+        """
+        since_s = self._idle_since_s
+        if self.runs or since_s is None or now_s < since_s:
+            since_s = now_s
+        self._idle_since_s = since_s
+        return now_s - since_s
+
     def _apart(self, ready: ReadyStep, now_s: float) -> Iterator[ReadyStep]:
         """Yield a step's suspects apart from its other tasks, one at a time.
 
@@ -199,7 +219,8 @@
             yield ready
             return
         if ready.step.gang:
-            yield ready._replace(alone=self._waits_alone(suspects[0], now_s))
+            alone = self._waits_alone(suspects[0], now_s)
+            yield ready._replace(alone=alone, suspect=True)
             return
         others = tuple(key for key in ready.tasks if key not in self.suspects)
         if others:
@@ -207,7 +228,8 @@
         if self._is_trying() and not ready.step.perpetual:
             return
         alone = self._waits_alone(suspects[0], now_s)
-        yield ready._replace(tasks=(suspects[0],), alone=alone)
+        first = (suspects[0],)
+        yield ready._replace(tasks=first, alone=alone, suspect=True)
 
     def _is_trying(self) -> bool:
         """Return whether a suspect runs that may yet crash its worker."""
@@ -229,8 +251,9 @@
         return True
 
     def end_wait(self, key: TaskKey) -> None:
-        """Have a suspect wait anew the next time."""
+        """Have a job, and a suspect of it, wait anew the next time."""
         self._waits_since_s.pop(key, None)
+        self._idle_since_s = None
 
     def _waits_alone(self, key: TaskKey, now_s: float) -> bool:
         """Return whether a suspect still waits for a worker of its own."""
@@ -238,6 +261,10 @@
         if self.step_of(key).perpetual:
             patience_s = LASTING_PATIENCE_S
         since_s = self._waits_since_s.setdefault(key, now_s)
+        if now_s < since_s:
+            # The clock was set back; it is not known by how much.
+            self._waits_since_s[key] = now_s
+            return True
         return now_s - since_s < patience_s
 
     def _note_step_done(self, place: tuple[int, int]) -> None:
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
 from curranthill.placement.evictions import Eviction, Evictions
 from curranthill.placement.fitting import (
     Fit,
@@ -11,6 +12,7 @@
     give_back,
     groups_of,
     in_time,
+    waits_for_rack,
 )
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.losses import Losses
@@ -30,18 +32,19 @@
     late_jobs,
 )
 from curranthill.placement.paces import ANY, Pace, pace_of
-from curranthill.placement.reservations import RESERVATIONS, reserve
+from curranthill.placement.reservations import (
+    RESERVATIONS,
+    find_room_to_keep,
+    keep,
+    wait_for_room_s,
+)
 from curranthill.placement.rooms import Room, ServiceRooms, room_needed
 from curranthill.placement.runs import Run
+from curranthill.placement.starvation import PATIENCE_S, is_most_room_free
+from curranthill.placement.suspects import ALONE_SHARE
+from curranthill.placement.turns import ReservationTurns
 from curranthill.tasks import Resources, Step, TaskKey
 
-#: How many waiting jobs one round looks at: bounds a round's processor time
-#: under a backlog; jobs further back could start only after these.
-JOBS_PER_ROUND: Final = 200
-
-#: A task waits so many of its estimated run times for room in the right rack:
-#: away from it, it runs longer by about as much.
-PATIENCE_FOR_RACK: Final = 2.0
 
 #: An urgent job that no guarantee covers may throw away at most so many times
 #: its own work: more of it would serve others worse than it serves its caller.
@@ -64,11 +67,14 @@
 
     :param stopped_for: for each of the victims, the id of the job that its
         room goes to.
+    :param reserved_for: the ids of the jobs that room is kept for, by
+        reservation or after a preemption, in the order of their turn.
     """
 
     placements: tuple[Placement, ...]
     victims: tuple[Run, ...]
     stopped_for: tuple[str, ...] = ()
+    reserved_for: tuple[str, ...] = ()
 
 
 def as_estimated(queue: str) -> float:
@@ -84,6 +90,8 @@
     :param now_s: wall-clock seconds.
     :param tickets: returns a step's good tickets by worker; asked only for
         queues with an advisor.
+    :param turns: who keeps room for how long, over all rounds.
+    :param backlog: where a long backlog is gone on with, over all rounds.
     :param without: mechanisms that are switched off.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
@@ -95,12 +103,16 @@
         guaranteed: Mapping[str, int],
         now_s: float,
         tickets: Callable[[ActiveJob, ReadyStep], dict[str, str]],
+        turns: ReservationTurns | None = None,
+        backlog: BacklogCursor | None = None,
         without: frozenset[str] = ALL_ON,
         ratio_of: Callable[[str], float] = as_estimated,
     ) -> None:
         """Keep the snapshot."""
         self._ratio_of = ratio_of
         self._tickets = tickets
+        self._turns = turns or ReservationTurns()
+        self._backlog = backlog or BacklogCursor()
         self._without = without
         self._services = {
             service: ServiceRooms(rooms=found)
@@ -118,9 +130,11 @@
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
+        self._reserved_for: dict[str, None] = {}
         self._covered: set[str] = set()
         self._hopeless: set[str] = set()
         self._too_large: set[tuple[str, Step]] = set()
+        self._mostly_free: dict[str, bool] = {}
         self._reservations = 0 if RESERVATION in without else RESERVATIONS
 
     def plan(self, jobs: Iterable[ActiveJob]) -> Plan:
@@ -129,22 +143,32 @@
         waiting = [job for job in known if not job.ended]
         self._evictions = Evictions(losses=Losses(jobs=known))
         self._covered = covered_jobs(waiting, self._guaranteed)
-        looked_at = 0
-        for job in self._in_order(waiting):
-            ready_steps = list(job.ready_steps(self._now_s))
-            if not ready_steps:
-                continue
-            looked_at += 1
-            if looked_at > JOBS_PER_ROUND:
-                break
-            for ready in ready_steps:
-                self._place_step(job, self._with_tickets(job, ready))
+        later = self._place_first(self._in_order(waiting))
+        for job in self._backlog.take(later):
+            self._place_job(job)
         return Plan(
             tuple(self._placements),
             tuple(self._victims),
             tuple(self._stopped_for),
+            tuple(self._reserved_for),
         )
 
+    def _place_first(self, jobs: Sequence[ActiveJob]) -> Sequence[ActiveJob]:
+        """Look at the first jobs that may start; return the others."""
+        looked_at = 0
+        for number, job in enumerate(jobs):
+            if looked_at >= JOBS_PER_ROUND:
+                return jobs[number:]
+            looked_at += self._place_job(job)
+        return ()
+
+    def _place_job(self, job: ActiveJob) -> bool:
+        """Place what may start of a job; return whether anything may."""
+        ready_steps = list(job.ready_steps(self._now_s))
+        for ready in ready_steps:
+            self._place_step(job, self._with_tickets(job, ready))
+        return bool(ready_steps)
+
     def _in_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
         late: set[str] = set()
         if HOPELESS_LAST not in self._without:
@@ -167,11 +191,12 @@
         urgent = self._makes_room(job) or ready.step.perpetual
         shape = (job.spec.queue.service, ready.step)
         advised = ready.tickets is not None
-        if not (urgent or advised) and shape in self._too_large:
+        may_skip = not (urgent or advised or self._starves(job))
+        if may_skip and shape in self._too_large:
             return
         groups = self._groups(job, ready)
         pace = self._pace(job, ready)
-        chosen = choose_group(ready, groups, pace)
+        chosen = self._choose(job, ready, groups, pace)
         if urgent and _is_held_up(ready, chosen, pace):
             give_back(ready, chosen)
             if self._make_way(job, ready, in_time(groups, pace)):
@@ -187,8 +212,66 @@
         if not advised:
             self._too_large.add(shape)
         if ready.step.gang and self._reservations:
+            self._reserve(job, ready, groups)
+
+    def _choose(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+        pace: Pace,
+    ) -> Fit:
+        """Take rooms, also ones that are kept if a job starves otherwise.
+
+        None are taken for suspects that have their share of workers.
+        """
+        chosen = choose_group(ready, groups, pace)
+        if ready.alone and chosen and self._are_too_many_alone(job):
+            give_back(ready, chosen)
+            chosen = []
+        if chosen or not self._starves(job):
+            return chosen
+        return choose_group(ready._replace(starving=True), groups, pace)
+
+    def _starves(self, job: ActiveJob) -> bool:
+        if job.idle_s(self._now_s) < PATIENCE_S:
+            return False
+        service = job.spec.queue.service
+        if service not in self._mostly_free:
+            rooms = self._services.get(service, _NO_ROOMS).rooms
+            self._mostly_free[service] = is_most_room_free(rooms)
+        return self._mostly_free[service]
+
+    def _are_too_many_alone(self, job: ActiveJob) -> bool:
+        rooms = self._services[job.spec.queue.service].rooms
+        held = sum(room.held_alone for room in rooms)
+        return held > math.ceil(ALONE_SHARE * len(rooms))
+
+    def _workers_of(self, job: ActiveJob) -> int:
+        """Return how many workers of a job's service accept work."""
+        return len(self._services[job.spec.queue.service].rooms)
+
+    def _reserve(
+        self,
+        job: ActiveJob,
+        ready: ReadyStep,
+        groups: list[Sequence[Room]],
+    ) -> None:
+        """Keep room for a gang that does not fit now, if it is its turn."""
+        rooms = find_room_to_keep(ready, groups)
+        if not rooms:
+            return
+        may_keep = self._turns.may_keep(
+            job.spec.queue.service,
+            job,
+            ready.tasks[0],
+            self._now_s,
+            wait_for_room_s(rooms),
+        )
+        if may_keep:
             self._reservations -= 1
-            reserve(ready, groups)
+            keep(ready, rooms, of_workers=self._workers_of(job))
+            self._reserved_for[job.spec.job_id] = None
 
     def _makes_room(self, job: ActiveJob) -> bool:
         """Return whether runs may be stopped for a job."""
@@ -221,8 +304,7 @@
         """Return whether a job goes on waiting for the right rack."""
         if RACK_PATIENCE in self._without:
             return False
-        waited_s = self._now_s - job.spec.accepted_at_s
-        return waited_s <= PATIENCE_FOR_RACK * ready.step.estimate_s
+        return waits_for_rack(job, ready, self._now_s)
 
     def _make_way(
         self,
@@ -309,6 +391,7 @@
         job: ActiveJob,
         needs: Resources,
     ) -> None:
+        self._reserved_for[job.spec.job_id] = None
         for run in eviction.victims:
             self._victims.append(run)
             self._stopped_for.append(job.spec.job_id)
--- a/src/curranthill/placement/rooms.py
+++ b/src/curranthill/placement/rooms.py
@@ -13,7 +13,7 @@
     RunKind,
     kind_of,
 )
-from curranthill.placement.suspects import ALONE_S
+from curranthill.placement.suspects import TRIED_S
 from curranthill.placement.workers import WorkerEntry
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -35,22 +35,29 @@
     :param free: what no run takes now.
     :param soon: what will be free once the runs being stopped have ended,
         less what waiting urgent tasks have claimed of it.
+    :param kept: what of that is kept for gangs that do not fit yet.
     :param doubt: how far tasks here have failed or lagged of late; 0 is none.
     :param speed: of a typical worker's; 1.0 if it is not known to differ.
     :param level: that speed in levels above the typical one.
+    :param held_alone: whether a suspect has just started here alone, so that
+        only its own gang may start beside it.
+    :param shared_with_suspect: whether a suspect started here alone and may
+        have others beside it by now.
     :param runs: what runs here, less what this round stops.
     :param version: grows with each change of this room.
     """
 
     __slots__ = (
-        '_alone',
         '_keys',
         '_kinds',
         'doubt',
         'entry',
         'free',
+        'held_alone',
+        'kept',
         'level',
         'runs',
+        'shared_with_suspect',
         'soon',
         'speed',
         'version',
@@ -72,23 +79,28 @@
         self.level = level_of(speed)
         self.version = 0
         self._keys = [run.key for run in self.runs]
-        self._alone = any(
-            run.alone and run.age_s < ALONE_S for run in self.runs
-        )
+        suspects = [run for run in self.runs if run.alone]
+        self.held_alone = any(run.age_s < TRIED_S for run in suspects)
+        self.shared_with_suspect = bool(suspects) and not self.held_alone
         self._kinds: list[RunKind] = [
             run.kind for run in self.runs if run.kind != PLAIN
         ]
         self.free = _less(entry.room, self.runs)
         stopping = [run for run in self.runs if run.stop_wanted]
         self.soon = _plus(self.free, stopping) if stopping else self.free
+        self.kept = Resources()
 
-    def fits_now(self, needs: Resources) -> bool:
-        """Return whether a task fits without taking what others claimed."""
+    def fits_now(self, needs: Resources, *, starving: bool = False) -> bool:
+        """Return whether a task fits without taking what others claimed.
+
+        :param starving: it may take what is kept for gangs.
+        """
         free = self.free
         if free.gpus < needs.gpus:
             # Most rooms of a full cluster end here.
             return False
-        return free.covers(needs) and self.soon.covers(needs)
+        soon = self.soon.plus(self.kept) if starving else self.soon
+        return free.covers(needs) and soon.covers(needs)
 
     def allows(
         self,
@@ -96,12 +108,15 @@
         step: Step,
         *,
         alone: bool = False,
+        starving: bool = False,
     ) -> bool:
         """Return whether a step's own limits let a task run here.
 
         :param alone: only beside members of its own gang.
+        :param starving: also beside a suspect that has just started.
         """
-        if (alone or self._alone) and not self._only_gang_of(key, step):
+        closed = alone or (self.held_alone and not starving)
+        if closed and not self._only_gang_of(key, step):
             return False
         if step.label and step.label not in self.entry.labels:
             return False
@@ -129,7 +144,7 @@
         alone: bool = False,
     ) -> None:
         """Take room for a task that starts now."""
-        self._alone = self._alone or alone
+        self.held_alone = self.held_alone or alone
         needs = room_needed(step)
         self.version += 1
         self.free = self.free.minus(needs)
@@ -146,15 +161,20 @@
         self.soon = self.soon.plus(needs)
         self._keys.remove(key)
         if not self._keys:
-            self._alone = False
+            self.held_alone = False
         if kind_of(step) != PLAIN:
             self._kinds.remove(kind_of(step))
 
     def claim(self, needs: Resources) -> None:
-        """Keep room that is becoming free for a task that waits for it."""
+        """Claim room that is becoming free for a task that waits for it."""
         self.version += 1
         self.soon = self.soon.minus(needs)
 
+    def keep(self, needs: Resources) -> None:
+        """Claim room for a member of a gang, unless somebody starves."""
+        self.claim(needs)
+        self.kept = self.kept.plus(needs)
+
     def evict(self, run: Run) -> None:
         """Count a run's room as becoming free."""
         if run in self.runs:
@@ -211,7 +231,7 @@
         return self._labelled.get(rack, [])
 
     def racks_that_hold(self, step: Step, wanted: int) -> list[str]:
-        """Return the racks that would hold so many tasks if they were idle."""
+        """Return the racks that hold so many tasks once runs have ended."""
         found = self._holding.get((step, wanted))
         if found is None:
             found = [
@@ -221,10 +241,10 @@
         return found
 
     def holds_in(self, rack: str, step: Step, wanted: int) -> bool:
-        """Return whether an idle rack would hold so many tasks of a step."""
+        """Return whether a rack holds so many tasks once runs have ended."""
         held = 0
         for room in self.in_rack(rack):
-            held += copies(room, step)
+            held += copies_once_free(room, step)
             if held >= wanted:
                 return True
         return False
@@ -237,11 +257,30 @@
 
 def copies(room: Room, step: Step) -> int:
     """Return how many tasks of a step an idle room holds."""
+    return _copies_in(room.entry.room, room, step)
+
+
+def copies_once_free(room: Room, step: Step) -> int:
+    """Return how many tasks of a step a room holds once its runs have ended.
+
+    Runs that last do not.
+    """
+    lasting = [run for run in room.runs if run.lasting]
+    if not lasting:
+        return copies(room, step)
+    disturbed = _DISTURBED.get(kind_of(step))
+    if disturbed and any(run.kind == disturbed for run in lasting):
+        return 0
+    return max(_copies_in(_less(room.entry.room, lasting), room, step), 0)
+
+
+def _copies_in(free: Resources, room: Room, step: Step) -> int:
+    """Return how many tasks of a step fit into what is free of a room."""
     if step.label and step.label not in room.entry.labels:
         return 0
     needs = room_needed(step)
     most = step.width
-    for have, need in zip(room.entry.room, needs, strict=True):
+    for have, need in zip(free, needs, strict=True):
         if need > 0:
             most = min(most, have // need)
     return min(most, step.max_per_worker or most)
@@ -277,6 +316,7 @@
     'Room',
     'ServiceRooms',
     'copies',
+    'copies_once_free',
     'level_of',
     'room_needed',
 )
--- a/src/curranthill/placement/suspects.py
+++ b/src/curranthill/placement/suspects.py
@@ -13,22 +13,23 @@
 #: every crash of a worker leaves of all tasks there.
 SUSPECT_LOSSES: Final = 2
 
-#: How long a suspect waits for a worker of its own, in seconds: above most
-#: tasks' run times, so that some worker has got empty, and short enough for an
-#: innocent one under full load.
-ALONE_PATIENCE_S: Final = 5.0
+#: The share of a service's workers that suspects may have for themselves at
+#: one moment, rounded up. Others start where there is room.
+ALONE_SHARE: Final = 0.5
+
+#: How long a suspect waits for a worker of its own, in seconds: with its start
+#: it has nothing running for less than the 3 s that callers may see while most
+#: room is free.
+ALONE_PATIENCE_S: Final = 2.0
 
 #: The same for a task that lasts, in seconds: its users wait meanwhile.
 LASTING_PATIENCE_S: Final = 0.5
 
-#: A suspect that has worked for so long holds up no other one of its job, in
-#: seconds: most crashes come sooner, and many innocent ones must go on.
+#: A suspect that has worked for so long holds up neither another one of its job
+#: nor others that its worker has room for, in seconds: most crashes come
+#: sooner, and many innocent ones must go on.
 TRIED_S: Final = 5.0
 
-#: A suspect that has worked for so long may have others beside it, in
-#: seconds: by far longer than from a start to a crash.
-ALONE_S: Final = 60.0
-
 
 def is_suspect(task: TaskProgress) -> bool:
     """Return whether a task may be what crashed its workers."""
@@ -37,7 +38,7 @@
 
 __all__ = (
     'ALONE_PATIENCE_S',
-    'ALONE_S',
+    'ALONE_SHARE',
     'LASTING_PATIENCE_S',
     'SUSPECT_LOSSES',
     'TRIED_S',
--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -30,6 +30,10 @@
 #: for it.
 PATIENCE: Final = 4.0
 
+#: So many stops double that wait, later ones do not: how often a job is
+#: stopped has no bound where promises leave no place to stay.
+STOPS_COUNTED: Final = 2
+
 #: How often the order of all lines is looked at, in seconds.
 REVIEW_S: Final = 1.0
 
@@ -106,7 +110,7 @@
         if place is None:
             board.plan.put_back(unit, planned)
             return None
-        self._reservations.drop(job.job_id)
+        self._reservations.started(job.job_id, place)
         return board.place(
             waiting,
             place,
@@ -211,7 +215,7 @@
             if place is None:
                 failed.add(trial)
                 continue
-            self._reservations.drop(job.job_id)
+            self._reservations.started(job.job_id, place)
             return board.place(
                 waiting,
                 place,
@@ -257,7 +261,7 @@
 
     def _review(self, board: Board, now_s: float) -> None:
         """Keep workers for those who are first in order and do not fit."""
-        self._reservations.clear()
+        self._reservations.clear(now_s)
         # A single slot fits wherever one is free: nothing is kept for it.
         gangs = [
             head
@@ -284,11 +288,12 @@
 
     Draining costs others most where a gang takes most of the data centre,
     and is lost where the gang is then stopped for a guarantee: so a large
-    part waits longer, and each stop doubles the wait.
+    part waits longer, and each of the first stops doubles the wait.
     """
     run_s = max(board.run_time_s(job), LEAST_RUN_S)
     part = job.slots / max(1, board.cluster.slots)
-    return PATIENCE * run_s * max(1, 4 * part) * 2.0**job.preemptions
+    stops = min(job.preemptions, STOPS_COUNTED)
+    return PATIENCE * run_s * max(1, 4 * part) * 2.0**stops
 
 
 def _failure_price(job: Job) -> Price | None:
--- /dev/null
+++ b/tests/test_starvation.py
@@ -0,0 +1,585 @@
+"""Work that fits starts in bounded time, whatever waits or runs before it."""
+
+import math
+import unittest
+from collections.abc import Callable, Sequence
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from curranthill.placement import ActiveJob, Planner, Room, Run
+from curranthill.placement.backlog import JOBS_PER_ROUND, BacklogCursor
+from curranthill.placement.suspects import TRIED_S
+from curranthill.placement.turns import ReservationTurns
+from curranthill.tasks import JobSpec, Step, TaskKey
+from tests.domain import ROOM, SERVICE, make_spec
+from tests.test_planner import (
+    NOW_S,
+    make_job,
+    make_room,
+    make_run,
+    needs,
+    placed,
+    plan,
+)
+
+#: Eight workers of eight accelerators, in two racks.
+WORKERS = tuple(f'{rack}{number}' for rack in 'ab' for number in range(4))
+
+#: Workers that some tests leave empty.
+EMPTY = WORKERS[:3]
+
+#: What fits beside most of what may stand in front of it.
+SMALL = Step(width=2, needs=needs(1), gang=True, estimate_s=1.0)
+
+#: How long what fits may wait for whoever is before it, in seconds.
+MOST_WAIT_S = 30.0
+
+#: How long at most a job has nothing running while most room is free, in
+#: seconds.
+NOTHING_RUNNING_S = 3.0
+
+#: A job that no worker may run.
+UNPLACED = make_spec('unplaced', Step(1, needs(1), label='none'))
+
+#: The pause between two rounds, in seconds.
+ROUND_S = 0.5
+
+#: Makes the runs of one worker.
+RunsOf = Callable[[str], Sequence[Run]]
+
+
+def nothing(worker_id: str) -> Sequence[Run]:
+    """Return no runs."""
+    return ()
+
+
+def lasting(worker_id: str) -> Sequence[Run]:
+    """Return a run that ends only with its job."""
+    return (make_run(worker_id, 1, lasting=True),)
+
+
+def overdue(worker_id: str) -> Sequence[Run]:
+    """Return a run that goes on for far longer than was estimated."""
+    run = make_run(worker_id, 1, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
+def overdue_and_full(worker_id: str) -> Sequence[Run]:
+    """Return a run like that, with more than half of a worker."""
+    run = make_run(worker_id, 5, age_s=90.0)
+    run.estimate_s = 3.0
+    return (run,)
+
+
+def processor_full(worker_id: str, age_s: float) -> Sequence[Run]:
+    """Return a run that leaves accelerators free, and no processor."""
+    run = make_run(worker_id, 1, age_s=age_s)
+    run.needs = ROOM._replace(gpus=1)
+    run.estimate_s = 20.0
+    return (run,)
+
+
+def suspect(age_s: float) -> RunsOf:
+    """Return what makes a run that started alone on its worker."""
+
+    def runs(worker_id: str) -> Sequence[Run]:
+        run = make_run(worker_id, 1, age_s=age_s)
+        run.alone = True
+        return (run,)
+
+    return runs
+
+
+def everywhere(runs_of: RunsOf) -> list[RunsOf]:
+    """Return the same for each worker."""
+    return [runs_of for _ in WORKERS]
+
+
+def rooms_with(runs_of: RunsOf) -> list[Room]:
+    """Return all workers' rooms."""
+    return [
+        make_room(worker_id, f'r{worker_id[0]}', *runs_of(worker_id))
+        for worker_id in WORKERS
+    ]
+
+
+def waited_s(
+    runs_of: RunsOf,
+    in_front: Sequence[JobSpec],
+    job: ActiveJob,
+    within_s: float = MOST_WAIT_S,
+) -> float | None:
+    """Return when a job starts, if it does while no run ends.
+
+    Those in front are over once they could have run.
+    """
+    front = {spec.job_id: make_job(spec) for spec in in_front}
+    over_s = dict.fromkeys(front, math.inf)
+    turns = ReservationTurns()
+    backlog = BacklogCursor()
+    for number in range(round(within_s / ROUND_S)):
+        now_s = NOW_S + number * ROUND_S
+        waiting = [one for name, one in front.items() if now_s < over_s[name]]
+        planner = Planner(
+            rooms={SERVICE: rooms_with(runs_of)},
+            guaranteed={},
+            now_s=now_s,
+            tickets=lambda ready_job, ready: {},
+            turns=turns,
+            backlog=backlog,
+        )
+        found = placed(planner.plan([*waiting, job]))
+        if job.spec.job_id in found:
+            return now_s - NOW_S
+        for one in waiting:
+            name = one.spec.job_id
+            if name in found:
+                over_s[name] = min(over_s[name], now_s + one.chain_s)
+    return None
+
+
+def small_job() -> ActiveJob:
+    """Return a small gang that goes after others of its priority."""
+    return make_job(make_spec('small', SMALL, priority=2))
+
+
+def suspect_job(job_id: str, step: Step) -> ActiveJob:
+    """Return a job whose first task was lost with its worker twice."""
+    job = make_job(make_spec(job_id, step))
+    key = TaskKey(job_id, 0, 0, 0)
+    job.progress.task(key).losses = 2
+    job.note_losses(key)
+    return job
+
+
+def member_of(job: ActiveJob) -> TaskKey:
+    """Return the first task of a job."""
+    return job.keys_of(0, 0)[0]
+
+
+def may_keep(
+    turns: ReservationTurns,
+    job: ActiveJob,
+    now_s: float,
+    wait_s: float,
+) -> bool:
+    """Return whether a job's only gang may keep room."""
+    return turns.may_keep(SERVICE, job, member_of(job), now_s, wait_s)
+
+
+class ReservationTest(unittest.TestCase):
+    """A gang that does not fit keeps room only if it can get it."""
+
+    def test_a_gang_larger_than_the_cluster_keeps_nothing(self) -> None:
+        """Nine whole workers will not come, however long it waits."""
+        gang = Step(width=9, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_workers_that_its_label_rules_out(self) -> None:
+        """Nobody has its label, so nothing that ends lets it start."""
+        gang = Step(8, needs(8), gang=True, label='none', estimate_s=1.0)
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('labelled', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_keeps_no_room_beside_runs_that_last(self) -> None:
+        """A whole worker with a lasting run never gets empty."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        decided = plan(
+            rooms_with(lasting),
+            make_spec('wide', gang),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_gang_does_not_keep_room_for_ever(self) -> None:
+        """Runs that do not end as estimated hold up the gang, not others."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        for runs_of in (overdue, overdue_and_full):
+            job = small_job()
+            started_s = waited_s(runs_of, [make_spec('wide', gang)], job)
+            self.assertIsNotNone(started_s)
+
+    def test_gangs_that_take_turns_leave_room_to_others(self) -> None:
+        """Each of them waits for runs that do not end."""
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        wide = [make_spec(f'wide{number}', gang) for number in range(3)]
+        started_s = waited_s(overdue_and_full, wide, small_job())
+        self.assertIsNotNone(started_s)
+
+    def test_a_gang_keeps_room_while_what_it_waits_for_ends(self) -> None:
+        """Small jobs do not take it after the first moments."""
+
+        def running(worker_id: str) -> Sequence[Run]:
+            run = make_run(worker_id, 5, age_s=0.0)
+            run.estimate_s = 10.0
+            return (run,)
+
+        gang = Step(width=8, needs=needs(8), gang=True, estimate_s=1.0)
+        started_s = waited_s(
+            running,
+            [make_spec('wide', gang)],
+            small_job(),
+            within_s=10.0,
+        )
+        self.assertIsNone(started_s)
+
+
+class RackTest(unittest.TestCase):
+    """Waits for a rack that never has the room."""
+
+    def test_a_gang_waits_for_no_rack_with_a_run_that_lasts(self) -> None:
+        """One lasts in each rack; the gang needs four whole workers."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return lasting(worker_id) if worker_id[1] == '0' else ()
+
+        gang = Step(4, needs(8), gang=True, same_rack=True, estimate_s=60.0)
+        decided = plan(rooms_with(runs), make_spec('gang', gang))
+        self.assertIn('gang', placed(decided))
+
+
+class ClockTest(unittest.TestCase):
+    """The wall clock is set back by an hour while a job waits."""
+
+    def test_a_suspect_does_not_wait_for_the_time_set_back(self) -> None:
+        """No worker is empty; it starts beside others after its patience."""
+        gang = Step(7, needs(1), gang=True, estimate_s=9.0)
+        self.check_starts(suspect_job('s1', gang), rooms_with(overdue))
+
+    def test_a_task_does_not_wait_for_its_rack_for_the_time_set_back(
+        self,
+    ) -> None:
+        """Its rack is full; it waits for twice its estimate of a second."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return (make_run(worker_id, 8),) if worker_id[0] == 'a' else ()
+
+        step = Step(1, needs(1), near_rack='ra', estimate_s=1.0)
+        job = make_job(make_spec('near', step, accepted_at_s=NOW_S))
+        self.check_starts(job, rooms_with(runs))
+
+    def check_starts(self, job: ActiveJob, rooms: list[Room]) -> None:
+        """Check that a job starts within 10 s after the clock was set."""
+        for passed_s in (0.0, 1.0, -3600.0, -3595.0, -3590.0):
+            planner = Planner(
+                rooms={SERVICE: rooms},
+                guaranteed={},
+                now_s=NOW_S + passed_s,
+                tickets=lambda waiting, ready: {},
+            )
+            if placed(planner.plan([job])):
+                return
+        self.fail('not within 10 s')
+
+
+class TurnTest(unittest.TestCase):
+    """A gang keeps room by turns."""
+
+    def test_a_turn_lasts_for_as_long_as_the_wait_asks_for(self) -> None:
+        """A pause as long follows, and then another turn."""
+        turns = ReservationTurns()
+        job = small_job()
+        kept_s = [
+            second
+            for second in range(20)
+            if may_keep(turns, job, NOW_S + second, 4.0)
+        ]
+        self.assertEqual(kept_s, [*range(8), *range(16, 20)])
+
+    def test_a_pause_holds_for_all_gangs_of_a_service(self) -> None:
+        """Others would keep the room in it."""
+        turns = ReservationTurns()
+        may_keep(turns, small_job(), NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, small_job(), NOW_S + 6, 0.0))
+
+    def test_a_gang_that_starts_passes_the_turn_on_at_once(self) -> None:
+        """The next one has as long."""
+        turns = ReservationTurns()
+        first = small_job()
+        may_keep(turns, first, NOW_S, 0.0)
+        first.runs[member_of(first)] = make_run('a0', 1)
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 4, 0.0))
+        self.assertTrue(may_keep(turns, small_job(), NOW_S + 8, 0.0))
+
+    def test_a_clock_that_is_set_back_does_not_prolong_a_pause(self) -> None:
+        """The time passed is not known; another turn begins."""
+        turns = ReservationTurns()
+        job = small_job()
+        may_keep(turns, job, NOW_S, 0.0)
+        self.assertFalse(may_keep(turns, job, NOW_S + 9.0, 0.0))
+        self.assertTrue(may_keep(turns, job, NOW_S - 60.0, 0.0))
+        self.assertFalse(may_keep(turns, job, NOW_S - 54.0, 0.0))
+
+
+class SuspectRoomTest(unittest.TestCase):
+    """Suspects have workers for themselves for a bounded time and share."""
+
+    def test_suspects_that_have_worked_let_others_in(self) -> None:
+        """Seven eighths of all room are free."""
+        decided = plan(
+            rooms_with(suspect(20.0)),
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertIn('small', placed(decided))
+
+    def test_a_suspect_that_has_just_started_is_alone(self) -> None:
+        """A crash would hit what starts beside it."""
+        decided = plan(
+            [make_room('a1', 'r1', *suspect(TRIED_S / 2)('a1'))],
+            make_spec('small', SMALL, priority=2),
+        )
+        self.assertEqual(placed(decided), {})
+
+    def test_a_worker_without_a_suspect_goes_first(self) -> None:
+        """It may crash late; a fuller worker would be taken otherwise."""
+        rooms = [
+            make_room('a1', 'r1', *suspect(20.0)('a1')),
+            make_room('a2', 'r1'),
+        ]
+        decided = plan(rooms, make_spec('small', SMALL, priority=2))
+        self.assertEqual(placed(decided), {'small': ['a2', 'a2']})
+
+    def test_a_suspect_does_not_wait_long_for_an_empty_worker(self) -> None:
+        """Most room is free, and each worker runs something."""
+        for width in (1, 7):
+            gang = Step(width, needs(1), gang=True, estimate_s=9.0)
+            started_s = waited_s(overdue, [UNPLACED], suspect_job('s1', gang))
+            self.assertIsNotNone(started_s)
+            self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_suspects_do_not_take_all_workers(self) -> None:
+        """Many that start together leave workers to others."""
+        step = Step(1, needs(1), estimate_s=9.0)
+        suspects = [suspect_job(f's{number}', step) for number in range(8)]
+        decided = plan(
+            rooms_with(nothing),
+            make_spec('small', SMALL, priority=2),
+            running=suspects,
+        )
+        self.assertIn('small', placed(decided))
+
+
+class StreamTest(unittest.TestCase):
+    """Small jobs that come one after the other beside a large gang."""
+
+    def test_small_jobs_do_not_starve_a_gang_of_all_workers(self) -> None:
+        """Three of eight workers are in use on average."""
+        self.check_gang(width=8, every_s=1.7)
+
+    def test_small_jobs_do_not_starve_a_gang_of_half_the_workers(self) -> None:
+        """Hardly a processor is free, and most accelerators are."""
+        self.check_gang(width=4, every_s=0.6)
+
+    def check_gang(self, *, width: int, every_s: float) -> None:
+        """Check that a gang of whole workers starts within 60 s."""
+        gang = Step(width, needs(8), gang=True, estimate_s=5.0)
+        front = make_job(make_spec('front', gang))
+        small = Step(1, ROOM._replace(gpus=1), gang=True, estimate_s=5.0)
+        running = {name: processor_full(name, 0.0) for name in WORKERS}
+        for index, name in enumerate(WORKERS):
+            running[name][0].age_s = 15.0 + index / 2
+        waiting: list[ActiveJob] = []
+        came = 0
+        turns = ReservationTurns()
+        for number in range(round(60.0 / ROUND_S)):
+            passed_s = number * ROUND_S
+            while came * every_s <= passed_s:
+                accepted_at_s = NOW_S + passed_s
+                spec = make_spec(f's{came}', small, accepted_at_s=accepted_at_s)
+                waiting.append(make_job(spec))
+                came += 1
+            for name in WORKERS:
+                for run in running[name]:
+                    run.age_s += ROUND_S
+                left = [run for run in running[name] if run.left_s > 0]
+                running[name] = left
+            planner = Planner(
+                rooms={SERVICE: rooms_with(running.__getitem__)},
+                guaranteed={},
+                now_s=NOW_S + passed_s,
+                tickets=lambda job, ready: {},
+                turns=turns,
+            )
+            found = placed(planner.plan([front, *waiting]))
+            if 'front' in found:
+                return
+            for workers in found.values():
+                run = processor_full(workers[0], 15.0)[0]
+                running[workers[0]] = [run]
+            waiting = [one for one in waiting if one.spec.job_id not in found]
+        self.fail('not within 60 s')
+
+
+class BacklogTest(unittest.TestCase):
+    """More jobs wait than a round looks at."""
+
+    def test_a_job_behind_many_that_do_not_fit_starts(self) -> None:
+        """Its turn to be looked at comes."""
+        unplaced = [
+            make_spec(
+                f'unplaced{number}',
+                Step(1, needs(1), label='none', estimate_s=1.0 + number),
+            )
+            for number in range(2 * JOBS_PER_ROUND)
+        ]
+        started_s = waited_s(nothing, unplaced, small_job())
+        self.assertIsNotNone(started_s)
+
+
+class MostRoomFreeTest(unittest.TestCase):
+    """While most room is free nobody waits long with nothing running."""
+
+    def test_room_that_is_kept_is_open_to_who_waits_with_most_of_it_free(
+        self,
+    ) -> None:
+        """Three workers are empty, and a gang waits for a fourth."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            return () if worker_id in EMPTY else processor_full(worker_id, 0.0)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_a_suspects_worker_is_open_to_who_waits_with_most_room_free(
+        self,
+    ) -> None:
+        """New suspects start there all the time."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return suspect(0.5)(worker_id)
+            return processor_full(worker_id, 0.0)
+
+        started_s = waited_s(runs, [UNPLACED], small_job())
+        self.assertIsNotNone(started_s)
+        self.assertLess(started_s or 0.0, NOTHING_RUNNING_S)
+
+    def test_two_suspects_do_not_start_side_by_side(self) -> None:
+        """Each worker has one that has just started."""
+        step = Step(1, needs(1), estimate_s=9.0)
+        job = suspect_job('s1', step)
+        self.assertIsNone(waited_s(suspect(0.5), [UNPLACED], job, 4.0))
+
+    def test_a_start_ends_the_wait(self) -> None:
+        """A job that was stopped right away waits anew."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.end_wait(member_of(job))
+        self.assertEqual(job.idle_s(NOW_S + 9.0), 0.0)
+
+    def test_a_clock_that_is_set_back_begins_the_wait_anew(self) -> None:
+        """It would last for as long as the clock was set back."""
+        job = small_job()
+        job.idle_s(NOW_S)
+        job.idle_s(NOW_S - 60.0)
+        self.assertEqual(job.idle_s(NOW_S - 57.0), 3.0)
+
+    def test_a_full_processor_is_no_free_room(self) -> None:
+        """One of eight workers is empty, and kept for a gang of two."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id == WORKERS[0]:
+                return ()
+            return processor_full(worker_id, 0.0)
+
+        gang = Step(width=2, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(
+            runs,
+            [make_spec('front', gang)],
+            small_job(),
+            within_s=20.0,
+        )
+        self.assertIsNone(started_s)
+
+    def test_room_stays_kept_in_a_full_cluster(self) -> None:
+        """The gang would never get its fourth worker otherwise."""
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            if worker_id in EMPTY:
+                return ()
+            run = make_run(worker_id, 8, age_s=0.0)
+            run.estimate_s = 20.0
+            return (run,)
+
+        gang = Step(width=4, needs=needs(8), gang=True, estimate_s=5.0)
+        started_s = waited_s(
+            runs,
+            [make_spec('front', gang)],
+            small_job(),
+            within_s=20.0,
+        )
+        self.assertIsNone(started_s)
+
+
+class BoundedWaitTest(unittest.TestCase):
+    """Drawn clusters in which nothing ends."""
+
+    @given(
+        st.lists(
+            st.sampled_from(
+                (
+                    nothing,
+                    lasting,
+                    overdue,
+                    overdue_and_full,
+                    suspect(0.5),
+                    suspect(20.0),
+                ),
+            ),
+            min_size=len(WORKERS),
+            max_size=len(WORKERS),
+        ),
+        st.integers(1, 24),
+        st.sampled_from((1, 4, 8)),
+        st.booleans(),
+        st.booleans(),
+    )
+    @example(everywhere(overdue), 8, 8, False, False)
+    @example(everywhere(overdue_and_full), 8, 8, False, False)
+    @example(everywhere(suspect(20.0)), 1, 1, False, False)
+    def test_what_fits_starts_whatever_waits_in_front(
+        self,
+        drawn: list[RunsOf],
+        width: int,
+        gpus: int,
+        same_rack: bool,  # noqa: FBT001
+        labelled: bool,  # noqa: FBT001
+    ) -> None:
+        """Runs are as old as the time that passes makes them."""
+        began = {
+            worker_id: runs_of(worker_id)
+            for worker_id, runs_of in zip(WORKERS, drawn, strict=True)
+        }
+
+        def runs(worker_id: str) -> Sequence[Run]:
+            for run in began[worker_id]:
+                run.age_s += ROUND_S
+            return began[worker_id]
+
+        gang = Step(
+            width,
+            needs(gpus),
+            gang=True,
+            same_rack=same_rack,
+            label='none' if labelled else '',
+            estimate_s=5.0,
+        )
+        started_s = waited_s(runs, [make_spec('front', gang)], small_job())
+        self.assertIsNotNone(started_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
