Gangs still come to a soak once waits count

What callers would see: nothing; a check that finds nothing to look at. Change: once the faults are over the callers of gangs keep five open, none of them long, until 10 s after waits begin to count. Why it works: most room is free then, wide gangs and suspects of before still wait, and each new gang must start within 3 s.

--- a/bench/soak_gangs.py
+++ b/bench/soak_gangs.py
@@ -20,6 +20,9 @@
 #: of them can end soon after the last fault.
 MOST_OPEN: Final = 30
 
+#: The same once the faults are over: so few that most room stays free.
+MOST_OPEN_AFTER: Final = 5
+
 #: The longest pause between two jobs, in seconds.
 PAUSE_S: Final = 0.5
 
@@ -46,14 +49,19 @@
     length_s: tuple[float, float]
 
 
-#: Small gangs, gangs of two tasks a worker that leave accelerators unused,
-#: gangs of whole workers, and tasks that take long.
-SHAPES: Final = (
+#: Small gangs, gangs of two tasks a worker that leave accelerators unused, and
+#: gangs of whole workers.
+GANGS: Final = (
     Shape(2, 500, 1, gang=True, length_s=(1.0, 6.0)),
     Shape(3, 500, 2, gang=True, length_s=(1.0, 6.0)),
     Shape(7, 3900, 1, gang=True, length_s=(4.0, 12.0)),
     Shape(2, 4000, ROOM.gpus, gang=True, length_s=(4.0, 12.0)),
     Shape(4, 4000, ROOM.gpus, gang=True, length_s=(4.0, 12.0)),
+)
+
+#: The same, and tasks that take long.
+SHAPES: Final = (
+    *GANGS,
     Shape(1, 500, 1, gang=False, length_s=(15.0, 35.0)),
     Shape(1, 500, 1, gang=False, length_s=(15.0, 35.0)),
     Shape(3, 500, 1, gang=False, length_s=(15.0, 35.0)),
@@ -64,6 +72,7 @@
     """Hands in gangs, a bounded number at a time.
 
     :param impossible: jobs that ask for more workers than there are.
+    :param slower: set once only few gangs, and nothing long, are to come.
     """
 
     def __init__(
@@ -85,6 +94,7 @@
         """
         super().__init__(addresses=addresses, drawn=drawn)
         self.impossible: set[str] = set()
+        self.slower = asyncio.Event()
         self._lengths_s = lengths_s
         self._ended = ended
         self._most_impossible = most_impossible
@@ -108,7 +118,9 @@
                     for one in self._open
                     if one in self.accepted and not self._ended(one)
                 }
-                if len(self._open) < MOST_OPEN:
+                slower = self.slower.is_set()
+                most_open = MOST_OPEN_AFTER if slower else MOST_OPEN
+                if len(self._open) < most_open:
                     number += 1
                     job_id = f'{CALLER:04x}{number:012x}'
                     callers.create_task(self._hand_in(session, job_id))
@@ -120,7 +132,8 @@
 
     def _new_job(self, job_id: str) -> dict[str, Any]:
         """Draw a job, and how long its tasks take."""
-        shape = self._drawn.choice(SHAPES)
+        shapes = GANGS if self.slower.is_set() else SHAPES
+        shape = self._drawn.choice(shapes)
         number = int(job_id[-4:], 16)
         if (
             number % IMPOSSIBLE_EVERY == FIRST_IMPOSSIBLE
--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -35,7 +35,7 @@
 from bench.soak_faults import FAULTS, crash_workers, lose_power
 from bench.soak_gangs import MOST_IMPOSSIBLE, GangCallers
 from bench.soak_revisions import IN_FORCE_S, QUEUE, SoakRevisions
-from bench.soak_waits import WaitWatch
+from bench.soak_waits import CALM_S, WaitWatch
 from bench.soak_workers import RUN_TIMES_S, WORKERS, SoakWorkers
 from curranthill.clock import SystemClock
 from curranthill.placement.suspects import SUSPECT_LOSSES
@@ -76,6 +76,9 @@
 #: With faults for so long all hosts lose power at their end, in seconds.
 LONG_S: Final = 100.0
 
+#: How long gangs still come once waits count, in seconds.
+CALLS_IN_CALM_S: Final = 10.0
+
 #: How long states of ended jobs are kept, in seconds: past the end of a soak,
 #: which reads them after its last fault.
 STATUS_S: Final = 3600
@@ -174,6 +177,7 @@
             clock=SystemClock(),
         )
         self._gangs = gangs
+        self._calling: list[asyncio.Task[None]] = []
         self._injected_s = 0.0
         self._under_way: set[asyncio.Task[None]] = set()
         self._hosts = hosts
@@ -247,7 +251,7 @@
         self._spawn(self._waits.run())
         self._spawn(self._callers.run())
         if self._gangs:
-            self._spawn(self._gang_callers.run())
+            self._calling.append(self._spawn(self._gang_callers.run()))
         self._spawn(self.revisions.run())
 
     def _write_settings(self, number: int, proxy: Proxy) -> str:
@@ -344,7 +348,7 @@
 
     async def _heal(self) -> None:
         self._callers.stopped.set()
-        self._gang_callers.stopped.set()
+        self._gang_callers.slower.set()
         self.closings.open_all()
         self.store.silent_tables.clear()
         self.workers.heal()
@@ -355,6 +359,16 @@
             self.signal(number, SIGCONT)
         self.workers.heal()
 
+    async def _stop_gangs(self) -> None:
+        """Have gangs handed in for some time from when on waits count."""
+        until_s = asyncio.get_running_loop().time() + HEALING_S
+        while self._gangs and asyncio.get_running_loop().time() < until_s:
+            if self._calm_s() > CALM_S + CALLS_IN_CALM_S:
+                break
+            await asyncio.sleep(0.1)
+        self._gang_callers.stopped.set()
+        await asyncio.gather(*self._calling)
+
     # Promises.
 
     async def _look(self) -> None:
@@ -369,6 +383,7 @@
         What is left is waited for as long as jobs go on ending, which is no
         longer than the workers take for all of it.
         """
+        await self._stop_gangs()
         until = asyncio.get_running_loop().time() + HEALING_S
         open_jobs = self._accepted - self._gang_callers.impossible
         while open_jobs and asyncio.get_running_loop().time() < until:
