--- a/tests/test_soak_hosts.py
+++ b/tests/test_soak_hosts.py
@@ -4,6 +4,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 from bench.soak_faults import kill
 from bench.soak_hosts import Soak
@@ -84,6 +85,24 @@
         await asyncio.sleep(0.1)
 
 
+async def played_with_gangs(folder: Path) -> list[dict[str, Any]]:
+    """Play the seeds with gangs side by side; return their reports."""
+    soaks = []
+    for seed, fault_s, impossible in GANG_SEEDS:
+        own = folder / str(seed)
+        own.mkdir()
+        soaks.append(
+            Soak(
+                seed=seed,
+                fault_s=fault_s,
+                folder=own,
+                gangs=True,
+                most_impossible=impossible,
+            ),
+        )
+    return await asyncio.gather(*(soak.run() for soak in soaks))
+
+
 class SoakTest(unittest.TestCase):
     """Kills, pauses, stops, cut links, and workers that come back."""
 
@@ -103,16 +122,9 @@
 
     def test_no_job_waits_beside_free_room(self) -> None:
         """Behind wide gangs, and beside suspects."""
-        for seed, fault_s, impossible in GANG_SEEDS:
-            with tempfile.TemporaryDirectory() as folder:
-                soak = Soak(
-                    seed=seed,
-                    fault_s=fault_s,
-                    folder=Path(folder),
-                    gangs=True,
-                    most_impossible=impossible,
-                )
-                report = asyncio.run(soak.run())
+        with tempfile.TemporaryDirectory() as folder:
+            reports = asyncio.run(played_with_gangs(Path(folder)))
+        for (seed, _, _), report in zip(GANG_SEEDS, reports, strict=True):
             self.assertEqual(report['faults'], [], f'seed {seed}')
             self.assertGreater(report['accepted'], 10, f'seed {seed}')
 
