Show in the logs how often a job is preempted and what for

The known failures of the price of a stop could not be weighed from logs: the line of a preemption did not say whether a guarantee covered the job that the run was stopped for, and `losses` summed up seconds and work, not how often one job was stopped, how long it then waited, or whether it ended too late to earn.

The line has beyond_guarantee now, `losses` has no credit, stops, stops beyond guarantee, most stops of a job and longest wait after a stop, and `trace` names the job that a run was stopped for. Nothing decides otherwise than before.

--- a/src/curranthill/commands/formatters.py
+++ b/src/curranthill/commands/formatters.py
@@ -112,9 +112,12 @@
 
 @event_formatters.register('preempted')
 def _format_preemption(line: LogLine) -> str:
+    guarantee = ', beyond its guarantee' if line.get('beyond_guarantee') else ''
+    by = f' ({line["for_job"]}{guarantee})' if 'for_job' in line else ''
+    count = f'; stop {line["stops"]} of its job' if 'stops' in line else ''
     return (
-        f'{line["task"]} preempted by more urgent work '
-        f'at {line["done_percent"]}%'
+        f'{line["task"]} preempted by more urgent work{by} '
+        f'at {line["done_percent"]}%{count}'
     )
 
 
--- a/src/curranthill/commands/losses.py
+++ b/src/curranthill/commands/losses.py
@@ -61,7 +61,19 @@
         groups[grouping(job)].append(job)
     causes = _causes(timelines.finished())
     print_table(
-        (by, 'jobs', 'late', 'mean late s', *causes, 'lost core-s'),
+        (
+            by,
+            'jobs',
+            'late',
+            'no credit',
+            'mean late s',
+            *causes,
+            'lost core-s',
+            'stops',
+            'stops beyond guarantee',
+            'most stops of a job',
+            'longest wait after a stop s',
+        ),
         [_row(name, groups[name], causes) for name in sorted(groups)],
         as_json=as_json,
     )
@@ -115,9 +127,14 @@
         name,
         len(jobs),
         len(late),
+        sum(job.earned_nothing for job in jobs),
         mean_late_s,
         *means_s,
         round(lost_core_s),
+        sum(len(job.stop_times_s) for job in jobs),
+        sum(job.stops_beyond_guarantee for job in jobs),
+        max(len(job.stop_times_s) for job in jobs),
+        max(job.longest_wait_after_stop_s for job in jobs),
     ]
 
 
--- a/src/curranthill/commands/timelines.py
+++ b/src/curranthill/commands/timelines.py
@@ -1,8 +1,10 @@
 """Reconstructs the timelines of jobs from the saved logs of all hosts."""
 
+import math
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
+from curranthill.placement import MAX_LATE_FACTOR
 from curranthill.registry import Registry
 from curranthill.tasks import Resources
 
@@ -18,6 +20,9 @@
 _DONE: Final = 'done'
 _STOPPED: Final = 'stopped'
 
+#: Preemptions of one job within this time belong to one round, in seconds.
+_SAME_ROUND_S: Final = 0.003
+
 #: The cause of a stop without an event: another member of the gang ended.
 _STOPPED_WITH_GANG: Final = 'with its gang'
 
@@ -56,6 +61,10 @@
     :ivar open_runs: the worker and the start of each task that runs.
     :ivar stop_reasons: the kind of the event that stopped each task.
     :ivar not_ready_spans: when it was not ready, in order, without overlap.
+    :ivar stop_times_s: when runs of it were preempted, in wall-clock time; the
+        runs that are preempted at the same time count once.
+    :ivar stops_beyond_guarantee: how many of these stops were for a job that no
+        guarantee covered.
     """
 
     def __init__(self, *, line: LogLine) -> None:
@@ -80,6 +89,8 @@
         self.open_runs: dict[str, tuple[str, float]] = {}
         self.stop_reasons: dict[str, str] = {}
         self.not_ready_spans: list[tuple[float, float]] = []
+        self.stop_times_s: list[float] = []
+        self.stops_beyond_guarantee = 0
 
     @property
     def late_s(self) -> float:
@@ -91,6 +102,37 @@
             return float('inf')
         return self.ended_at_s - self.accepted_at_s - self.objective_s
 
+    @property
+    def earned_nothing(self) -> bool:
+        """Return whether it ended too late to be of use to its caller."""
+        if not self.objective_s:
+            return False
+        return self.late_s > (MAX_LATE_FACTOR - 1) * self.objective_s
+
+    @property
+    def longest_wait_after_stop_s(self) -> float:
+        """Return the longest time from a preemption to its next start.
+
+        Up to the end of the job if nothing of it started after the preemption.
+        """
+        starts_s = sorted(run.started_at_s for run in self.runs)
+        last_s = self.ended_at_s or math.inf
+        return max(
+            (
+                next((one for one in starts_s if one > at_s), last_s) - at_s
+                for at_s in self.stop_times_s
+            ),
+            default=0.0,
+        )
+
+    def record_stop(self, at_s: float, *, beyond_guarantee: bool) -> None:
+        """Record the preemption of a run, once for all of one round."""
+        newest_s = self.stop_times_s[-1] if self.stop_times_s else -math.inf
+        if at_s - newest_s < _SAME_ROUND_S:
+            return
+        self.stop_times_s.append(at_s)
+        self.stops_beyond_guarantee += beyond_guarantee
+
     def start_run(self, task: str, worker: str, at_s: float) -> None:
         """Record the start of a run."""
         self.open_runs[task] = (worker, at_s)
@@ -240,6 +282,13 @@
 
 
 @event_handlers.register('preempted')
+def _handle_preemption(job: JobTimeline, line: LogLine) -> None:
+    job.record_stop(
+        line['t_s'], beyond_guarantee=bool(line.get('beyond_guarantee'))
+    )
+    _handle_stop(job, line)
+
+
 @event_handlers.register('moved_stalled')
 @event_handlers.register('moved_slow')
 @event_handlers.register('moved_away')
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -171,6 +171,7 @@
                 worker=run.worker_id,
                 done_percent=run.done_percent,
                 for_job=for_job,
+                beyond_guarantee=for_job not in plan.covered,
                 workspace=job.spec.workspace if job else '',
                 stops=job.stops if job else 0,
             )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -80,12 +80,14 @@
         stopped for.
     :param reserved_for: the ids of the jobs that have capacity reserved or
         claimed after a preemption, in the order in which they are served.
+    :param covered: the ids of the jobs that a guarantee covers.
     """
 
     placements: tuple[Placement, ...]
     victims: tuple[Run, ...]
     stopped_for: tuple[str, ...] = ()
     reserved_for: tuple[str, ...] = ()
+    covered: frozenset[str] = frozenset()
 
 
 def ratio_of_one(queue: str) -> float:
@@ -166,6 +168,7 @@
             tuple(self._victims),
             tuple(self._stopped_for),
             tuple(self._reserved_for),
+            frozenset(self._covered),
         )
 
     def _place_first_jobs(
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -76,6 +76,36 @@
         )
         self.assertAlmostEqual(sum(run.core_s for run in lost), 2 * 12 * 0.6)
 
+    def test_stops_of_one_round_count_once(self) -> None:
+        """Two members are stopped for a guarantee, then again beyond one."""
+        timelines = Timelines()
+        stops = [
+            line(2.501, 'preempted', task=SECOND, beyond_guarantee=False),
+            line(5.0, 'preempted', task=FIRST, beyond_guarantee=True),
+        ]
+        timelines.add_lines(
+            sorted([*lines(), *stops], key=lambda event: event['t_s'])
+        )
+        job = timelines.jobs[JOB]
+        self.assertEqual(job.stop_times_s, [2.5, 5.0])
+        self.assertEqual(job.stops_beyond_guarantee, 1)
+
+    def test_the_wait_after_a_stop_is_shown(self) -> None:
+        """It is preempted at 2.5 s and starts again at 4.0 s."""
+        timelines = Timelines()
+        timelines.add_lines(lines())
+        self.assertAlmostEqual(
+            timelines.jobs[JOB].longest_wait_after_stop_s, 1.5
+        )
+
+    def test_a_job_that_ended_too_late_to_earn_is_shown(self) -> None:
+        """It earns until three times its objective of 5 s."""
+        for ended_s, nothing in ((15.9, False), (16.1, True)):
+            timelines = Timelines()
+            events = [*lines()[:-1], line(ended_s, 'job_completed', job=JOB)]
+            timelines.add_lines(events)
+            self.assertEqual(timelines.jobs[JOB].earned_nothing, nothing)
+
     def test_time_in_which_a_job_was_not_ready_is_shown_apart(self) -> None:
         """It is 1 s before the first run and 1 of 1.4 s between the runs.
 
@@ -126,6 +156,8 @@
         self.assertEqual(row['jobs'], 1)
         self.assertAlmostEqual(row['waiting'], 2.4)
         self.assertEqual(row['lost core-s'], 14)
+        self.assertEqual(row['most stops of a job'], 1)
+        self.assertAlmostEqual(row['longest wait after a stop s'], 1.5)
 
     def test_logs_without_a_job_are_an_error(self) -> None:
         """The exit code is 1."""
