Spare jobs of a data centre's scheduler that were preempted before

A job that was preempted a moment ago has the least work to lose, and a checkpointable one none at all, so for each guarantee or quick demand the same one of two equal jobs was stopped again, in the order of their ids.

Guarantees preempt as before, only whom differs.

test_a_job_that_was_preempted_before_is_spared failed before: ('dc-1',) of two preemptions was stopped and not ('dc-2',).

--- a/src/curranthill/scheduler/fair.py
+++ b/src/curranthill/scheduler/fair.py
@@ -22,7 +22,7 @@
     ShapeKey,
     WaitingJob,
 )
-from curranthill.scheduler.victims import choose_victims, lost_work_on
+from curranthill.scheduler.victims import choose_victims, preemption_cost_on
 
 #: The weight of ageing: a wait of its own run time moves a job forward as much
 #: as borrowing this share of the cluster moves it back (at a weight of 1).
@@ -165,7 +165,7 @@
             return members
 
         def cost(worker: WorkerState) -> float:  # noqa: WPS430
-            return lost_work_on(state, worker, now_s)
+            return preemption_cost_on(state, worker, now_s)
 
         return find_placement(
             state.cluster,
--- a/src/curranthill/scheduler/state.py
+++ b/src/curranthill/scheduler/state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from curranthill.configuration import Adjacency
 from curranthill.jobs import Job, Member
@@ -12,6 +12,9 @@
 from curranthill.scheduler.estimates import RunTimeEstimates
 from curranthill.scheduler.guarantees import GuaranteePlan, GuaranteeUnit
 
+#: Each earlier preemption adds this share to the cost of the next one.
+PREEMPTION_COST_SHARE: Final = 0.5
+
 
 class WaitingJob(NamedTuple):
     """A job that waits for placement.
@@ -54,6 +57,15 @@
             return 0
         return self.job.slots * (now_s - self.since_s)
 
+    def preemption_cost(self, now_s: float) -> float:
+        """Return what its preemption costs its caller, in slot-seconds.
+
+        Earlier preemptions count, since a job that was preempted a moment ago
+        has the least work to lose and would be preempted again and again.
+        """
+        restarts_cost = 1 + PREEMPTION_COST_SHARE * self.job.preemptions
+        return (self.lost_work_s(now_s) + self.job.slots) * restarts_cost
+
 
 class Decision(NamedTuple):
     """One placement and the jobs to preempt before it starts.
--- a/src/curranthill/scheduler/victims.py
+++ b/src/curranthill/scheduler/victims.py
@@ -14,7 +14,7 @@
 ) -> tuple[str, ...]:
     """Return the jobs to preempt so that ``members`` become free.
 
-    On each worker the jobs that lose the least work are chosen until enough
+    On each worker the jobs whose preemption costs least are chosen until enough
     slots are free; a gang chosen for one worker also frees its slots on the
     next ones.
     """
@@ -35,19 +35,18 @@
     return tuple(victims)
 
 
-def lost_work_on(
+def preemption_cost_on(
     state: SchedulerState,
     worker: WorkerState,
     now_s: float,
 ) -> float:
     """Return the cost of preempting all preemptible work of a worker.
 
-    It is the slot-seconds lost plus the slots stopped. A gang counts in full,
-    as all of its members stop, wherever they run.
+    A gang counts in full, as all of its members stop, wherever they run.
     """
     placed_here = [state.placed[job_id] for job_id in worker.jobs]
     return sum(
-        placed.lost_work_s(now_s) + placed.job.slots
+        placed.preemption_cost(now_s)
         for placed in placed_here
         if not placed.non_preemptible
     )
@@ -66,8 +65,7 @@
     return sorted(
         preemptible,
         key=lambda job_id: (
-            state.placed[job_id].lost_work_s(now_s),
-            state.placed[job_id].job.slots,
+            state.placed[job_id].preemption_cost(now_s),
             job_id,
         ),
     )
@@ -81,4 +79,4 @@
     )
 
 
-__all__ = ('choose_victims', 'lost_work_on')
+__all__ = ('choose_victims', 'preemption_cost_on')
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -329,6 +329,16 @@
         victims = choose_victims(state, members_on(('r0-w0', 4)), 100)
         self.assertEqual(victims, ('dc-2',))
 
+    def test_a_job_that_was_preempted_before_is_spared(self) -> None:
+        """Of two equal jobs the same one would be preempted each time."""
+        state = make_state(racks=1, workers=1)
+        policy = policies.get('guarantees')(5)
+        enqueue_job(state, shaped('dc-1', 'casework', 'quad', preemptions=2))
+        enqueue_job(state, shaped('dc-2', 'casework', 'quad'))
+        policy.decide(state, 1)
+        victims = choose_victims(state, members_on(('r0-w0', 4)), 100)
+        self.assertEqual(victims, ('dc-2',))
+
     def test_a_lost_rack_puts_guarantees_at_risk_until_it_returns(self) -> None:
         """Plans that still fit stay; the one of the lost rack is at risk."""
         state = guaranteed_state()
