Choose by the whole cost of a stop whose run is preempted

Callers saw one job stopped again and again while others beside it never were.

Cause: a run was chosen by the work that its stop throws away, and a run that was stopped a moment ago has the least. Nor did it count that a stop makes one job miss its objective while another is late in any case.

The victims are now ordered by a cost of which the lost work is one part: half as much again for each earlier restart of the task, and a quarter of its step's work if the stop makes the job late, or too late to earn. How much may be lost for a job beyond its guarantee is bounded by the lost work alone, as before: this decides whom to stop and not whether.

The mechanism can be switched off: stop-costs.

--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -1,7 +1,7 @@
-"""Which runs to evict so that urgent tasks fit, at the least loss.
+"""Which runs to evict so that urgent tasks fit, at the least cost.
 
-Serves a burst of urgent jobs on a full cluster. Runs are evicted where the
-least work is lost, and between the tasks of one gang only the workers that
+Serves a burst of urgent jobs on a full cluster. Runs are evicted where it costs
+their callers the least, and between the tasks of one gang only the workers that
 changed are evaluated again.
 """
 
@@ -14,6 +14,7 @@
 from curranthill.placement.capacity import WorkerCapacity, resources_needed
 from curranthill.placement.lost_work import LostWork
 from curranthill.placement.runs import RUNNING, URGENT, Run
+from curranthill.placement.stop_costs import StopCosts
 from curranthill.tasks import Resources, Step, TaskKey
 
 #: The cost of a worker for each point of its failure score, that is for each
@@ -25,18 +26,18 @@
 class Eviction(NamedTuple):
     """Workers for some tasks, one each, and the runs that must end first.
 
-    :param loss: the work lost, in core-seconds.
+    :param cost: what it costs the callers of these runs, in core-seconds.
     """
 
     workers: tuple[WorkerCapacity, ...]
     victims: tuple[Run, ...]
-    loss: float
+    cost: float
 
 
 class _Option(NamedTuple):
     """An eviction option for one task: which runs of one worker to stop.
 
-    :param cost: the work lost and the penalty for failures of the worker.
+    :param cost: that of the stops and the penalty for failures of the worker.
     """
 
     cost: float
@@ -53,11 +54,13 @@
     An option is valid until the worker's version changes.
 
     :param lost_work: the work lost by stopping runs.
+    :param stop_costs: the cost of stopping them.
     """
 
-    def __init__(self, *, lost_work: LostWork) -> None:
+    def __init__(self, *, lost_work: LostWork, stop_costs: StopCosts) -> None:
         """Initialize with an empty cache."""
         self._lost_work = lost_work
+        self._stop_costs = stop_costs
         self._candidates: dict[str, tuple[int, list[Run]]] = {}
         self._options: dict[Resources, _OptionsByWorker] = defaultdict(dict)
 
@@ -67,14 +70,16 @@
         step: Step,
         workers: Sequence[WorkerCapacity],
         max_loss: float = math.inf,
+        max_cost: float = math.inf,
     ) -> Eviction | None:
         """Return workers for all the tasks; nothing if no eviction suffices.
 
         The tasks are assigned sequentially, each to the worker on which it
         costs the least.
 
-        :param max_loss: the search is abandoned if it loses more than this, in
-            core-seconds.
+        :param max_loss: the search is abandoned if more work than this is
+            lost, in core-seconds.
+        :param max_cost: the same for its cost.
         """
         search = _Search(
             key=tasks[0],
@@ -82,14 +87,17 @@
             workers=workers,
             finder=self,
             lost_work=self._lost_work,
+            stop_costs=self._stop_costs,
         )
         chosen: list[WorkerCapacity] = []
         while len(chosen) < len(tasks):
             worker = search.claim_cheapest()
-            if worker is None or search.loss > max_loss:
+            if worker is None:
+                return None
+            if search.loss > max_loss or search.cost > max_cost:
                 return None
             chosen.append(worker)
-        return Eviction(tuple(chosen), search.victims, search.loss)
+        return Eviction(tuple(chosen), search.victims, search.cost)
 
     def option_on(
         self, worker: WorkerCapacity, needs: Resources
@@ -118,25 +126,25 @@
         failure_core_s = worker.failure_score * FAILURE_CORE_S
         if unclaimed.covers(needs):
             return _Option(failure_core_s, ())
-        loss = 0.0
+        cost = failure_core_s
         victims: list[Run] = []
         for run in self._candidates_in(worker):
             if run in ended:
                 continue
             unclaimed = unclaimed.plus(run.needs)
-            loss += self._lost_work.of(run)
+            cost += self._stop_costs.of(run)
             victims.append(run)
             if unclaimed.covers(needs):
-                return _Option(loss + failure_core_s, tuple(victims))
+                return _Option(cost, tuple(victims))
         return None
 
     def _candidates_in(self, worker: WorkerCapacity) -> list[Run]:
-        """Return the evictable runs, those with the least lost work first."""
+        """Return the evictable runs, the cheapest first."""
         known = self._candidates.get(worker.entry.worker_id)
         if known is not None and known[0] == worker.version:
             return known[1]
         runs = [run for run in worker.runs if is_evictable(run)]
-        runs.sort(key=self._lost_work.of)
+        runs.sort(key=self._stop_costs.of)
         self._candidates[worker.entry.worker_id] = (worker.version, runs)
         return runs
 
@@ -145,6 +153,7 @@
     """The search for one step: its victims, and what their ends would free.
 
     :param loss: the work lost so far, in core-seconds.
+    :param cost: that of the stops so far, in core-seconds.
     """
 
     def __init__(
@@ -155,12 +164,15 @@
         workers: Sequence[WorkerCapacity],
         finder: EvictionFinder,
         lost_work: LostWork,
+        stop_costs: StopCosts,
     ) -> None:
         """Evaluate each worker once."""
         self.loss = 0.0
+        self.cost = 0.0
         self._needs = resources_needed(step)
         self._finder = finder
         self._lost_work = lost_work
+        self._stop_costs = stop_costs
         self._workers: dict[str, tuple[int, WorkerCapacity]] = {}
         self._tasks_left: dict[str, float] = {}
         self._unclaimed: dict[str, Resources] = {}
@@ -199,6 +211,7 @@
         for victim in option.victims:
             if victim not in self._ended:
                 self.loss += self._lost_work.of(victim)
+                self.cost += self._stop_costs.of(victim)
                 changed.update(
                     self._count_as_ended(self._lost_work.runs_ended_by(victim))
                 )
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -16,6 +16,7 @@
 RACK_WAIT: Final = 'rack-patience'
 FAILURE_SCORE: Final = 'doubt'
 BOUNDED_LOSS: Final = 'bounded-loss'
+STOP_COSTS: Final = 'stop-costs'
 STALLED_MOVES: Final = 'stalled-moves'
 INFEASIBLE_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
@@ -33,6 +34,9 @@
 mechanisms.register(BOUNDED_LOSS)(
     'Urgent jobs without a guarantee evict little work.'
 )
+mechanisms.register(STOP_COSTS)(
+    'Jobs that were stopped before, or would be late, are stopped last.'
+)
 mechanisms.register(STALLED_MOVES)('Stalled runs are restarted elsewhere.')
 mechanisms.register(INFEASIBLE_LAST)(
     'Jobs that can earn no credit are served last.'
@@ -73,6 +77,7 @@
     'SLOW_MOVES',
     'SPEEDS',
     'STALLED_MOVES',
+    'STOP_COSTS',
     'mechanisms',
     'validate_mechanisms',
 )
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -28,6 +28,7 @@
     NONE_DISABLED,
     RACK_WAIT,
     RESERVATION,
+    STOP_COSTS,
 )
 from curranthill.placement.order import (
     covered_jobs,
@@ -50,6 +51,7 @@
 )
 from curranthill.placement.runs import Run
 from curranthill.placement.starvation import MAX_IDLE_S, is_mostly_free
+from curranthill.placement.stop_costs import StopCosts
 from curranthill.placement.suspects import EXCLUSIVE_SHARE
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -141,7 +143,7 @@
         )
         self._guaranteed = guaranteed
         self._now_s = now_s
-        self._eviction_finder = EvictionFinder(lost_work=LostWork(jobs=()))
+        self._eviction_finder = self._make_eviction_finder(())
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
@@ -158,7 +160,7 @@
         """Return the decisions for all jobs, in any order."""
         known = list(jobs)
         waiting = [job for job in known if not job.ended]
-        self._eviction_finder = EvictionFinder(lost_work=LostWork(jobs=known))
+        self._eviction_finder = self._make_eviction_finder(known)
         self._covered = covered_jobs(waiting, self._guaranteed)
         later = self._place_first_jobs(self._in_service_order(waiting))
         for job in self._backlog.take(later):
@@ -171,6 +173,18 @@
             frozenset(self._covered),
         )
 
+    def _make_eviction_finder(
+        self, jobs: Sequence[ActiveJob]
+    ) -> EvictionFinder:
+        lost_work = LostWork(jobs=jobs)
+        stop_costs = StopCosts(
+            lost_work=lost_work,
+            jobs=jobs,
+            now_s=self._now_s,
+            lost_work_only=STOP_COSTS in self._disabled,
+        )
+        return EvictionFinder(lost_work=lost_work, stop_costs=stop_costs)
+
     def _place_first_jobs(
         self, jobs: Sequence[ActiveJob]
     ) -> Sequence[ActiveJob]:
@@ -402,13 +416,16 @@
         groups: list[Sequence[WorkerCapacity]],
         max_loss: float,
     ) -> Eviction | None:
-        """Return the eviction with the least loss over all groups, if any."""
+        """Return the cheapest eviction over all groups, if there is any."""
         best: Eviction | None = None
+        max_cost = math.inf
         for group in groups:
-            found = self._eviction_finder.cheapest(tasks, step, group, max_loss)
-            if found is not None and (best is None or found.loss < best.loss):
+            found = self._eviction_finder.cheapest(
+                tasks, step, group, max_loss, max_cost
+            )
+            if found is not None and found.cost < max_cost:
                 best = found
-                max_loss = found.loss
+                max_cost = found.cost
         return best
 
     def _max_loss(self, job: ActiveJob, step: Step, tasks: int) -> float:
--- a/src/curranthill/placement/timeliness.py
+++ b/src/curranthill/placement/timeliness.py
@@ -56,7 +56,7 @@
         return False
     if has_aged(job, now_s):
         return False
-    soonest_s = now_s + MIN_RUN_SHARE * _remaining_chain_s(job)
+    soonest_s = now_s + MIN_RUN_SHARE * remaining_chain_s(job)
     return timeliness(job, soonest_s) == INFEASIBLE
 
 
@@ -78,7 +78,7 @@
     if now_s + job.critical_path_s <= job.objective_s:
         # The common case, which avoids the cost of the checks below.
         return False
-    return timeliness(job, now_s + _remaining_chain_s(job)) != IN_TIME
+    return timeliness(job, now_s + remaining_chain_s(job)) != IN_TIME
 
 
 def _objective_starts_s(job: ActiveJob) -> float:
@@ -88,7 +88,7 @@
     return max(job.first_due_s, job.spec.due_s(_occurrence(job)))
 
 
-def _remaining_chain_s(job: ActiveJob) -> float:
+def remaining_chain_s(job: ActiveJob) -> float:
     """Return the longest chain of steps that are not done, in seconds."""
     occurrence = _occurrence(job)
     ends_s: list[float] = []
@@ -118,5 +118,6 @@
     'has_aged',
     'is_infeasible',
     'is_late',
+    'remaining_chain_s',
     'timeliness',
 )
