Bound how often a task is stopped for work beyond a guarantee

What callers saw: one worker, a gang of 12 s, and every 2 s an urgent job of 1 s that no guarantee covers. In 240 s the gang started 121 times and never ended.

Cause: the bound of lost work looks at one stop at a time. What was just started has nothing to lose, so each stop was within the bound, and nothing counted them.

For a job that no guarantee covers a task is stopped no more once it was restarted three times. Guarantees and perpetual tasks preempt as before.

Switched off by name: bounded-stops.

--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -55,12 +55,21 @@
 
     :param lost_work: the work lost by stopping runs.
     :param stop_costs: the cost of stopping them.
+    :param max_restarts: runs of tasks that were restarted this often are not
+        stopped.
     """
 
-    def __init__(self, *, lost_work: LostWork, stop_costs: StopCosts) -> None:
+    def __init__(
+        self,
+        *,
+        lost_work: LostWork,
+        stop_costs: StopCosts,
+        max_restarts: float = math.inf,
+    ) -> None:
         """Initialize with an empty cache."""
         self._lost_work = lost_work
         self._stop_costs = stop_costs
+        self._max_restarts = max_restarts
         self._candidates: dict[str, tuple[int, list[Run]]] = {}
         self._options: dict[Resources, _OptionsByWorker] = defaultdict(dict)
 
@@ -143,11 +152,16 @@
         known = self._candidates.get(worker.entry.worker_id)
         if known is not None and known[0] == worker.version:
             return known[1]
-        runs = [run for run in worker.runs if is_evictable(run)]
+        runs = [run for run in worker.runs if self._may_stop(run)]
         runs.sort(key=self._stop_costs.of)
         self._candidates[worker.entry.worker_id] = (worker.version, runs)
         return runs
 
+    def _may_stop(self, run: Run) -> bool:
+        if not is_evictable(run):
+            return False
+        return self._stop_costs.restarts_of(run) < self._max_restarts
+
 
 class _Search:
     """The search for one step: its victims, and what their ends would free.
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -17,6 +17,7 @@
 FAILURE_SCORE: Final = 'doubt'
 BOUNDED_LOSS: Final = 'bounded-loss'
 STOP_COSTS: Final = 'stop-costs'
+BOUNDED_STOPS: Final = 'bounded-stops'
 STALLED_MOVES: Final = 'stalled-moves'
 INFEASIBLE_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
@@ -37,6 +38,9 @@
 mechanisms.register(STOP_COSTS)(
     'Jobs that were stopped before, or would be late, are stopped last.'
 )
+mechanisms.register(BOUNDED_STOPS)(
+    'Urgent jobs without a guarantee stop a task only a few times.'
+)
 mechanisms.register(STALLED_MOVES)('Stalled runs are restarted elsewhere.')
 mechanisms.register(INFEASIBLE_LAST)(
     'Jobs that can earn no credit are served last.'
@@ -67,6 +71,7 @@
 
 __all__ = (
     'BOUNDED_LOSS',
+    'BOUNDED_STOPS',
     'FAILURE_SCORE',
     'INFEASIBLE_LAST',
     'IN_TIME_FIRST',
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -23,6 +23,7 @@
 from curranthill.placement.lost_work import LostWork
 from curranthill.placement.mechanisms import (
     BOUNDED_LOSS,
+    BOUNDED_STOPS,
     IN_TIME_FIRST,
     INFEASIBLE_LAST,
     NONE_DISABLED,
@@ -59,6 +60,10 @@
 #: its own work: beyond that, others lose more than its caller gains.
 MAX_LOSS_FACTOR: Final = 3.0
 
+#: For such a job no task is stopped that was restarted this often: in a steady
+#: sequence of urgent jobs it would start again and again and never end.
+MAX_RESTARTS: Final = 3
+
 #: The capacity of a service without workers.
 _NO_CAPACITY: Final = ServiceCapacity(workers=())
 
@@ -143,7 +148,7 @@
         )
         self._guaranteed = guaranteed
         self._now_s = now_s
-        self._eviction_finder = self._make_eviction_finder(())
+        self._eviction_finders = self._make_eviction_finders(())
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
@@ -160,7 +165,7 @@
         """Return the decisions for all jobs, in any order."""
         known = list(jobs)
         waiting = [job for job in known if not job.ended]
-        self._eviction_finder = self._make_eviction_finder(known)
+        self._eviction_finders = self._make_eviction_finders(known)
         self._covered = covered_jobs(waiting, self._guaranteed)
         later = self._place_first_jobs(self._in_service_order(waiting))
         for job in self._backlog.take(later):
@@ -173,9 +178,10 @@
             frozenset(self._covered),
         )
 
-    def _make_eviction_finder(
+    def _make_eviction_finders(
         self, jobs: Sequence[ActiveJob]
-    ) -> EvictionFinder:
+    ) -> dict[bool, EvictionFinder]:
+        """Return the finders for guaranteed work (True) and other work."""
         lost_work = LostWork(jobs=jobs)
         stop_costs = StopCosts(
             lost_work=lost_work,
@@ -183,7 +189,17 @@
             now_s=self._now_s,
             lost_work_only=STOP_COSTS in self._disabled,
         )
-        return EvictionFinder(lost_work=lost_work, stop_costs=stop_costs)
+        max_restarts = (
+            math.inf if BOUNDED_STOPS in self._disabled else MAX_RESTARTS
+        )
+        return {
+            guaranteed: EvictionFinder(
+                lost_work=lost_work,
+                stop_costs=stop_costs,
+                max_restarts=math.inf if guaranteed else max_restarts,
+            )
+            for guaranteed in (True, False)
+        }
 
     def _place_first_jobs(
         self, jobs: Sequence[ActiveJob]
@@ -369,7 +385,7 @@
             _work_core_s(step, tasks),
             self._max_loss(job, step, tasks),
         )
-        best = self._best_eviction(ready.tasks, step, groups, max_loss)
+        best = self._best_eviction(job, ready.tasks, step, groups, max_loss)
         # Only an eviction with victims uses up the step's one preemption.
         if best is None or (best.victims and not job.claim_preemption(ready)):
             return False
@@ -390,7 +406,7 @@
         )
         for tasks in batches:
             max_loss = self._max_loss(job, ready.step, len(tasks))
-            best = self._best_eviction(tasks, ready.step, groups, max_loss)
+            best = self._best_eviction(job, tasks, ready.step, groups, max_loss)
             if best is None:
                 # The remaining tasks have the same needs.
                 return
@@ -400,6 +416,7 @@
                 work_core_s = _work_core_s(ready.step, len(tasks))
                 best = (
                     self._best_eviction(
+                        job,
                         tasks,
                         ready.step,
                         without_delaying_workers(groups, required),
@@ -411,6 +428,7 @@
 
     def _best_eviction(
         self,
+        job: ActiveJob,
         tasks: tuple[TaskKey, ...],
         step: Step,
         groups: list[Sequence[WorkerCapacity]],
@@ -419,19 +437,21 @@
         """Return the cheapest eviction over all groups, if there is any."""
         best: Eviction | None = None
         max_cost = math.inf
+        finder = self._eviction_finders[self._is_guaranteed(job, step)]
         for group in groups:
-            found = self._eviction_finder.cheapest(
-                tasks, step, group, max_loss, max_cost
-            )
+            found = finder.cheapest(tasks, step, group, max_loss, max_cost)
             if found is not None and found.cost < max_cost:
                 best = found
                 max_cost = found.cost
         return best
 
+    def _is_guaranteed(self, job: ActiveJob, step: Step) -> bool:
+        """Return whether a step must start soon, whatever is stopped for it."""
+        return step.perpetual or job.spec.job_id in self._covered
+
     def _max_loss(self, job: ActiveJob, step: Step, tasks: int) -> float:
         """Return the most work that may be lost for tasks, in core-seconds."""
-        covered = job.spec.job_id in self._covered
-        if covered or step.perpetual or not step.estimate_s:
+        if self._is_guaranteed(job, step) or not step.estimate_s:
             return math.inf
         if BOUNDED_LOSS in self._disabled:
             return math.inf
