Wait for runs that end before a stop would end them

What callers saw: a run stopped at 98 percent, with 10 s of work lost, for an urgent job beyond its guarantee that could have had the worker as soon without the stop; or another run stopped in its place.

Cause: the search for victims looks at the work that a stop throws away, and not at when a run ends by itself.

A run that by its progress, with all members of its gang, ends within the 0.3 s that a stop and a start take is now waited for: its worker is claimed for the urgent job and nothing is stopped there. Only for jobs that no guarantee covers, not for stalled runs, and for 1 s at the most for each step, since reports may be late.

Switched off by name: awaited-ends.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -57,6 +57,9 @@
 #: The shortest time between two rounds of placement, in seconds.
 MIN_ROUND_INTERVAL_S: Final = 0.02
 
+#: The interval at which workers report the progress of runs, in seconds.
+REPORT_INTERVAL_S: Final = 1.5
+
 #: The interval between rounds while a job waits, in seconds.
 WAITING_ROUND_INTERVAL_S: Final = 0.25
 
@@ -276,6 +279,13 @@
         return self.arrives_s + slack_s + self.kind.target_s
 
 
+class _Progress(NamedTuple):
+    """The progress with which a run starts, and how long it takes."""
+
+    first_percent: int
+    duration_s: float
+
+
 class Outcome(NamedTuple):
     """The results of a simulated day.
 
@@ -359,6 +369,7 @@
         self._median_speed = statistics.median(self._speeds.values())
         self._runs: dict[str, list[Run]] = {one: [] for one in self._entries}
         self._draining: dict[str, float] = {}
+        self._progress: dict[Run, _Progress] = {}
         self._memory: dict[str, Any] = {}
         self._draw_arrivals(load, workers)
         self._draw_drains(load, workers)
@@ -475,6 +486,7 @@
         for runs in self._runs.values():
             for run in runs:
                 run.age_s = max(0.0, self._now_s - run.started_s)
+                self._update_progress(run)
         capacities = [
             WorkerCapacity(
                 entry=self._entries[name],
@@ -510,6 +522,16 @@
                 self._now_s + WAITING_ROUND_INTERVAL_S, self._request_round
             )
 
+    def _update_progress(self, run: Run) -> None:
+        """Set a run's progress as reported at the interval of renewals."""
+        progress = self._progress[run]
+        reported_s = run.age_s - run.age_s % REPORT_INTERVAL_S
+        gained = (100 - progress.first_percent) * reported_s
+        run.done_percent = int(
+            progress.first_percent + gained / progress.duration_s
+        )
+        run.percent_changed_s = run.started_s + reported_s
+
     def _guaranteed(self) -> dict[str, int]:
         """Guarantee half of all accelerators, in equal parts."""
         workers = len(self._entries) - len(self._draining)
@@ -557,6 +579,10 @@
         duration_s = remaining_s * factor / speed
         if remaining_s < drawn.run_s:
             duration_s += RESTORE_S
+        first_percent = int(100 * (1 - remaining_s / drawn.run_s))
+        for run in runs:
+            run.first_percent = first_percent
+            self._progress[run] = _Progress(first_percent, duration_s)
         began_s = self._now_s + START_DELAY_S
         fails_s = drawn.fails_at_share * duration_s
         if job.spec.job_id not in self._failed_jobs and fails_s < duration_s:
@@ -612,6 +638,7 @@
 
     def _release_run(self, job: ActiveJob, run: Run) -> None:
         job.runs.pop(run.key)
+        self._progress.pop(run)
         job.progress.task(run.key).worker = ''
         self._runs[run.worker_id].remove(run)
 
--- a/src/curranthill/placement/evictions.py
+++ b/src/curranthill/placement/evictions.py
@@ -13,7 +13,12 @@
 
 from curranthill.placement.capacity import WorkerCapacity, resources_needed
 from curranthill.placement.lost_work import LostWork
-from curranthill.placement.runs import RUNNING, URGENT, Run
+from curranthill.placement.runs import (
+    RESTART_COST_S,
+    RUNNING,
+    URGENT,
+    Run,
+)
 from curranthill.placement.stop_costs import StopCosts
 from curranthill.tasks import Resources, Step, TaskKey
 
@@ -26,14 +31,30 @@
 class Eviction(NamedTuple):
     """Workers for some tasks, one each, and the runs that must end first.
 
-    :param cost: what it costs the callers of these runs, in core-seconds.
+    :param victims: those of these runs that must be stopped.
+    :param awaited: those that end by themselves before a stop would end them.
+    :param cost: what the stops cost the callers of the victims, in
+        core-seconds.
     """
 
     workers: tuple[WorkerCapacity, ...]
     victims: tuple[Run, ...]
+    awaited: tuple[Run, ...]
     cost: float
 
 
+class EvictionRules(NamedTuple):
+    """Which runs a job may have stopped; the defaults are for a guarantee.
+
+    :param max_restarts: runs of tasks that were restarted this often are not
+        stopped.
+    :param awaits_ends: whether runs that end at once are waited for.
+    """
+
+    max_restarts: float = math.inf
+    awaits_ends: bool = False
+
+
 class _Option(NamedTuple):
     """An eviction option for one task: which runs of one worker to stop.
 
@@ -55,8 +76,7 @@
 
     :param lost_work: the work lost by stopping runs.
     :param stop_costs: the cost of stopping them.
-    :param max_restarts: runs of tasks that were restarted this often are not
-        stopped.
+    :param rules: which runs may be stopped.
     """
 
     def __init__(
@@ -64,12 +84,13 @@
         *,
         lost_work: LostWork,
         stop_costs: StopCosts,
-        max_restarts: float = math.inf,
+        rules: EvictionRules,
     ) -> None:
         """Initialize with an empty cache."""
         self._lost_work = lost_work
         self._stop_costs = stop_costs
-        self._max_restarts = max_restarts
+        self._rules = rules
+        self._awaited: dict[Run, bool] = {}
         self._candidates: dict[str, tuple[int, list[Run]]] = {}
         self._options: dict[Resources, _OptionsByWorker] = defaultdict(dict)
 
@@ -96,7 +117,6 @@
             workers=workers,
             finder=self,
             lost_work=self._lost_work,
-            stop_costs=self._stop_costs,
         )
         chosen: list[WorkerCapacity] = []
         while len(chosen) < len(tasks):
@@ -106,7 +126,12 @@
             if search.loss > max_loss or search.cost > max_cost:
                 return None
             chosen.append(worker)
-        return Eviction(tuple(chosen), search.victims, search.cost)
+        return Eviction(
+            workers=tuple(chosen),
+            victims=tuple(run for run in search.ended if not self.awaits(run)),
+            awaited=tuple(run for run in search.ended if self.awaits(run)),
+            cost=search.cost,
+        )
 
     def option_on(
         self, worker: WorkerCapacity, needs: Resources
@@ -141,26 +166,47 @@
             if run in ended:
                 continue
             unclaimed = unclaimed.plus(run.needs)
-            cost += self._stop_costs.of(run)
+            cost += self.cost_of(run)
             victims.append(run)
             if unclaimed.covers(needs):
                 return _Option(cost, tuple(victims))
         return None
 
+    def awaits(self, run: Run) -> bool:
+        """Return whether a run ends, with its gang, before a stop would."""
+        if not self._rules.awaits_ends:
+            return False
+        awaited = self._awaited.get(run)
+        if awaited is None:
+            members = self._lost_work.runs_ended_by(run)
+            awaited = all(_ends_at_once(member) for member in members)
+            self._awaited.update(dict.fromkeys(members, awaited))
+        return awaited
+
+    def loss_of(self, run: Run) -> float:
+        """Return the work lost if a run must end, in core-seconds."""
+        return 0.0 if self.awaits(run) else self._lost_work.of(run)
+
+    def cost_of(self, run: Run) -> float:
+        """Return what it costs if a run must end, in core-seconds."""
+        return 0.0 if self.awaits(run) else self._stop_costs.of(run)
+
     def _candidates_in(self, worker: WorkerCapacity) -> list[Run]:
-        """Return the evictable runs, the cheapest first."""
+        """Return the runs that may have to end, the cheapest first."""
         known = self._candidates.get(worker.entry.worker_id)
         if known is not None and known[0] == worker.version:
             return known[1]
-        runs = [run for run in worker.runs if self._may_stop(run)]
-        runs.sort(key=self._stop_costs.of)
+        runs = [run for run in worker.runs if self._may_end(run)]
+        runs.sort(key=self.cost_of)
         self._candidates[worker.entry.worker_id] = (worker.version, runs)
         return runs
 
-    def _may_stop(self, run: Run) -> bool:
+    def _may_end(self, run: Run) -> bool:
+        if self.awaits(run):
+            return True
         if not is_evictable(run):
             return False
-        return self._stop_costs.restarts_of(run) < self._max_restarts
+        return self._stop_costs.restarts_of(run) < self._rules.max_restarts
 
 
 class _Search:
@@ -168,6 +214,7 @@
 
     :param loss: the work lost so far, in core-seconds.
     :param cost: that of the stops so far, in core-seconds.
+    :param ended: the runs that must end, in the order of the search.
     """
 
     def __init__(
@@ -178,7 +225,6 @@
         workers: Sequence[WorkerCapacity],
         finder: EvictionFinder,
         lost_work: LostWork,
-        stop_costs: StopCosts,
     ) -> None:
         """Evaluate each worker once."""
         self.loss = 0.0
@@ -186,11 +232,10 @@
         self._needs = resources_needed(step)
         self._finder = finder
         self._lost_work = lost_work
-        self._stop_costs = stop_costs
         self._workers: dict[str, tuple[int, WorkerCapacity]] = {}
         self._tasks_left: dict[str, float] = {}
         self._unclaimed: dict[str, Resources] = {}
-        self._ended: dict[Run, None] = {}
+        self.ended: dict[Run, None] = {}
         self._options: dict[str, _Option] = {}
         self._queue: list[tuple[float, int, str]] = []
         for index, worker in enumerate(workers):
@@ -205,11 +250,6 @@
                 self._queue.append((option.cost, index, worker_id))
         heapq.heapify(self._queue)
 
-    @property
-    def victims(self) -> tuple[Run, ...]:
-        """Return the runs to stop."""
-        return tuple(self._ended)
-
     def claim_cheapest(self) -> WorkerCapacity | None:
         """Claim the worker on which a task costs the least, if there is any."""
         while self._queue:
@@ -223,9 +263,9 @@
         worker = self._workers[worker_id][1]
         changed = {worker_id}
         for victim in option.victims:
-            if victim not in self._ended:
-                self.loss += self._lost_work.of(victim)
-                self.cost += self._stop_costs.of(victim)
+            if victim not in self.ended:
+                self.loss += self._finder.loss_of(victim)
+                self.cost += self._finder.cost_of(victim)
                 changed.update(
                     self._count_as_ended(self._lost_work.runs_ended_by(victim))
                 )
@@ -240,7 +280,7 @@
         """Count runs as ended; return the ids of the workers affected."""
         changed = set()
         for run in runs:
-            self._ended[run] = None
+            self.ended[run] = None
             worker_id = run.worker_id
             indexed = self._workers.get(worker_id)
             if indexed is not None:
@@ -255,7 +295,7 @@
             worker,
             self._needs,
             self._unclaimed[worker_id],
-            self._ended,
+            self.ended,
         )
         if option is None or self._tasks_left[worker_id] <= 0:
             self._options.pop(worker_id, None)
@@ -264,6 +304,19 @@
         heapq.heappush(self._queue, (option.cost, index, worker_id))
 
 
+def _ends_at_once(run: Run) -> bool:
+    """Return whether a run ends before a stop would end it, if it goes on.
+
+    A run is stalled if its percentage has changed, but not for some time.
+    """
+    if run.state != RUNNING or run.perpetual or run.stop_wanted:
+        return False
+    if run.time_left_s > RESTART_COST_S:
+        return False
+    has_changed = run.percent_changed_s > run.started_s
+    return not (has_changed and run.stalled_s)
+
+
 def is_evictable(run: Run) -> bool:
     """Return whether a run may be stopped for other tasks."""
     if run.stop_wanted or run.perpetual:
@@ -271,4 +324,4 @@
     return run.priority > URGENT and run.state == RUNNING
 
 
-__all__ = ('Eviction', 'EvictionFinder', 'is_evictable')
+__all__ = ('Eviction', 'EvictionFinder', 'EvictionRules', 'is_evictable')
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from curranthill.placement.runs import RUNNING, Run
 from curranthill.placement.suspects import (
@@ -21,6 +21,10 @@
     TaskProgress,
 )
 
+#: The longest time for which a step waits for runs that should end at once, in
+#: seconds: reports may be late and progress may slow down.
+MAX_AWAITED_S: Final = 1.0
+
 
 class ReadyStep(NamedTuple):
     """Tasks of one step that may start now and of which no run can exist.
@@ -78,6 +82,7 @@
         self.suspects: set[TaskKey] = set()
         self._waiting_since_s: dict[TaskKey, float] = {}
         self._idle_since_s: float | None = None
+        self._awaiting_ends_since_s: dict[tuple[int, int], float] = {}
         self._preempted_for: set[tuple[int, int]] = set()
         self._done_steps: set[tuple[int, int]] = set()
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
@@ -254,8 +259,25 @@
         self._preempted_for.add(step_id)
         return True
 
+    def may_await_ends(self, ready: ReadyStep, now_s: float) -> bool:
+        """Return whether a step may wait for runs that should end at once.
+
+        :param now_s: wall-clock seconds.
+        """
+        since_s = self._awaiting_ends_since_s.get(
+            (ready.occurrence, ready.number), now_s
+        )
+        return 0 <= now_s - since_s < MAX_AWAITED_S
+
+    def record_awaited_ends(self, ready: ReadyStep, now_s: float) -> None:
+        """Record that a step waits for runs that should end at once."""
+        self._awaiting_ends_since_s.setdefault(
+            (ready.occurrence, ready.number), now_s
+        )
+
     def reset_wait(self, key: TaskKey) -> None:
         """Reset the waiting time of a job and of a suspect of it."""
+        self._awaiting_ends_since_s.pop((key.occurrence, key.step), None)
         self._waiting_since_s.pop(key, None)
         self._idle_since_s = None
 
--- a/src/curranthill/placement/mechanisms.py
+++ b/src/curranthill/placement/mechanisms.py
@@ -18,6 +18,7 @@
 BOUNDED_LOSS: Final = 'bounded-loss'
 STOP_COSTS: Final = 'stop-costs'
 BOUNDED_STOPS: Final = 'bounded-stops'
+AWAITED_ENDS: Final = 'awaited-ends'
 STALLED_MOVES: Final = 'stalled-moves'
 INFEASIBLE_LAST: Final = 'hopeless-last'
 IN_TIME_FIRST: Final = 'in-time-first'
@@ -41,6 +42,9 @@
 mechanisms.register(BOUNDED_STOPS)(
     'Urgent jobs without a guarantee stop a task only a few times.'
 )
+mechanisms.register(AWAITED_ENDS)(
+    'Urgent jobs without a guarantee wait for runs that end at once.'
+)
 mechanisms.register(STALLED_MOVES)('Stalled runs are restarted elsewhere.')
 mechanisms.register(INFEASIBLE_LAST)(
     'Jobs that can earn no credit are served last.'
@@ -70,6 +74,7 @@
 
 
 __all__ = (
+    'AWAITED_ENDS',
     'BOUNDED_LOSS',
     'BOUNDED_STOPS',
     'FAILURE_SCORE',
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -10,7 +10,11 @@
     WorkerCapacity,
     resources_needed,
 )
-from curranthill.placement.evictions import Eviction, EvictionFinder
+from curranthill.placement.evictions import (
+    Eviction,
+    EvictionFinder,
+    EvictionRules,
+)
 from curranthill.placement.fitting import (
     Fit,
     candidate_groups,
@@ -22,6 +26,7 @@
 from curranthill.placement.jobs import ActiveJob, ReadyStep
 from curranthill.placement.lost_work import LostWork
 from curranthill.placement.mechanisms import (
+    AWAITED_ENDS,
     BOUNDED_LOSS,
     BOUNDED_STOPS,
     IN_TIME_FIRST,
@@ -54,7 +59,7 @@
 from curranthill.placement.starvation import MAX_IDLE_S, is_mostly_free
 from curranthill.placement.stop_costs import StopCosts
 from curranthill.placement.suspects import EXCLUSIVE_SHARE
-from curranthill.tasks import Resources, Step, TaskKey
+from curranthill.tasks import Step, TaskKey
 
 #: An urgent job that no guarantee covers may destroy at most this multiple of
 #: its own work: beyond that, others lose more than its caller gains.
@@ -148,7 +153,9 @@
         )
         self._guaranteed = guaranteed
         self._now_s = now_s
-        self._eviction_finders = self._make_eviction_finders(())
+        self._lost_work = LostWork(jobs=())
+        self._stop_costs = self._make_stop_costs(())
+        self._eviction_finders: dict[EvictionRules, EvictionFinder] = {}
         self._placements: list[Placement] = []
         self._victims: list[Run] = []
         self._stopped_for: list[str] = []
@@ -165,7 +172,8 @@
         """Return the decisions for all jobs, in any order."""
         known = list(jobs)
         waiting = [job for job in known if not job.ended]
-        self._eviction_finders = self._make_eviction_finders(known)
+        self._lost_work = LostWork(jobs=known)
+        self._stop_costs = self._make_stop_costs(known)
         self._covered = covered_jobs(waiting, self._guaranteed)
         later = self._place_first_jobs(self._in_service_order(waiting))
         for job in self._backlog.take(later):
@@ -178,28 +186,37 @@
             frozenset(self._covered),
         )
 
-    def _make_eviction_finders(
-        self, jobs: Sequence[ActiveJob]
-    ) -> dict[bool, EvictionFinder]:
-        """Return the finders for guaranteed work (True) and other work."""
-        lost_work = LostWork(jobs=jobs)
-        stop_costs = StopCosts(
-            lost_work=lost_work,
+    def _make_stop_costs(self, jobs: Sequence[ActiveJob]) -> StopCosts:
+        return StopCosts(
+            lost_work=self._lost_work,
             jobs=jobs,
             now_s=self._now_s,
             lost_work_only=STOP_COSTS in self._disabled,
         )
-        max_restarts = (
-            math.inf if BOUNDED_STOPS in self._disabled else MAX_RESTARTS
-        )
-        return {
-            guaranteed: EvictionFinder(
-                lost_work=lost_work,
-                stop_costs=stop_costs,
-                max_restarts=math.inf if guaranteed else max_restarts,
+
+    def _eviction_finder(self, rules: EvictionRules) -> EvictionFinder:
+        finder = self._eviction_finders.get(rules)
+        if finder is None:
+            finder = EvictionFinder(
+                lost_work=self._lost_work,
+                stop_costs=self._stop_costs,
+                rules=rules,
             )
-            for guaranteed in (True, False)
-        }
+            self._eviction_finders[rules] = finder
+        return finder
+
+    def _eviction_rules(
+        self, job: ActiveJob, ready: ReadyStep
+    ) -> EvictionRules:
+        """Return which runs a step may have stopped."""
+        if self._is_guaranteed(job, ready.step):
+            return EvictionRules()
+        bounded = BOUNDED_STOPS not in self._disabled
+        return EvictionRules(
+            max_restarts=MAX_RESTARTS if bounded else math.inf,
+            awaits_ends=AWAITED_ENDS not in self._disabled
+            and job.may_await_ends(ready, self._now_s),
+        )
 
     def _place_first_jobs(
         self, jobs: Sequence[ActiveJob]
@@ -385,11 +402,11 @@
             _work_core_s(step, tasks),
             self._max_loss(job, step, tasks),
         )
-        best = self._best_eviction(job, ready.tasks, step, groups, max_loss)
+        best = self._best_eviction(job, ready, ready.tasks, groups, max_loss)
         # Only an eviction with victims uses up the step's one preemption.
         if best is None or (best.victims and not job.claim_preemption(ready)):
             return False
-        self._evict(best, job, resources_needed(step))
+        self._evict(best, job, ready)
         return True
 
     def _preempt_for_capacity(
@@ -406,7 +423,7 @@
         )
         for tasks in batches:
             max_loss = self._max_loss(job, ready.step, len(tasks))
-            best = self._best_eviction(job, tasks, ready.step, groups, max_loss)
+            best = self._best_eviction(job, ready, tasks, groups, max_loss)
             if best is None:
                 # The remaining tasks have the same needs.
                 return
@@ -417,29 +434,31 @@
                 best = (
                     self._best_eviction(
                         job,
+                        ready,
                         tasks,
-                        ready.step,
                         without_delaying_workers(groups, required),
                         min(max_loss, MAX_LOSS_FACTOR * work_core_s),
                     )
                     or best
                 )
-            self._evict(best, job, resources_needed(ready.step))
+            self._evict(best, job, ready)
 
     def _best_eviction(
         self,
         job: ActiveJob,
+        ready: ReadyStep,
         tasks: tuple[TaskKey, ...],
-        step: Step,
         groups: list[Sequence[WorkerCapacity]],
         max_loss: float,
     ) -> Eviction | None:
         """Return the cheapest eviction over all groups, if there is any."""
         best: Eviction | None = None
         max_cost = math.inf
-        finder = self._eviction_finders[self._is_guaranteed(job, step)]
+        finder = self._eviction_finder(self._eviction_rules(job, ready))
         for group in groups:
-            found = finder.cheapest(tasks, step, group, max_loss, max_cost)
+            found = finder.cheapest(
+                tasks, ready.step, group, max_loss, max_cost
+            )
             if found is not None and found.cost < max_cost:
                 best = found
                 max_cost = found.cost
@@ -461,17 +480,19 @@
         self,
         eviction: Eviction,
         job: ActiveJob,
-        needs: Resources,
+        ready: ReadyStep,
     ) -> None:
         self._reserved_for[job.spec.job_id] = None
-        for run in eviction.victims:
-            self._victims.append(run)
-            self._stopped_for.append(job.spec.job_id)
+        if eviction.awaited:
+            job.record_awaited_ends(ready, self._now_s)
+        self._victims.extend(eviction.victims)
+        self._stopped_for.extend(job.spec.job_id for _ in eviction.victims)
+        for run in (*eviction.victims, *eviction.awaited):
             worker = self._workers.get(run.worker_id)
             if worker is not None:
                 worker.evict(run)
         for claimed in eviction.workers:
-            claimed.claim(needs)
+            claimed.claim(resources_needed(ready.step))
 
 
 def _work_core_s(step: Step, tasks: int) -> float:
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -1,5 +1,6 @@
 """The leader's records of runs."""
 
+import math
 from typing import Final, Literal
 
 from curranthill.tasks import Resources, Step, TaskKey
@@ -158,6 +159,18 @@
         """Return its remaining run time by the estimate; 0 if perpetual."""
         return max(self.estimate_s - self.age_s, 0.0)
 
+    @property
+    def time_left_s(self) -> float:
+        """Return its remaining run time by its progress; infinite if unknown.
+
+        Counted from its newest report.
+        """
+        gained = self.done_percent - self.first_percent
+        if gained <= 0 or self.age_s <= 0:
+            return math.inf
+        left = ALL_DONE_PERCENT - self.done_percent
+        return self.age_s * left / gained
+
     @property
     def lost_s(self) -> float:
         """Return the run time that a stop loses."""
--- a/src/curranthill/placement/stragglers.py
+++ b/src/curranthill/placement/stragglers.py
@@ -5,6 +5,7 @@
 it: its worker must be known to be slow.
 """
 
+import math
 from typing import Final, Literal, NamedTuple
 
 from curranthill.placement.runs import (
@@ -69,11 +70,9 @@
 
 def _move_if_slow(run: Run, speed: float, left_s: float) -> Move | None:
     """Return a move if a run misses its objective only due to its worker."""
-    gained = run.done_percent - run.first_percent
-    if gained <= 0 or run.age_s <= 0:
+    here_s = run.time_left_s
+    if math.isinf(here_s):
         return None
-    left = ALL_DONE_PERCENT - run.done_percent
-    here_s = run.age_s * left / gained
     repeated_s = CHECKPOINT_LOSS_S if run.checkpointable else run.age_s
     elsewhere_s = RESTART_COST_S + (here_s + repeated_s) * speed
     pays = elsewhere_s < MAX_MOVE_TIME_SHARE * here_s
