Refuse at the door what an overload leaves no time for

The runs of others were left out as well. Of the jobs that were predicted too late most were let in since a task fitted "now", into room that equal tasks waited for, or one member of a gang alone. Those refused were told to return at times that summed up to 1.25 times the time in which their jobs earn.

The forecast now adds the work left of runs that can't be stopped for the job, and expects an overload of at least 5 s to go on for as long as it has lasted, 30 s at the most, with four fifths of the work that arrived; jobs that have ended are not seen, so that less is expected than comes. A job past its credit is served last for 30 s, as the order has it. A single task fits only if none that needs as little waits before it, a gang only as a whole. All four retries with their jitter lie in the time in which the job earns. What a guarantee may cover, wide, timed and lasting work is accepted as before, and six tenths of the wait count.

--- a/src/curranthill/admission/forecast.py
+++ b/src/curranthill/admission/forecast.py
@@ -1,13 +1,20 @@
 """Forecast of the wait of new jobs, which the leader publishes to all hosts.
 
-Under overload, the wait of a job that arrives now is the work that is served
-before it, divided by the whole capacity of its service.
+Hypothetical jobs that would arrive now show where a new job stands in the order
+of service, and :mod:`~curranthill.admission.expected_wait` how long it waits.
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
+from curranthill.admission.expected_wait import (
+    NO_WORK,
+    Backlog,
+    add_work,
+    objective_time_s,
+    work_of,
+)
 from curranthill.admission.shedding import (
     MAX_FORECAST_AGE_S,
     MAX_WAITING,
@@ -23,7 +30,7 @@
     late_jobs,
     resources_needed,
 )
-from curranthill.tasks import JobProgress, Resources
+from curranthill.tasks import JobProgress, Resources, Step
 
 #: Shorter waits are left out of the forecast, in seconds: of a job that has
 #: less time than this beyond its longest chain it can't be predicted whether it
@@ -44,11 +51,6 @@
 #: The maximum number of services in a forecast, the longest wait first.
 MAX_FORECAST_SERVICES: Final = 2
 
-#: Work by resource: millicore-seconds, MB-seconds, accelerator-seconds.
-_Work = tuple[float, float, float]
-
-_NO_WORK: Final[_Work] = (0.0, 0.0, 0.0)
-
 #: Pairs of an objective in seconds from now and the expected wait in seconds.
 _WaitCurve = tuple[tuple[float, float], ...]
 
@@ -111,51 +113,108 @@
     now_s: float,
 ) -> tuple[ServiceForecast, ...]:
     """Return the forecasts of the services with long waits."""
-    waiting: dict[str, list[ActiveJob]] = defaultdict(list)
+    by_service: dict[str, list[ActiveJob]] = defaultdict(list)
     for job in jobs:
-        if job.spec.queue.service in resources and _is_entirely_waiting(job):
-            waiting[job.spec.queue.service].append(job)
+        if job.spec.queue.service in resources and _will_end(job):
+            by_service[job.spec.queue.service].append(job)
     forecasts = []
-    for name, queue in waiting.items():
-        waits = _wait_curves(queue, resources[name].total, covered, now_s)
+    for name, known in by_service.items():
+        waits = _wait_curves(known, resources[name].total, covered, now_s)
         if waits:
             forecasts.append((_max_wait_s(waits), name, waits))
     forecasts.sort(key=lambda one: -one[0])
     return tuple(
         ServiceForecast(
-            name, resources[name].total, resources[name].largest_free(), waits
+            name=name,
+            total=resources[name].total,
+            largest_free=resources[name].largest_free(),
+            waits=waits,
+            free=_free(by_service[name], resources[name].total),
+            least_waiting=_least_waiting(by_service[name], waits, now_s),
         )
         for _, name, waits in forecasts[:MAX_FORECAST_SERVICES]
     )
 
 
-def _is_entirely_waiting(job: ActiveJob) -> bool:
-    """Return whether a job waits as a whole and will end.
+def _free(jobs: Iterable[ActiveJob], total: Resources) -> Resources:
+    """Return what no run of these jobs uses."""
+    for job in jobs:
+        for run in job.runs.values():
+            total = total.minus(run.needs)
+    return total
+
+
+def _least_waiting(
+    jobs: Iterable[ActiveJob], priorities: Iterable[int], now_s: float
+) -> dict[int, Resources]:
+    """Return the least that a task needs that waits, for each priority."""
+    waiting = [
+        (job.spec.queue.priority, needs)
+        for job in jobs
+        for needs in _waiting_alone(job, now_s)
+    ]
+    return {
+        priority: min(
+            (needs for own, needs in waiting if own <= priority), key=_size
+        )
+        for priority in priorities
+        if any(own <= priority for own, _ in waiting)
+    }
 
-    The remaining work of a job that runs in part or recurs is uncertain.
-    """
-    return not (job.runs or job.perpetual or job.spec.times)
+
+def _waiting_alone(job: ActiveJob, now_s: float) -> Iterator[Resources]:
+    """Yield what the waiting tasks of a job need that may start anywhere."""
+    if job.suspects or job.spec.queue.advisor:
+        return
+    for ready in job.ready_steps(now_s):
+        if _starts_anywhere(ready.step):
+            yield resources_needed(ready.step)
+
+
+def _starts_anywhere(step: Step) -> bool:
+    """Return whether tasks of a step start alone, beside any other task."""
+    constraints = (
+        step.gang,
+        step.label,
+        step.near_rack,
+        step.same_rack,
+        step.max_per_worker,
+        step.fills,
+        step.target_ms,
+    )
+    return not any(constraints)
+
+
+def _size(needs: Resources) -> tuple[int, float]:
+    return (needs.gpus, needs.weight_cores)
+
+
+def _will_end(job: ActiveJob) -> bool:
+    """Return whether a job is done once; what a recurring one needs varies."""
+    return not (job.perpetual or job.spec.times)
 
 
 def _wait_curves(
-    waiting: list[ActiveJob],
+    jobs: list[ActiveJob],
     total: Resources,
     covered: set[str],
     now_s: float,
 ) -> dict[int, _WaitCurve]:
     """Return the wait by objective, for each priority with long waits."""
+    waiting = [job for job in jobs if not job.runs]
+    backlog = Backlog(jobs=jobs, waiting=waiting, total=total, now_s=now_s)
     probes = _probes(waiting, now_s)
-    ahead = _NO_WORK
+    ahead = NO_WORK
     waits: dict[int, list[tuple[float, float]]] = defaultdict(list)
     for job in _in_service_order((*waiting, *probes), covered, now_s):
-        if job in probes:
-            wait_s = _drain_time_s(ahead, total)
-            if wait_s >= MIN_FORECAST_WAIT_S:
-                due_s = round(job.objective_s - now_s, 1)
-                point = (due_s, round(wait_s, 1))
-                waits[job.spec.queue.priority].append(point)
-        else:
-            ahead = _add_work(ahead, _work_of(job))
+        if job not in probes:
+            ahead = add_work(ahead, work_of(job))
+            continue
+        wait_s = backlog.expected_wait_s(job, ahead)
+        if wait_s >= MIN_FORECAST_WAIT_S:
+            due_s = round(job.objective_s - now_s, 1)
+            point = (due_s, round(wait_s, 1))
+            waits[job.spec.queue.priority].append(point)
     return {
         priority: tuple(sorted(set(points)))
         for priority, points in waits.items()
@@ -186,7 +245,7 @@
         by_priority[job.spec.queue.priority].append(job)
     probes: list[ActiveJob] = []
     for same_priority in by_priority.values():
-        same_priority.sort(key=_objective_time_s)
+        same_priority.sort(key=objective_time_s)
         last = len(same_priority) - 1
         for index in range(SAMPLES_PER_PRIORITY):
             template = same_priority[
@@ -199,25 +258,6 @@
     return probes
 
 
-def _work_of(job: ActiveJob) -> _Work:
-    """Return the remaining work of a job of which nothing runs."""
-    work = _NO_WORK
-    for number, step in enumerate(job.spec.steps):
-        if job.begun and job.step_done(0, number):
-            continue
-        needs = resources_needed(step)
-        work_s = step.width * step.estimate_s
-        work = _add_work(
-            work,
-            (
-                needs.cpu_millis * work_s,
-                needs.memory_mb * work_s,
-                needs.gpus * work_s,
-            ),
-        )
-    return work
-
-
 def _unused_guarantees(
     jobs: list[ActiveJob],
     guaranteed: Mapping[str, int],
@@ -247,27 +287,6 @@
     return bool(remaining_s) and max(remaining_s) <= MAX_FORECAST_AGE_S
 
 
-def _objective_time_s(job: ActiveJob) -> float:
-    return job.objective_s - job.spec.accepted_at_s
-
-
-def _drain_time_s(work: _Work, total: Resources) -> float:
-    """Return how long all workers together take for some work, in seconds."""
-    return max(
-        (
-            amount / have
-            for amount, have in zip(work, total, strict=True)
-            if have > 0
-        ),
-        default=0.0,
-    )
-
-
-def _add_work(work: _Work, more: _Work) -> _Work:
-    cpu, memory, gpus = more
-    return (work[0] + cpu, work[1] + memory, work[2] + gpus)
-
-
 def _max_wait_s(waits: Mapping[int, _WaitCurve]) -> float:
     return max(wait_s for curve in waits.values() for _, wait_s in curve)
 
--- a/src/curranthill/admission/shedding.py
+++ b/src/curranthill/admission/shedding.py
@@ -38,9 +38,13 @@
 #: whole seconds.
 MIN_RETRY_AFTER_S: Final = 1.0
 
-#: A refused caller is asked to retry early enough for this many more attempts.
+#: A refused caller is asked to retry early enough for this many more attempts
+#: while its job can still earn credit.
 RETRIES: Final = 4
 
+#: The maximum time to add at random, as a share of the time until a retry.
+JITTER_SHARE: Final = 0.5
+
 #: A job with a step wider than this share of the capacity takes longer than its
 #: longest chain, even on idle workers.
 WIDE_STEP_SHARE: Final = 0.25
@@ -58,27 +62,32 @@
     :param largest_free: the most that is free on any one worker, for each
         resource separately.
     :param waits: by priority, ascending pairs of an objective (seconds from
-        now) and the wait expected of a job whose objective is not earlier.
+        now) and the wait expected of a job whose objective is not earlier
+        than that, but earlier than the next.
+    :param free: the sum of what is free on all workers; unknown in forecasts of
+        earlier releases.
+    :param least_waiting: by priority, the least that any task needs that waits
+        alone and has this priority or a higher one.
     """
 
     name: str
     total: Resources = Resources()
     largest_free: Resources = Resources()
     waits: dict[int, tuple[tuple[float, float], ...]] = {}
+    free: Resources | None = None
+    least_waiting: dict[int, Resources] = {}
 
     def wait_s(self, priority: int, objective_s: float) -> float:
         """Return the wait expected of a job, in seconds.
 
         :param objective_s: its objective, in seconds from now.
         """
-        return max(
-            (
-                wait_s
-                for due_s, wait_s in self.waits.get(priority, ())
-                if due_s <= objective_s
-            ),
-            default=0.0,
-        )
+        waits_s = [
+            wait_s
+            for due_s, wait_s in self.waits.get(priority, ())
+            if due_s <= objective_s
+        ]
+        return waits_s[-1] if waits_s else 0.0
 
 
 class Forecast(msgspec.Struct, array_like=True):
@@ -146,9 +155,12 @@
         return None
     # All jobs of a queue have the same wait: the earlier the objective, the
     # less time is left and the sooner the caller retries.
-    latest_s = (credit_until_s(spec) - spec.critical_path_s) / RETRIES
+    usable_s = credit_until_s(spec) - spec.critical_path_s
+    latest_s = usable_s / (RETRIES * (1 + JITTER_SHARE))
     retry_after_s = max(min(wait_s, latest_s), MIN_RETRY_AFTER_S)
-    return Refusal(reason, wait_s, retry_after_s, jitter_s=retry_after_s / 2)
+    return Refusal(
+        reason, wait_s, retry_after_s, jitter_s=JITTER_SHARE * retry_after_s
+    )
 
 
 def has_objective(queue: Queue) -> bool:
@@ -186,11 +198,28 @@
     """
     return not any(
         _is_wide(step, service.total)
-        or service.largest_free.covers(resources_needed(step))
+        or _may_start(step, service, spec.queue.priority)
         for step in spec.steps
     )
 
 
+def _may_start(step: Step, service: ServiceForecast, priority: int) -> bool:
+    """Return whether a task of a step may start now, or all of a gang.
+
+    What is free on a worker is of no use to a task while another one waits
+    that needs no more and is served before.
+    """
+    needs = resources_needed(step)
+    if not service.largest_free.covers(needs):
+        return False
+    if step.gang:
+        return service.free is None or service.free.covers(
+            Resources(*(step.width * part for part in needs))
+        )
+    least = service.least_waiting.get(priority)
+    return least is None or not needs.covers(least)
+
+
 def _is_wide(step: Step, total: Resources) -> bool:
     return any(
         step.width * need > WIDE_STEP_SHARE * have
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -170,10 +170,50 @@
         others = forecast_of_wait(unused_guarantees={'beta': 0})
         self.assertIsNone(check_admission(spec, others, 0.5))
 
+    def test_a_task_does_not_fit_where_an_equal_one_waits(self) -> None:
+        """The other one is served before it, and did not start there."""
+        step = Step(width=2, needs=ONE_GPU, estimate_s=4.0)
+        spec = make_spec('a1', step)
+        forecast = forecast_of_wait(free=ONE_GPU)
+        self.assertIsNone(check_admission(spec, forecast, 0.5))
+        service = forecast.services[0]
+        for waiting, accepted in ((ONE_GPU, False), (WORKER_CAPACITY, True)):
+            changed = msgspec.structs.replace(
+                service, least_waiting={1: waiting}
+            )
+            answer = check_admission(
+                spec, msgspec.structs.replace(forecast, services=(changed,)), 0
+            )
+            self.assertEqual(answer is None, accepted, waiting)
+
+    def test_a_gang_fits_only_as_a_whole(self) -> None:
+        """One of its two tasks would fit."""
+        spec = make_spec('a1', GANG)
+        forecast = forecast_of_wait(free=WORKER_CAPACITY)
+        service = forecast.services[0]
+        for free, accepted in (
+            (WORKER_CAPACITY, False),
+            (TOTAL, True),
+        ):
+            changed = msgspec.structs.replace(service, free=free)
+            answer = check_admission(
+                spec, msgspec.structs.replace(forecast, services=(changed,)), 0
+            )
+            self.assertEqual(answer is None, accepted, free)
+
 
 class RetryAfterTest(unittest.TestCase):
     """When refused callers retry."""
 
+    def test_all_retries_are_of_use(self) -> None:
+        """After four retries, as late as they may be, the job earns credit."""
+        for estimate_s in (1.0, 4.0, 20.0):
+            spec = make_spec('a1', GANG._replace(estimate_s=estimate_s))
+            refusal = refused(spec, forecast_of_wait(1000.0))
+            last_s = 4 * (refusal.retry_after_s + refusal.jitter_s)
+            earns_s = 3 * (spec.objective_s - spec.accepted_at_s)
+            self.assertLessEqual(last_s + spec.critical_path_s, earns_s + 0.01)
+
     def test_earlier_objectives_retry_sooner(self) -> None:
         """All of them retry within the time in which their jobs earn credit."""
         delays_s = []
@@ -262,6 +302,42 @@
         self.assertEqual(forecast.services[0].wait_s(1, objective_s=9.0), 0.0)
         self.assertIsNone(check_admission(make_spec('a1', GANG), forecast, 0.5))
 
+    def test_what_will_come_first_is_counted(self) -> None:
+        """Urgent jobs have arrived for 10 s, as fast as they are done.
+
+        Eight of ten of them are expected to arrive in the next 10 s, too.
+        """
+        urgent = waiting_jobs(10, priority=0)
+        for number, job in enumerate(urgent):
+            spec = job.spec._replace(accepted_at_s=NOW_S - number)
+            urgent[number] = ActiveJob(
+                spec=spec, progress=JobProgress('q', tasks={})
+            )
+        oldest = make_spec('low', GANG, accepted_at_s=NOW_S - 10.0)
+        low = ActiveJob(spec=oldest, progress=JobProgress('q', tasks={}))
+        forecast = forecast_for([low])
+        self.assertIsNone(forecast)
+        forecast = forecast_for([low, *urgent])
+        assert forecast is not None
+        wait_s = forecast.services[0].wait_s(1, objective_s=9.0)
+        self.assertAlmostEqual(wait_s, 10.0 + 8.0)
+
+    def test_a_short_burst_is_not_expected_to_go_on(self) -> None:
+        """Jobs have waited for less than 4 s, one of them of this priority."""
+        jobs = waiting_jobs(20, priority=0) + waiting_jobs(1, priority=1)
+        forecast = forecast_for(jobs)
+        assert forecast is not None
+        wait_s = forecast.services[0].wait_s(1, objective_s=9.0)
+        self.assertEqual(wait_s, 21.0)
+
+    def test_what_can_earn_nothing_any_more_is_served_last(self) -> None:
+        """Its place in the order is lost 27 s after its acceptance."""
+        jobs = waiting_jobs(28, priority=1) + waiting_jobs(80, priority=2)
+        forecast = forecast_for(jobs)
+        assert forecast is not None
+        service = forecast.services[0]
+        self.assertAlmostEqual(service.wait_s(1, objective_s=9.0), 55.0)
+
     def test_unused_guarantees_are_published(self) -> None:
         """Only of workspaces with urgent jobs beyond them."""
         jobs = waiting_jobs(40, priority=0)
