Expect arrivals evenly, and none for urgent jobs, before a refusal

The arrivals are spread over the time for which the overload is expected, and a host adds for the job that it is asked for, not for the sample, that it is served last once it can earn no more (drain_s of the forecast).

--- a/src/curranthill/admission/expected_wait.py
+++ b/src/curranthill/admission/expected_wait.py
@@ -10,12 +10,10 @@
 from typing import Final, NamedTuple
 
 from curranthill.placement import (
-    MAX_LATE_FACTOR,
     URGENT,
     ActiveJob,
     resources_needed,
 )
-from curranthill.placement.timeliness import INFEASIBLE_WAIT_S, MIN_RUN_SHARE
 from curranthill.tasks import Resources, Step
 
 #: A shorter overload is not expected to go on, in seconds: jobs often arrive in
@@ -29,6 +27,11 @@
 #: that arrives nearly as fast as it is done would be overestimated.
 EXPECTED_SHARE: Final = 0.8
 
+#: The precision of an expected wait, in seconds, and the most iterations until
+#: it is reached; fewer of them give a shorter wait.
+MIN_STEP_S: Final = 0.1
+MAX_ITERATIONS: Final = 12
+
 #: Work by resource: millicore-seconds, MB-seconds, accelerator-seconds.
 Work = tuple[float, float, float]
 
@@ -36,13 +39,11 @@
 
 
 class _Arrival(NamedTuple):
-    """An expected arrival of a job, like one that arrived before.
+    """A job like one that arrived before; it may arrive at any time.
 
-    :param at_s: seconds from now.
-    :param objective_s: the time of its objective, in seconds after that.
+    :param objective_s: the time of its objective after its arrival, in seconds.
     """
 
-    at_s: float
     priority: int
     objective_s: float
     work: Work
@@ -70,44 +71,59 @@
         self._jobs = jobs
         self._total = total
         self._waiting = reduce(add_work, map(work_of, waiting), NO_WORK)
-        self._arrivals = _expected_arrivals(jobs, waiting, now_s)
+        self._lasted_s = _overload_s(waiting, now_s)
+        self._arrivals = _expected_arrivals(jobs, self._lasted_s, now_s)
+        self._arriving: dict[int, Work] = {}
+        for arrival in self._arrivals:
+            self._arriving[arrival.priority] = add_work(
+                self._arriving.get(arrival.priority, NO_WORK), arrival.work
+            )
         self._running: dict[int, Work] = {}
 
     def expected_wait_s(self, probe: ActiveJob, ahead: Work) -> float:
         """Return the expected wait of a job that arrives now, in seconds.
 
-        Once it can earn no more credit, it is served after all others for some
-        time.
+        It may earn credit for as long as it waits.
 
         :param ahead: the waiting work that is served before it now.
         """
         running = self._running_work(probe.spec.queue.priority)
-        wait_s = self._wait_in_order_s(probe, add_work(ahead, running))
-        infeasible_at_s = (
-            MAX_LATE_FACTOR * objective_time_s(probe)
-            - MIN_RUN_SHARE * probe.critical_path_s
-        )
-        if wait_s <= infeasible_at_s:
-            return wait_s
-        everything = add_work(self._waiting, running)
-        for arrival in self._arrivals:
-            everything = add_work(everything, arrival.work)
-        last_s = _drain_time_s(everything, self._total)
-        return max(wait_s, min(last_s, infeasible_at_s + INFEASIBLE_WAIT_S))
+        ahead = add_work(ahead, running)
+        wait_s = _drain_time_s(ahead, self._total)
+        for _ in range(MAX_ITERATIONS):
+            work = add_work(ahead, self._arriving_work(probe, wait_s))
+            longer_s = _drain_time_s(work, self._total)
+            if longer_s - wait_s < MIN_STEP_S:
+                break
+            wait_s = longer_s
+        return wait_s
+
+    def drain_s(self) -> float:
+        """Return how long a job waits that is served last, in seconds."""
+        work = add_work(self._waiting, self._running_work(URGENT + 1))
+        for arriving in self._arriving.values():
+            work = add_work(work, arriving)
+        return _drain_time_s(work, self._total)
 
-    def _wait_in_order_s(self, probe: ActiveJob, ahead: Work) -> float:
-        """Return the expected wait of a job that keeps its place in the order.
+    def _arriving_work(self, probe: ActiveJob, wait_s: float) -> Work:
+        """Return the work that will arrive and be served before a job.
 
-        :param ahead: the work that is served before it, by the order now.
+        None for an urgent job: others are stopped for it, and bursts of urgent
+        jobs are short.
         """
-        wait_s = _drain_time_s(ahead, self._total)
+        own = probe.spec.queue.priority
+        if not self._arrivals or own == URGENT:
+            return NO_WORK
+        horizon_s = min(wait_s, self._lasted_s)
+        work = NO_WORK
+        for priority, arriving in self._arriving.items():
+            if priority < own:
+                work = add_work(work, _scaled(arriving, horizon_s))
         for arrival in self._arrivals:
-            if wait_s <= arrival.at_s:
-                break
-            if _is_served_before(arrival, probe):
-                ahead = add_work(ahead, arrival.work)
-                wait_s = _drain_time_s(ahead, self._total)
-        return wait_s
+            if arrival.priority == own:
+                ahead_s = _time_ahead_s(arrival, probe, horizon_s)
+                work = add_work(work, _scaled(arrival.work, ahead_s))
+        return _scaled(work, 1 / self._lasted_s)
 
     def _running_work(self, priority: int) -> Work:
         """Return the work left of the runs that a job can't have stopped."""
@@ -142,24 +158,28 @@
     return job.objective_s - job.spec.accepted_at_s
 
 
-def _expected_arrivals(
-    jobs: Iterable[ActiveJob],
-    waiting: Iterable[ActiveJob],
-    now_s: float,
-) -> list[_Arrival]:
-    """Return the arrivals expected while an overload goes on, in order.
+def _overload_s(waiting: Iterable[ActiveJob], now_s: float) -> float:
+    """Return for how long an overload has lasted; 0 if it is a short one.
 
-    The overload has lasted since the oldest waiting job arrived, and what
-    arrived since then is expected to arrive again. Jobs that have ended are not
-    known here, so fewer are expected than will arrive.
+    It began when the oldest waiting job arrived.
     """
     oldest_s = min((job.spec.accepted_at_s for job in waiting), default=now_s)
     lasted_s = min(now_s - oldest_s, MAX_OVERLOAD_S)
-    if lasted_s < MIN_OVERLOAD_S:
+    return lasted_s if lasted_s >= MIN_OVERLOAD_S else 0.0
+
+
+def _expected_arrivals(
+    jobs: Iterable[ActiveJob], lasted_s: float, now_s: float
+) -> list[_Arrival]:
+    """Return what is expected to arrive in the time that an overload goes on.
+
+    What has arrived since it began is expected to arrive again. Jobs that have
+    ended are not known here, so fewer are expected than will arrive.
+    """
+    if not lasted_s:
         return []
-    arrivals = [
+    return [
         _Arrival(
-            at_s=lasted_s - (now_s - job.spec.accepted_at_s),
             priority=job.spec.queue.priority,
             objective_s=objective_time_s(job),
             work=_scaled(_work_of_steps(job.spec.steps), EXPECTED_SHARE),
@@ -167,19 +187,22 @@
         for job in jobs
         if 0 <= now_s - job.spec.accepted_at_s <= lasted_s
     ]
-    return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
-def _is_served_before(arrival: _Arrival, probe: ActiveJob) -> bool:
-    """Return whether a later job is served before one that arrives now."""
-    priority = probe.spec.queue.priority
-    if arrival.priority != priority:
-        return arrival.priority < priority
+def _time_ahead_s(
+    arrival: _Arrival, probe: ActiveJob, horizon_s: float
+) -> float:
+    """Return how much of a time an arrival would be served before the probe.
+
+    Both have the same priority. It is while its objective is earlier, and from
+    when the probe is late.
+
+    :param horizon_s: the end of that time, in seconds from now.
+    """
     objective_s = objective_time_s(probe)
-    if arrival.at_s + probe.critical_path_s > objective_s:
-        # The probe is late by then, and the other one can still be in time.
-        return True
-    return arrival.at_s + arrival.objective_s < objective_s
+    earlier_s = min(max(objective_s - arrival.objective_s, 0.0), horizon_s)
+    late_from_s = max(objective_s - probe.critical_path_s, earlier_s)
+    return earlier_s + max(horizon_s - late_from_s, 0.0)
 
 
 def _work_of_runs(job: ActiveJob, priority: int) -> Work:
--- a/src/curranthill/admission/forecast.py
+++ b/src/curranthill/admission/forecast.py
@@ -119,9 +119,16 @@
             by_service[job.spec.queue.service].append(job)
     forecasts = []
     for name, known in by_service.items():
-        waits = _wait_curves(known, resources[name].total, covered, now_s)
+        waiting = [job for job in known if not job.runs]
+        backlog = Backlog(
+            jobs=known,
+            waiting=waiting,
+            total=resources[name].total,
+            now_s=now_s,
+        )
+        waits = _wait_curves(waiting, backlog, covered, now_s)
         if waits:
-            forecasts.append((_max_wait_s(waits), name, waits))
+            forecasts.append((_max_wait_s(waits), name, waits, backlog))
     forecasts.sort(key=lambda one: -one[0])
     return tuple(
         ServiceForecast(
@@ -131,8 +138,9 @@
             waits=waits,
             free=_free(by_service[name], resources[name].total),
             least_waiting=_least_waiting(by_service[name], waits, now_s),
+            drain_s=round(backlog.drain_s(), 1),
         )
-        for _, name, waits in forecasts[:MAX_FORECAST_SERVICES]
+        for _, name, waits, backlog in forecasts[:MAX_FORECAST_SERVICES]
     )
 
 
@@ -195,14 +203,12 @@
 
 
 def _wait_curves(
-    jobs: list[ActiveJob],
-    total: Resources,
+    waiting: list[ActiveJob],
+    backlog: Backlog,
     covered: set[str],
     now_s: float,
 ) -> dict[int, _WaitCurve]:
     """Return the wait by objective, for each priority with long waits."""
-    waiting = [job for job in jobs if not job.runs]
-    backlog = Backlog(jobs=jobs, waiting=waiting, total=total, now_s=now_s)
     probes = _probes(waiting, now_s)
     ahead = NO_WORK
     waits: dict[int, list[tuple[float, float]]] = defaultdict(list)
@@ -216,11 +222,20 @@
             point = (due_s, round(wait_s, 1))
             waits[job.spec.queue.priority].append(point)
     return {
-        priority: tuple(sorted(set(points)))
+        priority: _ascending(sorted(set(points)))
         for priority, points in waits.items()
     }
 
 
+def _ascending(points: list[tuple[float, float]]) -> _WaitCurve:
+    """Return a curve on which no later objective has a shorter wait."""
+    waits_s = [wait_s for _, wait_s in points]
+    return tuple(
+        (due_s, min(waits_s[number:]))
+        for number, (due_s, _) in enumerate(points)
+    )
+
+
 def _in_service_order(
     jobs: tuple[ActiveJob, ...],
     covered: set[str],
--- a/src/curranthill/admission/shedding.py
+++ b/src/curranthill/admission/shedding.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from curranthill.placement import MAX_LATE_FACTOR, URGENT, resources_needed
+from curranthill.placement.timeliness import INFEASIBLE_WAIT_S, MIN_RUN_SHARE
 from curranthill.tasks import JobSpec, Queue, Resources, Step
 
 #: The format version of the record; hosts ignore forecasts of other versions.
@@ -62,12 +63,13 @@
     :param largest_free: the most that is free on any one worker, for each
         resource separately.
     :param waits: by priority, ascending pairs of an objective (seconds from
-        now) and the wait expected of a job whose objective is not earlier
-        than that, but earlier than the next.
+        now) and the wait expected of a job whose objective is not earlier.
     :param free: the sum of what is free on all workers; unknown in forecasts of
         earlier releases.
     :param least_waiting: by priority, the least that any task needs that waits
         alone and has this priority or a higher one.
+    :param drain_s: the wait expected of a job that is served after all others;
+        0 if it is not known.
     """
 
     name: str
@@ -76,18 +78,21 @@
     waits: dict[int, tuple[tuple[float, float], ...]] = {}
     free: Resources | None = None
     least_waiting: dict[int, Resources] = {}
+    drain_s: float = 0.0
 
     def wait_s(self, priority: int, objective_s: float) -> float:
         """Return the wait expected of a job, in seconds.
 
         :param objective_s: its objective, in seconds from now.
         """
-        waits_s = [
-            wait_s
-            for due_s, wait_s in self.waits.get(priority, ())
-            if due_s <= objective_s
-        ]
-        return waits_s[-1] if waits_s else 0.0
+        return max(
+            (
+                wait_s
+                for due_s, wait_s in self.waits.get(priority, ())
+                if due_s <= objective_s
+            ),
+            default=0.0,
+        )
 
 
 class Forecast(msgspec.Struct, array_like=True):
@@ -187,10 +192,27 @@
     for service in forecast.services:
         if service.name == spec.queue.service and _must_wait(spec, service):
             objective_s = spec.objective_s - spec.accepted_at_s
-            return service.wait_s(spec.queue.priority, objective_s)
+            wait_s = service.wait_s(spec.queue.priority, objective_s)
+            return _wait_if_infeasible_s(spec, wait_s, service.drain_s)
     return 0.0
 
 
+def _wait_if_infeasible_s(
+    spec: JobSpec, wait_s: float, drain_s: float
+) -> float:
+    """Return the wait of a job that may become infeasible while it waits.
+
+    It is then served after all others for some time. The wait of urgent jobs is
+    too short to tell whether it comes to that.
+    """
+    if spec.queue.priority == URGENT:
+        return wait_s
+    infeasible_s = credit_until_s(spec) - MIN_RUN_SHARE * spec.critical_path_s
+    if wait_s <= infeasible_s:
+        return wait_s
+    return max(wait_s, min(drain_s, infeasible_s + INFEASIBLE_WAIT_S))
+
+
 def _must_wait(spec: JobSpec, service: ServiceForecast) -> bool:
     """Return whether no task of a job can start now and no step is wide.
 
