Tell the rounds of a job's preemptions apart by their number

Cause: losses took preemptions that were logged within 3 ms for one round, and a round with many victims takes longer to log. The line has the number of the job's preemption, which is the same for all runs of a round; it is used now.

--- a/src/curranthill/commands/timelines.py
+++ b/src/curranthill/commands/timelines.py
@@ -20,9 +20,6 @@
 _DONE: Final = 'done'
 _STOPPED: Final = 'stopped'
 
-#: Preemptions of one job within this time belong to one round, in seconds.
-_SAME_ROUND_S: Final = 0.003
-
 #: The cause of a stop without an event: another member of the gang ended.
 _STOPPED_WITH_GANG: Final = 'with its gang'
 
@@ -91,6 +88,7 @@
         self.not_ready_spans: list[tuple[float, float]] = []
         self.stop_times_s: list[float] = []
         self.stops_beyond_guarantee = 0
+        self._stop_numbers: set[int] = set()
 
     @property
     def late_s(self) -> float:
@@ -125,11 +123,17 @@
             default=0.0,
         )
 
-    def record_stop(self, at_s: float, *, beyond_guarantee: bool) -> None:
-        """Record the preemption of a run, once for all of one round."""
-        newest_s = self.stop_times_s[-1] if self.stop_times_s else -math.inf
-        if at_s - newest_s < _SAME_ROUND_S:
+    def record_stop(
+        self, number: int, at_s: float, *, beyond_guarantee: bool
+    ) -> None:
+        """Record the preemption of a run, once for all of one round.
+
+        :param number: the number of the job's preemption, the same for all runs
+            of a round.
+        """
+        if number in self._stop_numbers:
             return
+        self._stop_numbers.add(number)
         self.stop_times_s.append(at_s)
         self.stops_beyond_guarantee += beyond_guarantee
 
@@ -284,7 +288,9 @@
 @event_handlers.register('preempted')
 def _handle_preemption(job: JobTimeline, line: LogLine) -> None:
     job.record_stop(
-        line['t_s'], beyond_guarantee=bool(line.get('beyond_guarantee'))
+        line['stops'],
+        line['t_s'],
+        beyond_guarantee=bool(line.get('beyond_guarantee')),
     )
     _handle_stop(job, line)
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -42,7 +42,7 @@
             took_s=0.5,
         ),
         line(2.0, 'placed', job=JOB, step=0, tasks=['0@w1', '1@w2']),
-        line(2.5, 'preempted', task=FIRST),
+        line(2.5, 'preempted', task=FIRST, stops=1),
         line(2.6, 'run_ended', task=FIRST, how='stopped'),
         line(2.6, 'run_ended', task=SECOND, how='stopped'),
         line(4.0, 'placed', job=JOB, step=0, tasks=['0@w1', '1@w2']),
@@ -80,8 +80,8 @@
         """Two members are stopped for a guarantee, then again beyond one."""
         timelines = Timelines()
         stops = [
-            line(2.501, 'preempted', task=SECOND, beyond_guarantee=False),
-            line(5.0, 'preempted', task=FIRST, beyond_guarantee=True),
+            line(2.501, 'preempted', task=SECOND, stops=1),
+            line(5.0, 'preempted', task=FIRST, stops=2, beyond_guarantee=True),
         ]
         timelines.add_lines(
             sorted([*lines(), *stops], key=lambda event: event['t_s'])
