--- a/src/curranthill/dispatch/lease.py
+++ b/src/curranthill/dispatch/lease.py
@@ -67,6 +67,11 @@
         """Return for how long a run may still exist there, in seconds."""
         return max(0.0, self._end_s - self._clock.monotonic_s())
 
+    @property
+    def clock_age_s(self) -> float:
+        """Return the age of the reading of the worker's clock, in seconds."""
+        return self._clock.monotonic_s() - self._read_s
+
     @property
     def may_grant(self) -> bool:
         """Return whether the lease may be extended.
@@ -108,8 +113,7 @@
         if not self.may_grant:
             return 0.0
         self._end_s = max(self._end_s, self._end_if_granted_now_s())
-        since_s = self._clock.monotonic_s() - self._read_s
-        return self.worker_clock_s + since_s + self._length_s
+        return self.worker_clock_s + self.clock_age_s + self._length_s
 
     def read_clock(self, clock_s: float) -> None:
         """Store a reading of the worker's clock."""
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -302,7 +302,15 @@
         except (WorkerReplacedError, WorkerUnreachableError) as error:
             self._not_started(run, error)
         except WorkerError as error:
-            _log_unanswered('start', run, error)
+            _log_unanswered(
+                'start',
+                run,
+                error,
+                deadline_s=round(order.deadline_s, 3),
+                clock_s=round(self._lease.worker_clock_s, 3),
+                clock_age_s=round(self._lease.clock_age_s, 3),
+                lease_remaining_s=round(self.lease_remaining_s, 3),
+            )
             if run.state == ORDERED:
                 run.state = UNKNOWN
             self.increment_token()
@@ -617,13 +625,16 @@
         storing.cancel()
 
 
-def _log_unanswered(order: str, run: Run, error: WorkerError) -> None:
+def _log_unanswered(
+    order: str, run: Run, error: WorkerError, **fields: float
+) -> None:
     events.log(
         f'{order}_unanswered',
         task=str(run.key),
         attempt=run.attempt,
         worker=run.worker_id,
         error=str(error),
+        **fields,
     )
     metrics.orders_unanswered.add(1, {'order': order})
 
