Reckon the end of a lease from the earliest time of the worker's clock

So an order that takes effect late lasts longer by 2% of the age of the reading, or by its delay if that is less, and 0.4 s of it are covered. A session without runs makes no call, so its reading has no greatest age.

Change: the deadline is reckoned from the earliest time that the worker's clock may show (the reading and 0.98 of its age). Then no order, at whatever time it takes effect, outlasts what the leader waits for, nor what it stores for a successor (dispatch/silence.py). That alone would take 2% of the idle time from the lease on right clocks, all of it after 300 s: so a start comes after a renewal, which reads the clock, if the last reading is more than 20 s old. A worker that does not respond to it gets no start, so the task starts elsewhere at once instead of after a lease. A lease is awaited for length / 0.98, not x 1.02: 4 ms more with 10 s.

test_an_idle_worker_gets_no_acknowledgement_twice let a worker start again and then idle for 1001 s until its clock passed the last reading, and expected that the next start reaches it. That start now comes after a renewal, which shows the restart, so it is placed anew. The test has a worker with a young clock instead, which passes the reading within 5 s.

--- a/src/curranthill/dispatch/lease.py
+++ b/src/curranthill/dispatch/lease.py
@@ -5,11 +5,16 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.silence import SilentWorkers
 
-#: A worker's clock may be 2% slow; its lease then lasts 2% longer.
-CLOCK_DRIFT: Final = 1.02
+#: The least time that passes on a worker's clock in a second of this host: it
+#: may be 2% slow.
+MIN_CLOCK_RATE: Final = 0.98
+
+#: The maximum age of a reading of the worker's clock for a start, in seconds.
+#: The lease is shorter by what the clock may have lost since then.
+MAX_CLOCK_AGE_S: Final = 20.0
 
 #: Added to every lease before it counts as expired, in seconds: covers the
-#: error of the estimated worker clock and the time that killing a run takes.
+#: time that killing a run takes.
 EXPIRY_MARGIN_S: Final = 0.4
 
 #: A lease that expires within this time is awaited in place of another probe,
@@ -72,6 +77,11 @@
         """Return the age of the reading of the worker's clock, in seconds."""
         return self._clock.monotonic_s() - self._read_s
 
+    @property
+    def is_clock_outdated(self) -> bool:
+        """Return whether the worker's clock has to be read before a start."""
+        return self.clock_age_s > MAX_CLOCK_AGE_S
+
     @property
     def may_grant(self) -> bool:
         """Return whether the lease may be extended.
@@ -109,11 +119,16 @@
         """Return the end of a new lease on the worker's clock; 0 for none.
 
         While a successor may take the lease for expired, none is granted.
+
+        The worker shortens a lease that is too long only when the order takes
+        effect, possibly seconds from now. So the end is reckoned from the
+        earliest time that its clock may show now.
         """
         if not self.may_grant:
             return 0.0
         self._end_s = max(self._end_s, self._end_if_granted_now_s())
-        return self.worker_clock_s + self.clock_age_s + self._length_s
+        passed_s = self.clock_age_s * MIN_CLOCK_RATE
+        return self.worker_clock_s + passed_s + self._length_s
 
     def read_clock(self, clock_s: float) -> None:
         """Store a reading of the worker's clock."""
@@ -125,7 +140,7 @@
         self._end_s = self._end_if_granted_now_s()
 
     def _end_if_granted_now_s(self) -> float:
-        lease_s = self._length_s * CLOCK_DRIFT + EXPIRY_MARGIN_S
+        lease_s = self._length_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
         return self._clock.monotonic_s() + lease_s
 
 
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -139,7 +139,8 @@
         self._order_lock = asyncio.Lock()
         # Cleared when the token is incremented, and set by the next renewal
         # under the new token: its response, or the lack of one, shows what
-        # became of the earlier orders.
+        # became of the earlier orders. A start that needs a new reading of the
+        # worker's clock waits for it as well.
         self._orders_resolved = asyncio.Event()
         self._orders_resolved.set()
 
@@ -225,6 +226,11 @@
         """Order one start; the state of the run then shows its outcome."""
         async with self._order_lock:
             await self._orders_resolved.wait()
+            if self._lease.is_clock_outdated and not self.removed:
+                # A renewal reads the clock, or finds the worker unreachable.
+                self._orders_resolved.clear()
+                self._wake_event.set()
+                await self._orders_resolved.wait()
             if run.state != ASSIGNED or self.runs.get(run.name) is not run:
                 return
             if run.incarnation != self.incarnation:
@@ -428,6 +434,8 @@
         """
         if not self.synced or not self._run_list.ends.all_stored:
             return 0.0
+        if self._lease.is_clock_outdated:
+            return 0.0
         if not self._lease.may_grant:
             # The next renewal may extend the lease, which this one can't.
             return 0.0
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -253,6 +253,21 @@
         self._clock_start_s = 0.0
 
 
+class YoungWorker(TaskWorkerModel):
+    """A worker that has just started, so that its clock shows little."""
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        clock: ManualClock,
+        run_s: float,
+    ) -> None:
+        """Start the clock of the worker."""
+        super().__init__(entry=entry, clock=clock, run_s=run_s)
+        self._clock_start_s = clock.monotonic_s()
+
+
 class SlowResponseWorker(TaskWorkerModel):
     """A worker that starts at once and responds after the run has ended."""
 
@@ -437,18 +452,18 @@
     def test_an_idle_worker_gets_no_acknowledgement_twice(self) -> None:
         """By the next start its clock has passed the last reading."""
 
-        async def case(single: SingleWorker[TaskWorkerModel]) -> None:
+        async def case(single: SingleWorker[YoungWorker]) -> None:
             single.owner.stored.set()
             await single.run_task(FIRST)
             await single.clock.advance(0.2)
             single.model.restart()
             single.model.run_s = 0.0
-            await single.clock.advance(1 + single.clock.monotonic_s())
+            await single.clock.advance(5)
             await single.run_task(SECOND)
             await single.clock.advance(2)
             self.assertEqual(single.owner.ended, [FIRST, SECOND])
 
-        with_single_worker(case, TaskWorkerModel)
+        with_single_worker(case, YoungWorker)
 
     def test_a_renewal_after_a_lost_response_acknowledges_nothing(self) -> None:
         """The worker may have restarted meanwhile."""
