Show a late start that the next life of a worker carries out

A worker that starts again under its id begins with a new clock, so a start of the life before that is carried out then is bounded only by the longest lease from that moment. If the worker is also cut off, the leader starts the task elsewhere once the lease of the earlier life must have expired.

No change of the product.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -221,6 +221,42 @@
         self.assertEqual(play(case), [])
 
 
+class RestartedWorkerTest(unittest.TestCase):
+    """A late start takes effect in the next life of a worker."""
+
+    def test_its_lease_does_not_outlast_the_estimate(self) -> None:
+        """The clock of the next life begins anew."""
+
+        async def case(domain: Domain) -> None:
+            domain.timing = Timing(lease_s=min(LEASES_S))
+            workers = domain.workers.values()
+            for worker in workers:
+                worker.max_lease_s = min(LEASES_S)
+                worker.late_starts = 1
+                worker.late_s = 4.0
+            domain.start_host('h0')
+            leader = await domain.leader()
+            await leader.accept(make_spec('a1'))
+            await domain.clock.until(
+                lambda: any(not worker.late_starts for worker in workers)
+            )
+            used = next(worker for worker in workers if not worker.late_starts)
+            for worker in workers:
+                worker.late_starts = 0
+            used.disconnected = True
+            await domain.clock.advance(0.5)
+            domain.restart_worker(used.entry.worker_id)
+            checker = InvariantChecker(
+                workers=domain.workers.values, attempts=2
+            )
+            for _ in range(round(16 / CHECK_S)):
+                await domain.clock.advance(CHECK_S)
+                checker.check()
+            self.assertEqual(checker.violations, [])
+
+        _in_domain(case)
+
+
 class IdleWorkerTest(unittest.TestCase):
     """Workers that have had nothing to run for long, without faults."""
 
