Wait for the leader's first probe in a test of a replaced worker

Cause: the test lets another worker have w0's address as soon as some host leads. If the leader's first probe of w0 comes later, it finds the other worker, so the task is placed elsewhere at once and no start reaches the wrong one. The test now waits until the leader may place tasks at w0; what it checks is unchanged, and it checks it each time.

--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -135,6 +135,14 @@
         in_domain(case, workers=6)
 
 
+def _accepts_work(domain: Domain, name: str) -> bool:
+    """Return whether the leader may place tasks at a worker."""
+    leader = domain.leading()[0].leader
+    assert leader is not None
+    session = leader.term.sessions.get(name)
+    return session is not None and session.accepts_work
+
+
 class InnocentTest(unittest.TestCase):
     """Tasks that can't have caused a crash are not counted for it."""
 
@@ -163,6 +171,8 @@
         async def case(domain: Domain) -> None:
             host = domain.start_host('h1')
             await domain.leader()
+            # Otherwise the leader's first probe may already find it replaced.
+            await domain.clock.until(lambda: _accepts_work(domain, 'w0'))
             domain.workers['w0'].replaced = True
             await host.accept(make_spec('a1', WHOLE, priority=0))
             self.assertEqual(await domain.ended('a1'), 'completed')
