--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -222,10 +222,10 @@
 
 
 class RestartedWorkerTest(unittest.TestCase):
-    """A late start takes effect in the next life of a worker."""
+    """A late start takes effect in the next incarnation of a worker."""
 
     def test_its_lease_does_not_outlast_the_estimate(self) -> None:
-        """The clock of the next life begins anew."""
+        """The clock of the next incarnation begins anew."""
 
         async def case(domain: Domain) -> None:
             domain.timing = Timing(lease_s=min(LEASES_S))
