Log when a worker may have more ends than it has listed

A worker lists at most 500 ends in one response. The leader takes each report for complete, and its log does not say whether it was: of a run that counts as absent (run_vanished, 'not listed') it is not known whether the report could have listed its end. ends_held_back has the number of listed ends, the last one's number and how many runs were in neither list. No decision changes.

The stand-in of a worker lists no more than that either, by a constant that a test can lower. Until now it listed all, so that no test met the limit.

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -107,9 +107,11 @@
         self._previous_runs.difference_update(seen)
         for one in report.runs:
             self._apply_run(one, report.clock_s)
-        for run in list(self.runs.values()):
-            if run.name not in seen:
-                self._check_absent(run, order, sent_s)
+        unlisted = [run for run in self.runs.values() if run.name not in seen]
+        if new_ends and not report.lists_all_ends:
+            self._log_held_back(new_ends, unlisted)
+        for run in unlisted:
+            self._check_absent(run, order, sent_s)
         self._apply_ends(new_ends, report.clock_s)
 
     def invalidate_ordered(self) -> None:
@@ -209,6 +211,18 @@
                     noted=self.ends.recorded,
                 )
 
+    def _log_held_back(
+        self, ends: list[EndReport], unlisted: list[Run]
+    ) -> None:
+        """Log that the worker may have more ends than it has listed."""
+        events.log(
+            'ends_held_back',
+            worker=self._session.worker_id,
+            listed=len(ends),
+            through=ends[-1].number,
+            unlisted_runs=len(unlisted),
+        )
+
     def _apply_ends(self, ends: list[EndReport], clock_s: float) -> None:
         prompt = clock_s - self._reported_clock_s < MAX_REPORT_GAP_S
         self._reported_clock_s = clock_s
--- a/src/curranthill/dispatch/workers.py
+++ b/src/curranthill/dispatch/workers.py
@@ -52,13 +52,17 @@
 class LeaseReport(NamedTuple):
     """The runs and ends of a worker at one reading of its clock.
 
+    :param ends: those with the lowest numbers that are not acknowledged yet.
     :param incarnation: the worker's incarnation, 0 if it does not report one.
+    :param lists_all_ends: whether the worker has no further ends. If it may
+        have, a run that is not listed may have ended.
     """
 
     clock_s: float
     runs: tuple[RunReport, ...]
     ends: tuple[EndReport, ...]
     incarnation: int = 0
+    lists_all_ends: bool = True
 
 
 class StartOrder(NamedTuple):
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -46,6 +46,10 @@
 #: The timeout of a lease renewal beyond the requested wait, in seconds.
 RENEWAL_SLACK_S: Final = 0.7
 
+#: The most ends that a worker lists in one response; it lists the others once
+#: these are acknowledged.
+MAX_LISTED_ENDS: Final = 500
+
 _OK: Final = 200
 _CONFLICT: Final = 409
 _OTHER_WORKER: Final = 421
@@ -237,6 +241,7 @@
             runs=runs,
             ends=ends,
             incarnation=report.born,
+            lists_all_ends=len(ends) < MAX_LISTED_ENDS,
         )
 
     async def _order(self, path: str, fields: dict[str, Any]) -> float:
--- a/src/curranthill/standin/task_worker.py
+++ b/src/curranthill/standin/task_worker.py
@@ -31,6 +31,9 @@
 #: How long a client waits for a response, in seconds.
 CLIENT_TIMEOUT_S: Final = 0.6
 
+#: The most ends that a worker lists in one report.
+MAX_LISTED_ENDS: Final = 500
+
 #: How often a waiting renewal checks for ends, in seconds.
 WAIT_POLL_S: Final = 0.01
 
@@ -54,7 +57,8 @@
     :param held_runs: runs that do not end, whatever their age.
     :param starts: every start that took effect, in order.
     :param runs: the current runs by task and attempt.
-    :param ends: the ends that are listed until they are acknowledged.
+    :param ends: the ends that are not acknowledged.
+    :param max_listed_ends: the most of them that one report lists.
     :param acknowledged: the ends that were acknowledged.
     :param failures: all ends of failed runs, acknowledged or not.
     :param expired_ends: ends that were listed when the lease expired: such an
@@ -129,6 +133,7 @@
         self.down = False
         self.on_crash: Callable[[TaskWorkerModel], None] | None = None
         self.peak_runs = 0
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._clock_start_s = 0.0
         self._end_count = 0
         self._highest_token = 0
@@ -214,11 +219,13 @@
             if self.incarnation != incarnation:
                 raise self._reply_lost('renew')
             self.end_due_runs()
+        ends = tuple(self.ends[: self.max_listed_ends])
         return LeaseReport(
             clock_s=self._clock_s(),
             runs=tuple(self._report(run) for run in self.runs.values()),
-            ends=tuple(self.ends),
+            ends=ends,
             incarnation=self.incarnation,
+            lists_all_ends=len(ends) < self.max_listed_ends,
         )
 
     def end_run(self, run_id: tuple[TaskKey, int], kind: EndKind) -> None:
@@ -370,4 +377,4 @@
         )
 
 
-__all__ = ('TaskWorkerModel',)
+__all__ = ('MAX_LISTED_ENDS', 'TaskWorkerModel')
