Keep a run whose end the worker may still hold back

What callers saw: a worker with 1,200 small tasks is cut off for 5 s, in which they end `done`.

Cause: RunList.apply took each report for complete. A worker lists at most 500 ends at a time; a run that ran at the last report and whose end was not among them counted as absent ('not listed'), so that its task was placed again.

No lease lapsed.

Change: while a report may leave ends out, a run that is not listed keeps its state, its capacity and its assignment until a later report. Such a run also must not keep ends from being acknowledged, or the later report would never come: a start that had been answered when a report was requested was carried out in the incarnation that reports, or in one before. So it can't have ended under a number of the next one, which is why unlisted starts held acknowledgements back.

test_tasks_whose_ends_are_held_back_run_once: before, 7 of 1,200 tasks start twice; after, none. Runs that a new leader finds in the store are judged in another place, which this does not change.

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -32,8 +32,9 @@
 
     :param runs: by task and attempt.
     :param ends: of the worker's current incarnation.
-    :param unconfirmed: runs whose start got a response and that no report has
-        listed yet.
+    :param unconfirmed: runs whose start got a response that no report has
+        confirmed to come from the worker's current incarnation or a previous
+        one.
     """
 
     def __init__(
@@ -71,8 +72,8 @@
                 taken = taken.plus(one.needs)
         return capacity.covers(taken)
 
-    def expect_listed(self, run: Run) -> None:
-        """Expect a report to list a run, unless one has listed its end."""
+    def expect_confirmation(self, run: Run) -> None:
+        """Expect a report to confirm a start, unless one has listed its end."""
         if self.runs.get(run.name) is run:
             self.unconfirmed.add(run.name)
 
@@ -103,7 +104,7 @@
         new_ends = self.ends.unrecorded(report.ends)
         self._log_skipped_ends(report.ends)
         seen.update((end.task, end.attempt) for end in new_ends)
-        self.unconfirmed.difference_update(seen)
+        self._confirm_starts(seen, sent_s)
         self._previous_runs.difference_update(seen)
         for one in report.runs:
             self._apply_run(one, report.clock_s)
@@ -111,7 +112,8 @@
         if new_ends and not report.lists_all_ends:
             self._log_held_back(new_ends, unlisted)
         for run in unlisted:
-            self._check_absent(run, order, sent_s)
+            if run.state != RUNNING or report.lists_all_ends:
+                self._check_absent(run, order, sent_s)
         self._apply_ends(new_ends, report.clock_s)
 
     def invalidate_ordered(self) -> None:
@@ -134,6 +136,20 @@
         for run in list(self.runs.values()):
             self.drop_absent(run, reason)
 
+    def _confirm_starts(
+        self, seen: set[tuple[TaskKey, int]], sent_s: float
+    ) -> None:
+        """Confirm the starts that the reporting incarnation or one before did.
+
+        These are the runs that it lists and those that had started when the
+        report was requested, whose ends may be held back.
+        """
+        self.unconfirmed = {
+            name
+            for name in self.unconfirmed - seen
+            if self.runs[name].confirmed_s >= sent_s
+        }
+
     def _apply_run(self, report: RunReport, clock_s: float) -> None:
         run = self.runs.get((report.task, report.attempt))
         now_s = self._clock.monotonic_s()
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -324,7 +324,7 @@
             self._read_clock(clock_s, known_clock_s)
             run.confirmed_s = self._clock.monotonic_s()
             run.set_start_clock(clock_s)
-            self._run_list.expect_listed(run)
+            self._run_list.expect_confirmation(run)
             metrics.start_order_s.record(run.confirmed_s - sent_s)
             run.percent_changed_s = run.confirmed_s
             if run.state == ORDERED:
--- /dev/null
+++ b/tests/test_many_ends.py
@@ -0,0 +1,74 @@
+"""More run ends at a worker than one report lists.
+
+A worker lists the ends with the lowest numbers, 500 at a time, and the others
+once these are acknowledged. Whatever the report leaves out used to count as
+absent.
+"""
+
+import unittest
+from collections import Counter
+
+from curranthill.standin.task_worker import (
+    MAX_LISTED_ENDS,
+    TaskWorkerModel,
+)
+from curranthill.tasks import Resources, Step
+from tests.domain import Domain, in_domain, make_spec
+
+#: More ends than two reports list.
+MANY = 2 * MAX_LISTED_ENDS + 200
+
+TINY = Resources(cpu_millis=20, memory_mb=20)
+
+
+def many_tasks(width: int = MANY, estimate_s: float = 1.0) -> Step:
+    """Return a step of tasks that all fit on one worker."""
+    return Step(width=width, needs=TINY, estimate_s=estimate_s)
+
+
+def start_counts(domain: Domain) -> Counter[int]:
+    """Return how many tasks started how often at any worker."""
+    starts = Counter(
+        order.task
+        for worker in domain.workers.values()
+        for order in worker.starts
+    )
+    return Counter(starts.values())
+
+
+def busiest(domain: Domain) -> TaskWorkerModel:
+    """Return the worker with the most runs."""
+    return max(domain.workers.values(), key=lambda one: len(one.runs))
+
+
+async def cut_while_all_end(domain: Domain, cut_s: float = 4.0) -> None:
+    """Cut the busiest worker off until its runs have ended."""
+    worker = busiest(domain)
+    worker.disconnected = True
+    await domain.clock.advance(cut_s)
+    worker.end_due_runs()
+    assert len(worker.ends) > MAX_LISTED_ENDS, len(worker.ends)
+    worker.disconnected = False
+
+
+class CutWorkerTest(unittest.TestCase):
+    """Many runs end while their worker is cut off for less than its lease."""
+
+    def test_tasks_whose_ends_are_held_back_run_once(self) -> None:
+        """Their runs counted as absent, and started again after `done`."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', many_tasks(estimate_s=8)))
+            await domain.clock.until(lambda: len(busiest(domain).runs) == MANY)
+            await domain.clock.advance(5)
+            await cut_while_all_end(domain)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(start_counts(domain), {1: MANY})
+
+        in_domain(case, workers=2, run_s=8.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
