Test that failures whose ends are held back are counted

A queue with three attempts started 504 of 1,200 tasks four to six times, as many failed ends were pending at one worker (BUDGET).

--- a/tests/test_many_ends.py
+++ b/tests/test_many_ends.py
@@ -14,6 +14,7 @@
 )
 from curranthill.tasks import Resources, Step
 from tests.domain import Domain, in_domain, make_spec
+from tests.invariants import acknowledged_ends
 
 #: More ends than two reports list.
 MANY = 2 * MAX_LISTED_ENDS + 200
@@ -69,6 +70,26 @@
 
         in_domain(case, workers=2, run_s=8.0)
 
+    def test_failures_whose_ends_are_held_back_are_counted(self) -> None:
+        """Their runs were replaced first, so that the ends did not count."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', many_tasks(), attempts=3))
+            await domain.clock.until(lambda: len(busiest(domain).runs) == MANY)
+            worker = busiest(domain)
+            worker.failing = True
+            await cut_while_all_end(domain)
+            worker.failing = False
+            await domain.clock.advance(5)
+            failed = acknowledged_ends(domain.workers.values(), 'failed')
+            self.assertEqual(len(failed), MANY)
+            tasks = domain.progress('a1').tasks.values()
+            self.assertEqual({one.failures for one in tasks}, {1})
+
+        in_domain(case, workers=2, run_s=60.0)
+
 
 if __name__ == '__main__':
     unittest.main()
