Await all ends of a worker before a stored assignment counts as never started

What callers saw: the leader is killed while a worker with many ends is cut off, 1 s into the cut or 0.15 s after it. Three tasks start again after `done`.

Cause: a new leader takes the runs over from stored assignments, as unknown, and asks the worker. One that the first report did not list counted as never started, though its end could be among those held back. So did a start without an answer under the leader that sent it.

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -111,8 +111,8 @@
         unlisted = [run for run in self.runs.values() if run.name not in seen]
         if new_ends and not report.lists_all_ends:
             self._log_held_back(new_ends, unlisted)
-        for run in unlisted:
-            if run.state != RUNNING or report.lists_all_ends:
+        if report.lists_all_ends:
+            for run in unlisted:
                 self._check_absent(run, order, sent_s)
         self._apply_ends(new_ends, report.clock_s)
 
--- a/tests/test_many_ends.py
+++ b/tests/test_many_ends.py
@@ -90,6 +90,25 @@
 
         in_domain(case, workers=2, run_s=60.0)
 
+    def test_a_new_leader_runs_tasks_with_held_back_ends_once(self) -> None:
+        """Their stored assignments counted as never started."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            await host.accept(make_spec('a1', many_tasks(estimate_s=8)))
+            await domain.clock.until(lambda: len(busiest(domain).runs) == MANY)
+            await domain.clock.advance(5)
+            busiest(domain).disconnected = True
+            await domain.clock.advance(1)
+            await host.kill()
+            domain.start_host('h2')
+            await cut_while_all_end(domain, 3)
+            self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertEqual(start_counts(domain), {1: MANY})
+
+        in_domain(case, workers=2, run_s=8.0)
+
 
 if __name__ == '__main__':
     unittest.main()
