Pause starts at a worker while the acknowledgement of its ends is overdue

Cause: a renewal acknowledges nothing while a start is under way or was answered after the last report was requested, since that start may have reached another incarnation of the worker, whose ends would be forgotten unread. With some 100 starts a second or more at one worker there is such a start in each renewal. So 500 ends stay listed, each renewal returns them at once (dozens a second), and the others stay unread.

Change: after four renewals in a row that may acknowledge nothing although ends are stored, starts at this worker wait until one has been acknowledged. The first renewal in the pause confirms the starts before it, the next one acknowledges: two short calls. No start is under way from before that call to its response, so it is also safe where a plain acknowledgement overlaps with starts. A clock reading in the answer to a start as proof of the incarnation would need no pause, but a worker's clock may go on over a restart (SteadyWorker in the tests); nothing else in that answer belongs to an incarnation.

--- a/src/curranthill/dispatch/ends.py
+++ b/src/curranthill/dispatch/ends.py
@@ -11,6 +11,10 @@
 #: worker lists the same ends again in the response to each one.
 UNSTORED_RETRY_S: Final = 0.5
 
+#: After this many renewals in a row that may not acknowledge stored ends, their
+#: acknowledgement is overdue.
+MAX_WITHHELD: Final = 4
+
 
 class EndTracker:
     """How far the numbered run ends of one incarnation have been processed.
@@ -39,6 +43,7 @@
         self._clock = clock
         self._storing: asyncio.Future[None] | None = None
         self._storing_through = 0
+        self._withheld = 0
 
     @property
     def all_stored(self) -> bool:
@@ -50,6 +55,12 @@
         """Return whether the worker knows that all its ends are stored."""
         return self.confirmed == self.recorded
 
+    @property
+    def is_overdue(self) -> bool:
+        """Return whether stored ends were repeatedly not acknowledged."""
+        awaited = self.acknowledged > self.confirmed
+        return awaited and self._withheld >= MAX_WITHHELD
+
     def unrecorded(self, ends: tuple[EndReport, ...]) -> list[EndReport]:
         """Return the ends that are not recorded yet."""
         return [end for end in ends if end.number > self.recorded]
@@ -60,8 +71,15 @@
 
     def confirm(self, number: int) -> None:
         """Record that the worker knows ends up to a number are stored."""
+        if number:
+            self._withheld = 0
         self.confirmed = max(self.confirmed, number)
 
+    def withhold(self) -> None:
+        """Record that a renewal may not acknowledge the stored ends."""
+        if self.acknowledged > self.confirmed:
+            self._withheld += 1
+
     async def acknowledge(self) -> None:
         """Acknowledge stored ends; wait a bounded time for recorded ones.
 
--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -61,6 +61,20 @@
             return True
         return any(run.state == ORDERED for run in self.runs.values())
 
+    def next_acknowledgement(self, *, synced: bool) -> int:
+        """Return the number of an end that this incarnation has listed, or 0.
+
+        A start that no report has confirmed may have reached a new incarnation
+        and have ended there under that number: acknowledged, that end would be
+        forgotten without having been read.
+
+        :param synced: whether the worker has reported under the newest token.
+        """
+        if synced and not self.any_unconfirmed:
+            return self.ends.acknowledged
+        self.ends.withhold()
+        return 0
+
     def fits(self, run: Run, capacity: Resources) -> bool:
         """Return whether a run fits into a capacity beside those sent there.
 
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -140,7 +140,8 @@
         # Cleared when the token is incremented, and set by the next renewal
         # under the new token: its response, or the lack of one, shows what
         # became of the earlier orders. A start that needs a new reading of the
-        # worker's clock waits for it as well.
+        # worker's clock waits for it as well. It is also cleared while the
+        # acknowledgement of ends is overdue.
         self._orders_resolved = asyncio.Event()
         self._orders_resolved.set()
 
@@ -377,14 +378,7 @@
             await self._clock.sleep(LOST_REPLY_DELAY_S)
             self._check_expiry()
             return
-        order = LeaseOrder(
-            token=self.token,
-            acknowledged=self._number_to_acknowledge(),
-            # An unreachable worker is only probed: if calls that may still
-            # arrive extended its lease, the lease would never expire.
-            deadline_s=self._lease.grant() if self.reachable else 0.0,
-            wait_s=self._renewal_wait_s(),
-        )
+        order = self._next_renewal()
         sent_s = self._clock.monotonic_s()
         known_clock_s = self._lease.worker_clock_s
         try:
@@ -402,6 +396,23 @@
                 self._check_incarnation(report, known_clock_s)
                 self._apply_report(report, order, sent_s)
 
+    def _next_renewal(self) -> LeaseOrder:
+        """Return the next renewal; pause starts if it may acknowledge nothing.
+
+        Without a pause a start may be under way during each renewal.
+        """
+        acknowledged = self._run_list.next_acknowledgement(synced=self.synced)
+        if self._run_list.ends.is_overdue:
+            self._orders_resolved.clear()
+        return LeaseOrder(
+            token=self.token,
+            acknowledged=acknowledged,
+            # An unreachable worker is only probed: if calls that may still
+            # arrive extended its lease, the lease would never expire.
+            deadline_s=self._lease.grant() if self.reachable else 0.0,
+            wait_s=self._renewal_wait_s(),
+        )
+
     async def _call(self, order: LeaseOrder) -> LeaseReport | None:
         """Return the report; None if the token was incremented meanwhile."""
         assert self._worker is not None  # noqa: S101
@@ -434,6 +445,9 @@
         """
         if not self.synced or not self._run_list.ends.all_stored:
             return 0.0
+        if self._run_list.ends.is_overdue:
+            # Starts wait for the response.
+            return 0.0
         if self._lease.is_clock_outdated:
             return 0.0
         if not self._lease.may_grant:
@@ -443,17 +457,6 @@
             return FIRST_PROGRESS_WAIT_S
         return RENEWAL_WAIT_S if self.runs else 0.0
 
-    def _number_to_acknowledge(self) -> int:
-        """Return the number of an end that this incarnation has listed, or 0.
-
-        A start that no report has confirmed may have reached a new incarnation
-        and have ended there under that number: acknowledged, that end would be
-        forgotten without having been read.
-        """
-        if not self.synced or self._run_list.any_unconfirmed:
-            return 0
-        return self._run_list.ends.acknowledged
-
     def _renewal_rejected(
         self,
         order: LeaseOrder,
@@ -604,7 +607,8 @@
             events.log('worker_reachable', worker=self.worker_id)
         if order.token == self.token:
             self.synced = True
-            self._orders_resolved.set()
+            if not self._run_list.ends.is_overdue:
+                self._orders_resolved.set()
             # Orders under older tokens are fenced off, so the lease ends with
             # this leader's own grants at the latest.
             self._lease.exclude_older_grants()
--- a/tests/test_many_ends.py
+++ b/tests/test_many_ends.py
@@ -12,7 +12,7 @@
     MAX_LISTED_ENDS,
     TaskWorkerModel,
 )
-from curranthill.tasks import Resources, Step
+from curranthill.tasks import ENDED, Resources, Step
 from tests.domain import Domain, in_domain, make_spec
 from tests.invariants import acknowledged_ends
 
@@ -110,5 +110,28 @@
         in_domain(case, workers=2, run_s=8.0)
 
 
+class ContinuousStartsTest(unittest.TestCase):
+    """Starts and ends of many short tasks overlap."""
+
+    def test_ends_are_acknowledged_while_tasks_start(self) -> None:
+        """With a start under way in each renewal none was acknowledged."""
+
+        async def case(domain: Domain) -> None:
+            host = domain.start_host('h1')
+            await domain.leader()
+            short = many_tasks(3 * MAX_LISTED_ENDS, estimate_s=0.2)
+            await host.accept(make_spec('a1', short))
+            worker = domain.workers['w0']
+            most = 0
+            while domain.state('a1') not in ENDED:
+                await domain.clock.advance(0.02)
+                most = max(most, len(worker.ends))
+                self.assertLess(domain.clock.monotonic_s(), 1010)
+            self.assertEqual(start_counts(domain), {1: 3 * MAX_LISTED_ENDS})
+            self.assertLess(most, MAX_LISTED_ENDS)
+
+        in_domain(case, workers=1, run_s=0.2)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -278,6 +278,32 @@
         return clock_s
 
 
+class SlowReportWorker(SteadyWorker):
+    """A worker whose reports arrive after responses to newer orders.
+
+    :param is_reporting: whether a report is in transit.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: WorkerEntry,
+        clock: ManualClock,
+        run_s: float,
+    ) -> None:
+        """Initialize a worker without a report in transit."""
+        super().__init__(entry=entry, clock=clock, run_s=run_s)
+        self.is_reporting = False
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Delay the report."""
+        report = await super().renew(order)
+        self.is_reporting = True
+        await self.clock.sleep(0.03)
+        self.is_reporting = False
+        return report
+
+
 class NoIncarnationWorker(TaskWorkerModel):
     """A worker that does not report its incarnation."""
 
@@ -449,6 +475,24 @@
 
         with_single_worker(case, SteadyWorker)
 
+    def test_a_report_does_not_confirm_a_start_in_the_next_incarnation(
+        self,
+    ) -> None:
+        """The worker restarts between its report and the start."""
+
+        async def case(single: SingleWorker[SlowReportWorker]) -> None:
+            await single.run_task(FIRST)
+            await single.clock.until(lambda: FIRST in single.owner.ended)
+            while not single.model.is_reporting:
+                await single.clock.advance(0.001)
+            single.model.restart()
+            await single.run_task(SECOND)
+            single.owner.stored.set()
+            await single.clock.advance(2)
+            self.assertEqual(single.owner.ended, [FIRST, SECOND])
+
+        with_single_worker(case, SlowReportWorker)
+
     def test_an_idle_worker_gets_no_acknowledgement_twice(self) -> None:
         """By the next start its clock has passed the last reading."""
 
