Draw how many ends a worker lists in the tests of random faults

The stand-in listed all ends at once, so that no drawn test could have more of them than one report lists.

--- a/tests/domain.py
+++ b/tests/domain.py
@@ -22,7 +22,7 @@
 from curranthill.errors import NotSentError, WorkerReplyLostError
 from curranthill.placement import NONE_DISABLED, WorkerEntry
 from curranthill.standin.rows import RowStoreModel
-from curranthill.standin.task_worker import TaskWorkerModel
+from curranthill.standin.task_worker import MAX_LISTED_ENDS, TaskWorkerModel
 from curranthill.storage.follower import TableFollower
 from curranthill.storage.health import StoreHealth
 from curranthill.storage.rows import (
@@ -180,6 +180,7 @@
         self.disabled: frozenset[str] = NONE_DISABLED
         self.others = 0
         self.timing = Timing()
+        self._max_listed_ends = MAX_LISTED_ENDS
         for number in range(workers):
             self.add_worker(f'w{number}', run_s=run_s)
 
@@ -202,11 +203,24 @@
         )
         model = TaskWorkerModel(entry=entry, clock=self.clock, run_s=run_s)
         model.crashing = self.crashing
+        model.max_listed_ends = self._max_listed_ends
         model.on_crash = self._restart_crashed
         self.workers[name] = model
         self.list_worker(entry)
         return model
 
+    @property
+    def max_listed_ends(self) -> int:
+        """Return the most ends that a worker lists in one report."""
+        return self._max_listed_ends
+
+    @max_listed_ends.setter
+    def max_listed_ends(self, count: int) -> None:
+        """Set it for all workers, and for those added later."""
+        self._max_listed_ends = count
+        for worker in self.workers.values():
+            worker.max_listed_ends = count
+
     def crashes(self, key: TaskKey) -> int:
         """Return how many workers a task has crashed."""
         return sum(
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -9,7 +9,10 @@
 from hypothesis import strategies as st
 
 from curranthill.errors import RefusedError
-from curranthill.standin.task_worker import TaskWorkerModel
+from curranthill.standin.task_worker import (
+    MAX_LISTED_ENDS,
+    TaskWorkerModel,
+)
 from curranthill.tasks import Step, TaskKey
 from tests.domain import ONE_GPU, Domain, in_domain, make_spec
 from tests.invariants import InvariantChecker
@@ -17,6 +20,11 @@
 #: Run times that end between two faults, and that exceed a lease, in seconds.
 RUN_TIMES_S: Final = (0.9, 9.0)
 JOBS: Final = 4
+
+#: The most ends that a worker lists in one report; one of few ends shows what
+#: happens if a worker has more than it lists.
+LISTED_ENDS: Final = (1, 2, MAX_LISTED_ENDS)
+
 WORKERS: Final = 3
 
 #: Runs of one task that may fail in the queues of these jobs.
@@ -252,6 +260,7 @@
             ('cut_worker', 0, 2.6),
         ],
         9.0,
+        MAX_LISTED_ENDS,
     )
     @example(
         [
@@ -263,6 +272,7 @@
             ('kill_leader', 0, 2.6),
         ],
         9.0,
+        MAX_LISTED_ENDS,
     )
     @example(
         [
@@ -275,17 +285,20 @@
             ('cut_worker', 0, 2.6),
         ],
         9.0,
+        MAX_LISTED_ENDS,
     )
-    @given(STEPS, st.sampled_from(RUN_TIMES_S))
+    @given(STEPS, st.sampled_from(RUN_TIMES_S), st.sampled_from(LISTED_ENDS))
     def test_invariants_hold(
         self,
         steps: list[tuple[str, int, float]],
         run_s: float,
+        max_listed_ends: int,
     ) -> None:
         """Once all faults are over, each accepted job ends."""
         faults = Faults()
 
         async def case(domain: Domain) -> None:
+            domain.max_listed_ends = max_listed_ends
             watch = Watch(domain)
             faults.start_host(domain)
             faults.start_host(domain)
--- a/tests/test_lost_worker_properties.py
+++ b/tests/test_lost_worker_properties.py
@@ -16,7 +16,7 @@
 from curranthill.dispatch.leadership import RENEW_WITHOUT_STORE_S
 from curranthill.registry import Registry
 from curranthill.standin.rows import RowStoreClient
-from curranthill.standin.task_worker import TaskWorkerModel
+from curranthill.standin.task_worker import MAX_LISTED_ENDS, TaskWorkerModel
 from curranthill.storage.rows import RowCheck, RowPut, RowRemoval, StoredRow
 from curranthill.tasks import Step, TaskKey, Timing, decode, tables
 from tests.domain import DOWN_S, ONE_GPU, Domain, TestHost, in_domain, make_spec
@@ -86,6 +86,7 @@
     :param short_run_s: the run time of a job that ends.
     :param older_hosts: the numbers of hosts that run an older build. If there
         are any, hosts lead in the order of their numbers.
+    :param max_listed_ends: the most ends that a worker lists in one report.
     """
 
     lease_s: float
@@ -93,6 +94,7 @@
     short_run_s: float
     faults: tuple[Fault, ...]
     older_hosts: frozenset[int] = frozenset()
+    max_listed_ends: int = MAX_LISTED_ENDS
 
 
 def times_s(least_s: float, most_s: float) -> st.SearchStrategy[float]:
@@ -232,6 +234,7 @@
         short_run_s=st.sampled_from((0.5, 3.0, 8.0)),
         faults=faults,
         older_hosts=older_hosts,
+        max_listed_ends=st.sampled_from((1, 2, MAX_LISTED_ENDS)),
     )
 
 
@@ -272,6 +275,7 @@
     def __init__(self, *, domain: Domain, case: Case, from_first: bool) -> None:
         """Initialize with workers whose clocks are slow."""
         domain.timing = Timing(lease_s=case.lease_s)
+        domain.max_listed_ends = case.max_listed_ends
         self.last_fault_s = 0.0
         self._first_fault_s = 0.0
         self._from_first = from_first
