Sum what a worker's runs need in one pass

Before each start the leader sums up what all runs at its worker need, by a new record for each run: with 750 runs there it took a tenth of the leader's time for a job of 1,500 tasks (0.9 of 8 s in a profile). 1,500 tasks of 1 s, real processes, no other load: 4.9, 5.2 and 5.3 s before; 3.9, 4.2 and 4.6 s after (three runs each).

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -13,7 +13,7 @@
     RunReport,
 )
 from curranthill.placement import ASSIGNED, ORDERED, RUNNING, UNKNOWN, Run
-from curranthill.tasks import Resources, TaskKey
+from curranthill.tasks import Resources, TaskKey, total
 from curranthill.telemetry.events import events
 
 if TYPE_CHECKING:
@@ -80,11 +80,12 @@
 
         Runs that are being stopped still use capacity.
         """
-        taken = run.needs
-        for one in self.runs.values():
-            if one is not run and one.state != ASSIGNED:
-                taken = taken.plus(one.needs)
-        return capacity.covers(taken)
+        others = [
+            one.needs
+            for one in self.runs.values()
+            if one is not run and one.state != ASSIGNED
+        ]
+        return capacity.covers(total((run.needs, *others)))
 
     def expect_confirmation(self, run: Run) -> None:
         """Expect a report to confirm a start, unless one has listed its end."""
--- a/src/curranthill/tasks/__init__.py
+++ b/src/curranthill/tasks/__init__.py
@@ -25,6 +25,7 @@
     TaskKey,
     Timing,
     WorkspaceGuarantee,
+    total,
 )
 from curranthill.tasks.validation import validation_errors
 
@@ -51,5 +52,6 @@
     'WorkspaceGuarantee',
     'decode',
     'encode',
+    'total',
     'validation_errors',
 )
--- a/src/curranthill/tasks/records.py
+++ b/src/curranthill/tasks/records.py
@@ -1,5 +1,6 @@
 """Records of jobs, of their resources and of the configuration."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 #: The number of cores that one accelerator counts as when the cost of lost
@@ -47,6 +48,11 @@
         return self.cpu_millis / 1000 + CORES_PER_GPU * self.gpus
 
 
+def total(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum of one or more amounts."""
+    return Resources(*map(sum, zip(*amounts, strict=True)))
+
+
 class Step(NamedTuple):
     """A step of a job: a number of equal tasks.
 
@@ -285,4 +291,5 @@
     'TaskKey',
     'Timing',
     'WorkspaceGuarantee',
+    'total',
 )
