Delay a renewal that would list the same ends once more

What callers saw: 1,500 tasks of 1 s start at 700 a second until the first ends come, and then at 300.

Cause: a worker with ends that are not acknowledged responds to a renewal at once. While starts keep these ends from being acknowledged, renewals follow each other as fast as the worker answers, each with all its runs and the same ends, and take the leader's processor from the starts.

Change: the last renewal before starts pause comes 0.1 s later, and is the third in a row without an acknowledgement instead of the fourth.

--- a/src/curranthill/dispatch/ends.py
+++ b/src/curranthill/dispatch/ends.py
@@ -13,7 +13,11 @@
 
 #: After this many renewals in a row that may not acknowledge stored ends, their
 #: acknowledgement is overdue.
-MAX_WITHHELD: Final = 4
+MAX_WITHHELD: Final = 3
+
+#: The delay before the last of these renewals, in seconds: the worker responds
+#: to each one at once, with the same ends.
+WITHHELD_DELAY_S: Final = 0.1
 
 
 class EndTracker:
@@ -58,8 +62,11 @@
     @property
     def is_overdue(self) -> bool:
         """Return whether stored ends were repeatedly not acknowledged."""
-        awaited = self.acknowledged > self.confirmed
-        return awaited and self._withheld >= MAX_WITHHELD
+        return self._is_unconfirmed and self._withheld >= MAX_WITHHELD
+
+    @property
+    def _is_unconfirmed(self) -> bool:
+        return self.acknowledged > self.confirmed
 
     def unrecorded(self, ends: tuple[EndReport, ...]) -> list[EndReport]:
         """Return the ends that are not recorded yet."""
@@ -77,9 +84,14 @@
 
     def withhold(self) -> None:
         """Record that a renewal may not acknowledge the stored ends."""
-        if self.acknowledged > self.confirmed:
+        if self._is_unconfirmed:
             self._withheld += 1
 
+    async def delay_if_withheld(self) -> None:
+        """Delay a renewal that would list the same ends once more."""
+        if self._is_unconfirmed and self._withheld == MAX_WITHHELD - 1:
+            await self._clock.sleep(WITHHELD_DELAY_S)
+
     async def acknowledge(self) -> None:
         """Acknowledge stored ends; wait a bounded time for recorded ones.
 
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -218,6 +218,7 @@
         if self._is_idle():
             await self._wake_event.wait()
         self._wake_event.clear()
+        await self._run_list.ends.delay_if_withheld()
         if self.reachable:
             await self._renew()
         else:
