Pause starts only while many ends wait for their acknowledgement

Cause: the delay of a renewal and the pause of starts came after two and three renewals without an acknowledgement, whatever waited for it. On a moderately busy worker a gap between two starts comes soon anyway.

Change: both need 100 stored ends at the worker that wait. Where a worker has eight runs at a time this never happens.

--- a/src/curranthill/dispatch/ends.py
+++ b/src/curranthill/dispatch/ends.py
@@ -15,6 +15,10 @@
 #: acknowledgement is overdue.
 MAX_WITHHELD: Final = 3
 
+#: It is not overdue while fewer ends than this wait for it: a start rarely
+#: keeps them waiting for long, and to list them again costs little.
+MIN_OVERDUE_ENDS: Final = 100
+
 #: The delay before the last of these renewals, in seconds: the worker responds
 #: to each one at once, with the same ends.
 WITHHELD_DELAY_S: Final = 0.1
@@ -61,12 +65,12 @@
 
     @property
     def is_overdue(self) -> bool:
-        """Return whether stored ends were repeatedly not acknowledged."""
-        return self._is_unconfirmed and self._withheld >= MAX_WITHHELD
+        """Return whether many stored ends were repeatedly not acknowledged."""
+        return self._are_many_withheld and self._withheld >= MAX_WITHHELD
 
     @property
-    def _is_unconfirmed(self) -> bool:
-        return self.acknowledged > self.confirmed
+    def _are_many_withheld(self) -> bool:
+        return self.acknowledged - self.confirmed >= MIN_OVERDUE_ENDS
 
     def unrecorded(self, ends: tuple[EndReport, ...]) -> list[EndReport]:
         """Return the ends that are not recorded yet."""
@@ -84,12 +88,12 @@
 
     def withhold(self) -> None:
         """Record that a renewal may not acknowledge the stored ends."""
-        if self._is_unconfirmed:
+        if self.acknowledged > self.confirmed:
             self._withheld += 1
 
     async def delay_if_withheld(self) -> None:
-        """Delay a renewal that would list the same ends once more."""
-        if self._is_unconfirmed and self._withheld == MAX_WITHHELD - 1:
+        """Delay a renewal that would list the same many ends once more."""
+        if self._are_many_withheld and self._withheld == MAX_WITHHELD - 1:
             await self._clock.sleep(WITHHELD_DELAY_S)
 
     async def acknowledge(self) -> None:
