Soak: inject faults until callers have had jobs accepted

After a disturbed store came configuration_unread, which keeps the operators' rows unread for up to 7.5 s, until the end of the 6 s of faults. From the third second on all 4 hosts refused each job with 'The configuration of this host may be outdated.', as they must; the traffic ended with the faults. So the count of accepted jobs says nothing of the hosts there.

The bound stays. A soak with faults goes on with them, for 20 s more at most, until more than ten jobs are accepted: hosts that accept none fail the test as before, and more faults are injected than until now.

--- a/bench/soak_hosts.py
+++ b/bench/soak_hosts.py
@@ -79,6 +79,13 @@
 MAX_SERIES_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 1.2
 
+#: Faults go on until more jobs than this are accepted: hosts refuse all jobs
+#: while they cannot read the configuration.
+MIN_ACCEPTED: Final = 10
+
+#: For how long they go on for that reason at most, in seconds.
+MAX_OVERTIME_S: Final = 20.0
+
 #: The longest time that a fault pauses a host, with a margin, in seconds.
 MAX_HOST_PAUSE_S: Final = 5.5
 
@@ -371,8 +378,13 @@
             await self._run_fault(series)
 
     async def _inject_faults(self) -> None:
-        until = asyncio.get_running_loop().time() + self._fault_s
-        while asyncio.get_running_loop().time() < until:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._fault_s
+        latest_s = until_s + MAX_OVERTIME_S if self._fault_s else until_s
+        while loop.time() < until_s or (
+            loop.time() < latest_s
+            and len(self._all_callers.accepted) <= MIN_ACCEPTED
+        ):
             self._start_fault(self.rng.choice(self._faults))
             in_series = self.rng.random() < SERIES_SHARE
             max_pause_s = MAX_SERIES_PAUSE_S if in_series else MAX_PAUSE_S
