Model: a worker lists one end at a time

spec/incarnation.pml had all ends in each list, so it could not show that a run whose end is held back counts as absent. Now a list has the end with the lowest number, one that may hold ends back judges no run, and a start that was answered before it counts as confirmed.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -71,6 +71,8 @@
 expect incarnation-ack-unsynced wrong
 verify incarnation-uncounted "-DUNCOUNTED" "$flags" "-E"
 expect incarnation-uncounted wrong
+verify incarnation-judge-partial "-DJUDGE_PARTIAL" "$flags" "-E"
+expect incarnation-judge-partial wrong
 model=crashes.pml
 verify crashes "" "$flags" "-E"
 expect crashes right
--- a/spec/incarnation.pml
+++ b/spec/incarnation.pml
@@ -9,7 +9,7 @@
  * as that has seen no token. A renewal may lose its answer. The clock may or may not show a restart in the answer to a start.
  * docs/design/platform.md maps the steps to functions.
  *
- * Promises: no task starts after an end as done that was acknowledged, none
+ * Promises: no task starts after an end as done that was or is acknowledged, none
  * after as many acknowledged failures as are allowed, and no end is forgotten
  * that the leader has not noted.
  *
@@ -19,6 +19,7 @@
  *   -DACK_UNPROVEN   a number is acknowledged before a list shows a new run
  *   -DACK_UNSYNCED   a number is acknowledged before the raised token is seen
  *   -DUNCOUNTED      a failure is noted and not counted
+ *   -DJUDGE_PARTIAL  a run counts as absent by a list that may hold ends back
  */
 
 #define TASKS 2
@@ -27,6 +28,7 @@
 #define RESTARTS 1
 #define NUMBERS 3
 #define TOKENS 3
+#define LISTED 1                 /* the most ends in one list */
 
 #define IDLE 0
 #define ORDERED 1
@@ -42,6 +44,7 @@
 byte ended[TASKS];               /* the highest attempt that ended here */
 byte seen = 0;                   /* the highest token */
 byte restarts = 0;
+bool again[TASKS];               /* it started after an end that is listed */
 bool clock_back = false;         /* the clock is below what the leader read */
 
 /* What was acknowledged, in any incarnation. */
@@ -91,6 +94,12 @@
         running[flight_task] == 0) ->
         seen = flight_token;
         assert(!done_told[flight_task]);
+        if
+        :: (end_of[1] == flight_task + 1 && !end_failed[1]) ||
+           (end_of[2] == flight_task + 1 && !end_failed[2]) ->
+            again[flight_task] = true
+        :: else -> skip
+        fi;
         assert(failures_told[flight_task] < FAILURES);
         running[flight_task] = flight_attempt
     :: else -> skip
@@ -119,6 +128,7 @@
         restarts++; incarnation++; counted = 0; seen = 0;
         end_of[1] = 0; end_of[2] = 0;
         running[0] = 0; running[1] = 0; ended[0] = 0; ended[1] = 0;
+        again[0] = false; again[1] = false;
         if                       /* what was shut out is gone with it */
         :: flight == 3 -> flight = 0
         :: flight == 1 && flight_token < token -> flight = 0
@@ -147,7 +157,7 @@
             assert(was_noted);   /* nothing is forgotten unread */
             if
             :: end_failed[n] -> failures_told[t]++
-            :: else -> done_told[t] = true
+            :: else -> done_told[t] = true; assert(!again[t])
             fi;
             end_of[n] = 0
         :: else -> skip
@@ -157,11 +167,26 @@
     od
 }
 
-/* Take the ends above the highest noted number. */
+/* List the ends with the lowest numbers; there may be more of them. */
+inline list_ends() {
+    n = 1; listed = 0; last = 0;
+    do
+    :: n <= counted && listed < LISTED ->
+        if
+        :: end_of[n] != 0 -> listed++; last = n
+        :: else -> skip
+        fi;
+        n++
+    :: else -> break
+    od;
+    partial = (listed == LISTED)
+}
+
+/* Take the listed ends above the highest noted number. */
 inline take_ends() {
     n = noted + 1;
     do
-    :: n <= counted ->
+    :: n <= last ->
         if
         :: end_of[n] != 0 ->
             t = end_of[n] - 1;
@@ -184,16 +209,21 @@
 }
 
 inline take_run(task) {
-    if
-    :: running[task] != 0 -> unproven[task] = false
-    :: else -> skip
-    fi;
+    /* A start that was answered before was carried out by now. */
+    unproven[task] = false;
     if
     :: running[task] != 0 && state[task] == UNKNOWN -> state[task] = RUNNING
-    :: running[task] == 0 && state[task] == RUNNING ->
-        state[task] = IDLE; unproven[task] = false
+#ifndef JUDGE_PARTIAL
+    :: running[task] == 0 && partial -> skip
+    :: !partial && running[task] == 0 && state[task] == RUNNING ->
+        state[task] = IDLE
+    :: (!partial && running[task] == 0 && state[task] == UNKNOWN &&
+        order_token[task] < token) -> state[task] = IDLE
+#else
+    :: running[task] == 0 && state[task] == RUNNING -> state[task] = IDLE
     :: (running[task] == 0 && state[task] == UNKNOWN &&
         order_token[task] < token) -> state[task] = IDLE
+#endif
     :: else -> skip
     fi
 }
@@ -230,6 +260,9 @@
     byte n;
     byte t;
     byte ack;
+    byte listed;
+    byte last;
+    bool partial;
     do
     :: atomic {                  /* order a start */
         flight == 0 && synced ->
@@ -283,6 +316,7 @@
            :: else -> skip
            fi;
            synced = true;
+           list_ends();
            take_run(0); take_run(1);
            take_ends()
         fi
