Say in comments what holds, not what was measured

The event ends_held_back has the number of listed ends, also where some of them were recorded before. No decision changes.

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -125,7 +125,7 @@
             self._apply_run(one, report.clock_s)
         unlisted = [run for run in self.runs.values() if run.name not in seen]
         if new_ends and not report.lists_all_ends:
-            self._log_held_back(new_ends, unlisted)
+            self._log_held_back(report.ends, unlisted)
         if report.lists_all_ends:
             for run in unlisted:
                 self._check_absent(run, order, sent_s)
@@ -154,10 +154,10 @@
     def _confirm_starts(
         self, seen: set[tuple[TaskKey, int]], sent_s: float
     ) -> None:
-        """Confirm the starts that the reporting incarnation or one before did.
+        """Confirm the starts that a report shows to precede it.
 
-        These are the runs that it lists and those that had started when the
-        report was requested, whose ends may be held back.
+        These are the runs that it lists and those whose start had a response
+        when the report was requested, though their ends may be held back.
         """
         self.unconfirmed = {
             name
@@ -243,7 +243,7 @@
                 )
 
     def _log_held_back(
-        self, ends: list[EndReport], unlisted: list[Run]
+        self, ends: tuple[EndReport, ...], unlisted: list[Run]
     ) -> None:
         """Log that the worker may have more ends than it has listed."""
         events.log(
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -398,9 +398,10 @@
                 self._apply_report(report, order, sent_s)
 
     def _next_renewal(self) -> LeaseOrder:
-        """Return the next renewal; pause starts if it may acknowledge nothing.
+        """Return the next renewal; pause starts if ends are overdue.
 
-        Without a pause a start may be under way during each renewal.
+        Without a pause a start may be under way during each renewal, so that
+        none may acknowledge them.
         """
         acknowledged = self._run_list.next_acknowledgement(synced=self.synced)
         if self._run_list.ends.is_overdue:
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -86,8 +86,8 @@
         self._awaiting_ends_since_s: dict[tuple[int, int], float] = {}
         self._preempted_for: set[tuple[int, int]] = set()
         self._done_steps: set[tuple[int, int]] = set()
-        # The first task of a step that may not be done yet. Going through all
-        # tasks at each end took a job of 1,500 tasks seconds.
+        # The rank of the first task of a step that may not be done yet: all
+        # tasks before it are done and stay done.
         self._unfinished_ranks: dict[tuple[int, int], int] = {}
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
         for name, task in progress.tasks.items():
