Test that a full list of ends on the wire may not be all of them

With 501 ends a worker lists 500 in one response. The client has to say that there may be more, and with the last one that there are none. If it takes each list for complete, as before these changes, the test fails ('True is not false').

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from curranthill.clock import SystemClock
 from curranthill.dispatch import LeaseOrder, RejectedError, StartOrder
 from curranthill.dispatch.leadership import LeaderRow
-from curranthill.dispatch.workers import WorkerReplacedError
+from curranthill.dispatch.workers import EndReport, WorkerReplacedError
 from curranthill.errors import (
     NotSentError,
     ReplyLostError,
@@ -306,6 +306,26 @@
 
         on_testbed(case)
 
+    def test_a_full_list_of_ends_may_not_be_all_of_them(self) -> None:
+        """The worker lists 500 ends and the others once these are known."""
+
+        async def case(testbed: Testbed) -> None:
+            worker = PlatformConnector(client=testbed.client).connect(
+                testbed.entry
+            )
+            testbed.worker.ends.extend(
+                EndReport(number, TASK, number, 'done', '')
+                for number in range(1, 502)
+            )
+            report = await worker.renew(LeaseOrder(7, 0, 0.0, 0.0))
+            self.assertEqual(report.ends[-1].number, 500)
+            self.assertFalse(report.lists_all_ends)
+            report = await worker.renew(LeaseOrder(7, 500, 0.0, 0.0))
+            self.assertEqual([end.number for end in report.ends], [501])
+            self.assertTrue(report.lists_all_ends)
+
+        on_testbed(case)
+
     def test_rejections_carry_the_workers_reason(self) -> None:
         """An order with a lower fencing token is rejected."""
 
