Draw after how many ends starts pause in the test of held back ends

Since starts pause only once 100 ends wait, the drawn cases, with some dozen ends, never met the pause. Now they draw one, three or 100. 10,000 cases by hand: nothing found, no start is kept for good.

--- a/tests/test_many_ends_properties.py
+++ b/tests/test_many_ends_properties.py
@@ -3,11 +3,13 @@
 import asyncio
 import unittest
 from typing import Final
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from curranthill.dispatch.crashes import LEASE_EXPIRED
+from curranthill.dispatch.ends import MIN_OVERDUE_ENDS
 from curranthill.dispatch.session import WorkerSession
 from curranthill.placement import Run, WorkerEntry
 from curranthill.standin.task_worker import TaskWorkerModel
@@ -155,6 +157,7 @@
         st.sampled_from(KINDS),
         st.sampled_from((1, 2, 5)),
         st.sampled_from((0.0, 0.01, 0.2)),
+        st.sampled_from((1, 3, MIN_OVERDUE_ENDS)),
     )
     def test_each_end_is_recorded_before_it_is_acknowledged(
         self,
@@ -162,10 +165,15 @@
         kind: type[TaskWorkerModel],
         max_listed: int,
         run_s: float,
+        min_overdue: int,
     ) -> None:
-        """Neither pages nor a new incarnation between them lose one."""
+        """Neither pages nor a new incarnation between them lose one.
+
+        With few overdue ends starts pause often; each is carried out later.
+        """
         play = Play(kind=kind, max_listed=max_listed, run_s=run_s)
-        run(play.run(steps))
+        with patch('curranthill.dispatch.ends.MIN_OVERDUE_ENDS', min_overdue):
+            run(play.run(steps))
         ended = play.owner.ended
         acknowledged = {end.task for end in play.model.acknowledged}
         self.assertLessEqual(acknowledged, set(ended))
