Confirm only starts of runs that the session still has

They take a run out of its session to see that the audit finds and repairs it. Since the next report looked such a run up by its name if its start was not confirmed yet: a KeyError ended the session's task and with it the leader's term, in place of the repair.

The confirmed starts are now chosen among the runs that are there; the name of one that is not is forgotten (before it kept ends from being acknowledged for good).

--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -160,10 +160,11 @@
         when the report was requested, though their ends may be held back.
         """
         self.unconfirmed = {
-            name
-            for name in self.unconfirmed - seen
-            if self.runs[name].confirmed_s >= sent_s
+            run.name
+            for run in self.runs.values()
+            if run.name in self.unconfirmed and run.confirmed_s >= sent_s
         }
+        self.unconfirmed -= seen
 
     def _apply_run(self, report: RunReport, clock_s: float) -> None:
         run = self.runs.get((report.task, report.attempt))
