--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -301,6 +301,7 @@
         self.alive = False
         self.dark = False
         self.drain_until_s = 0.0
+        self.renewed_s = 0.0
         self.running = {}
         self.ended = []
         self.last_end = 0
@@ -356,6 +357,11 @@
         self.dark = True
         self.bed.record.add(f'worker {self.worker_id} goes dark')
 
+    def come_back(self):
+        """End a cut; calls that it met stay unanswered."""
+        self.dark = False
+        self.bed.record.add(f'worker {self.worker_id} is reached again')
+
     async def close(self):
         if self.alive:
             self.alive = False
@@ -477,6 +483,7 @@
         acked = body.get('acked_through', 0)
         self.ended = [end for end in self.ended if end[0] > acked]
         if body.get('deadline_ms'):
+            self.renewed_s = time.monotonic()
             self._extend(body)
         wait_s = min(body.get('wait_ms', 0), 2000) / 1000
         if wait_s and not self.ended:
