Bound what all callers together make a host hold, before it is allocated

Cause: only the length of a body had a limit. Heads, fields, trailers, chunks, requests behind others, unread answers and idle connections had none together, and nothing read the memory and descriptors of the settings. Change: a protocol in front of that of the HTTP library (ingress). Connections, heads and bodies draw on one budget that follows from the machine; each stage ends in size and time; what has stalled or sent nothing gives way; a refusal is sent whole and the rest of the request is discarded until the caller has it; bytes are passed on in turns of the event loop. The library still parses.

--- a/src/curranthill/platform/caller_api.py
+++ b/src/curranthill/platform/caller_api.py
@@ -14,6 +14,7 @@
     SuspensionDetector,
 )
 from curranthill.errors import NOT_RUN, RefusedError
+from curranthill.ingress import read_body
 from curranthill.platform.configuration import SubmittedJob, decode_step
 from curranthill.platform.refusal_log import RefusalLog
 from curranthill.tasks import (
@@ -94,7 +95,7 @@
         try:
             response = await self._dispatch(request)
         except RefusedError as refused:
-            response = _error_response(refused)
+            response = refusal_response(refused)
             metrics.refusals.add(
                 1,
                 {'status': refused.status, 'step': refused.step},
@@ -181,7 +182,7 @@
         revision: Revision,
         target: Target,
     ) -> web.Response:
-        body = await _read_body(request, revision.limits.body_bytes)
+        body = await read_body(request, revision.limits.body_bytes)
         async with self._parsing:
             spec = self._parse_job(body, target)
             if len(body) > LARGE_BODY_BYTES:
@@ -204,7 +205,7 @@
         )
         return _json({})
 
-    def _parse_job(self, body: bytes, target: Target) -> JobSpec:
+    def _parse_job(self, body: bytearray, target: Target) -> JobSpec:
         try:
             submitted = msgspec.json.decode(body, type=SubmittedJob)
             _check_count(submitted)
@@ -255,23 +256,6 @@
     )
 
 
-async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
-    """Return the body of a request.
-
-    :raises RefusedError: if it exceeds the limit.
-    """
-    body = b''
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit_bytes:
-            raise RefusedError(
-                f'The body is longer than {limit_bytes} bytes.',
-                step='read',
-                status=413,
-            )
-    return body
-
-
 def _configuration_unread(reason: str) -> RefusedError:
     return RefusedError(
         reason,
@@ -319,7 +303,8 @@
     return _json({'error': f'There is no job {job_id}.'}, status=410)
 
 
-def _error_response(refused: RefusedError) -> web.Response:
+def refusal_response(refused: RefusedError) -> web.Response:
+    """Return the response to a refused request."""
     response = _json(
         {
             'error': refused.message[:MAX_REASON_CHARS],
@@ -342,4 +327,4 @@
     )
 
 
-__all__ = ('CallerApi',)
+__all__ = ('CallerApi', 'refusal_response')
--- a/src/curranthill/platform/host.py
+++ b/src/curranthill/platform/host.py
@@ -28,9 +28,10 @@
     SuspensionDetector,
 )
 from curranthill.errors import SettingsError
+from curranthill.ingress import IngressServer, limits_of
 from curranthill.placement import NONE_DISABLED
 from curranthill.platform.advisor import PlatformAdvisor
-from curranthill.platform.caller_api import CallerApi
+from curranthill.platform.caller_api import CallerApi, refusal_response
 from curranthill.platform.configuration import (
     TABLE,
     decode_closure,
@@ -59,6 +60,9 @@
 #: checks, which are one second apart.
 DRAIN_S: Final = 2.5
 
+#: How long a connection of a caller stays open without a request, in seconds.
+CALLER_IDLE_S: Final = 300.0
+
 RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -104,7 +108,7 @@
     @property
     def callers_address(self) -> str:
         """Return the address for callers, with the port that was bound."""
-        return _bound_address(self._callers)
+        return self._callers.address
 
     @property
     def relay_address(self) -> str:
@@ -180,10 +184,7 @@
             signal.SIGHUP,
             self._reload,
         )
-        self._callers = await _serve(
-            self._caller_api.handle,
-            settings.callers,
-        )
+        await self._start_callers()
         self._readiness = await _serve(
             self._handle_readiness,
             settings.readiness,
@@ -191,6 +192,27 @@
         self._metrics = await _serve(_handle_metrics, settings.metrics)
         events.log('started', callers=settings.callers)
 
+    async def _start_callers(self) -> None:
+        """Start to serve callers within the limits of the machine."""
+        settings = self._settings
+        self._callers = IngressServer(
+            limits=limits_of(settings.machine, idle_s=CALLER_IDLE_S),
+            refusal=refusal_response,
+        )
+        runner = web.ServerRunner(
+            web.Server(
+                self._handle_caller,
+                **self._callers.options,
+            ),
+            shutdown_timeout=1.0,
+        )
+        await self._callers.start(runner, *settings.callers)
+
+    async def _handle_caller(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        return await self._callers.respond(request, self._caller_api.handle)
+
     async def _start_relay(self) -> None:
         """Start to relay peers' requests, and to track available peers."""
         clock = self.app.clock
@@ -225,7 +247,7 @@
         # Concurrently, because each waits for its open requests and they share
         # one grace period.
         await asyncio.gather(
-            self._callers.cleanup(),
+            self._callers.stop(),
             self._readiness.cleanup(),
             self._metrics.cleanup(),
             self._relay.cleanup(),
--- a/src/curranthill/platform/settings.py
+++ b/src/curranthill/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from curranthill.errors import SettingsError
+from curranthill.ingress import MachineLimits
 from curranthill.storage.limits import MAX_ROW_BYTES
 from curranthill.tasks import Timing
 
@@ -36,6 +37,7 @@
     :param store_address: address of the platform's metadata store.
     :param advisor_address: address of the placement advisor, or empty.
     :param row_bytes: the most bytes of a row of that store.
+    :param machine: what the machine grants the process.
     """
 
     host: str
@@ -48,6 +50,7 @@
     advisor_address: str
     timing: Timing
     row_bytes: int = MAX_ROW_BYTES
+    machine: MachineLimits = MachineLimits()
 
 
 def read_platform_settings(path: Path) -> PlatformSettings:
@@ -78,6 +81,15 @@
         advisor_address=_without_tls(fields.get('placement_advisor') or ''),
         timing=_timing(fields.get('bounds', {})),
         row_bytes=fields['platform'].get('row_bytes', MAX_ROW_BYTES),
+        machine=_machine(fields.get('limits') or {}),
+    )
+
+
+def _machine(limits: dict[str, Any]) -> MachineLimits:
+    defaults = MachineLimits()
+    return MachineLimits(
+        memory_mb=limits.get('memory_mb') or defaults.memory_mb,
+        max_fds=limits.get('max_fds') or defaults.max_fds,
     )
 
 
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -1,5 +1,7 @@
 """The metrics of all processes, as OpenTelemetry instruments."""
 
+from collections.abc import Callable
+
 from opentelemetry import metrics as api
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader
@@ -99,8 +101,19 @@
         self.store_bytes_relayed = meter.create_counter('store_bytes_relayed')
         self.truncated_responses = meter.create_counter('answers_cut')
         self.truncated_response_bytes = meter.create_counter('answer_bytes_cut')
+        self.callers_refused = meter.create_counter('callers_refused')
         self.log_lines_dropped = meter.create_counter('log_lines_left_out')
 
+    def observe(self, name: str, read: Callable[[], float]) -> None:
+        """Export a gauge that is read whenever the metrics are collected."""
+
+        def report(options: api.CallbackOptions) -> list[api.Observation]:
+            return [api.Observation(read())]
+
+        api.get_meter('curranthill').create_observable_gauge(
+            name, callbacks=[report]
+        )
+
 
 #: The instruments of this process.
 metrics = Metrics()
