--- a/src/curranthill/gateway/daemon.py
+++ b/src/curranthill/gateway/daemon.py
@@ -80,7 +80,6 @@
         await self.node.join()
         await allotment.start()
         await self.server.start(self._settings.host.address)
-        self.app.spawn(self.server.sweep(), name='idle connections')
 
     async def _stop(self) -> None:
         if self.server is not None:
@@ -128,6 +127,7 @@
         return CallerServer(
             clock=clock,
             settings=self._settings.callers,
+            machine=self._settings.machine,
             configuration=self.node.configuration,
             router=router,
             idempotent_runner=IdempotentRunner(
--- a/src/curranthill/gateway/requests.py
+++ b/src/curranthill/gateway/requests.py
@@ -11,6 +11,7 @@
 
 from curranthill.configuration import ActiveConfiguration, Kind, Workspace
 from curranthill.gateway.problems import refuse
+from curranthill.ingress import read_body
 from curranthill.settings import CallerSettings
 
 _BEARER = 'Bearer '
@@ -117,19 +118,13 @@
 async def _body(request: web.Request, settings: CallerSettings) -> bytes:
     try:
         async with asyncio.timeout(settings.body_timeout_s):
-            return await request.read()
+            return bytes(await read_body(request, settings.max_body_bytes))
     except TimeoutError:
         raise refuse(
             HTTPStatus.REQUEST_TIMEOUT,
             'The body did not arrive in time.',
             step='read request',
         ) from None
-    except web.HTTPRequestEntityTooLarge:
-        raise refuse(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            f'The body is larger than {settings.max_body_bytes} bytes.',
-            step='read request',
-        ) from None
 
 
 def _deadline_s(request: web.Request, kind: Kind) -> float:
--- a/src/curranthill/gateway/server.py
+++ b/src/curranthill/gateway/server.py
@@ -3,7 +3,6 @@
 import json
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
 
 from aiohttp import web
 
@@ -18,6 +17,7 @@
     authenticate,
     read_request,
 )
+from curranthill.ingress import IngressServer, MachineLimits, limits_of
 from curranthill.jobs import Job
 from curranthill.routing import QuickWork, Router
 from curranthill.settings import CallerSettings
@@ -27,14 +27,12 @@
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
-#: How many times per idle timeout the connections are checked.
-_SWEEPS_PER_TIMEOUT = 4
-
 
 class CallerServer:
     """Serves callers until it is drained.
 
     :param settings: limits on requests and connections.
+    :param machine: what the machine grants the process.
     """
 
     def __init__(  # noqa: WPS211
@@ -42,6 +40,7 @@
         *,
         clock: Clock,
         settings: CallerSettings,
+        machine: MachineLimits,
         configuration: ActiveConfiguration,
         router: Router,
         idempotent_runner: IdempotentRunner,
@@ -58,29 +57,27 @@
         self._job_handler = job_handler
         self._in_flight = 0
         self._runner: web.AppRunner | None = None
-        self._last_request_s: dict[Any, float] = {}
-        self._busy: set[Any] = set()
+        limits = limits_of(machine, idle_s=settings.idle_s)
+        self._ingress = IngressServer(
+            limits=limits._replace(field_bytes=settings.max_header_bytes),
+            refusal=problem_response,
+        )
 
     async def start(self, host: str) -> None:
         """Listen on the port in the settings, or on any free one if it is 0."""
         settings = self._settings
         app = web.Application(
             client_max_size=settings.max_body_bytes,
-            middlewares=[self._admit],
+            middlewares=[self._respond, self._admit],
         )
         app.add_routes(self._routes())
         self._runner = web.AppRunner(
             app,
-            access_log=None,
-            keepalive_timeout=settings.idle_s,
-            max_line_size=settings.max_header_bytes,
-            max_field_size=settings.max_header_bytes,
             shutdown_timeout=settings.drain_s,
+            **self._ingress.options,
         )
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, host, settings.port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        await self._ingress.start(self._runner, host, settings.port)
+        self.port = int(self._ingress.address.rpartition(':')[2])
 
     async def drain(self) -> None:
         """Report not ready, wait for requests in flight, then stop."""
@@ -88,28 +85,7 @@
         until_s = self._clock.monotonic_s() + self._settings.drain_s
         while self._in_flight and self._clock.monotonic_s() < until_s:
             await self._clock.sleep(0.05)
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def sweep(self) -> None:
-        """Close idle connections until cancelled.
-
-        A connection is idle if it has not sent a complete request for longer
-        than the idle timeout.
-        """
-        idle_s = self._settings.idle_s
-        while True:
-            await self._clock.sleep(idle_s / _SWEEPS_PER_TIMEOUT)
-            if self._runner is None or self._runner.server is None:
-                continue
-            now_s = self._clock.monotonic_s()
-            connections = set(self._runner.server.connections)
-            for connection in connections - self._busy:
-                since_s = self._last_request_s.setdefault(connection, now_s)
-                if now_s - since_s > idle_s:
-                    connection.force_close()
-            for closed in set(self._last_request_s) - connections:
-                self._last_request_s.pop(closed)
+        await self._ingress.stop()
 
     def _routes(self) -> list[web.RouteDef]:
         work = '/v1/workspaces/{workspace}/kinds/{kind}/requests'
@@ -122,6 +98,15 @@
             web.get('/ready', self._ready),
         ]
 
+    @web.middleware
+    async def _respond(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Respond within the limits on connections and memory."""
+        return await self._ingress.respond(request, handler)
+
     @web.middleware
     async def _admit(
         self,
@@ -131,8 +116,6 @@
         """Limit concurrent requests and turn errors into problem documents."""
         if request.path in {'/healthy', '/ready'}:
             return await handler(request)
-        connection = request.protocol
-        self._busy.add(connection)
         self._in_flight += 1
         metrics.requests.add(1)
         try:
@@ -152,8 +135,6 @@
             )
         finally:
             self._in_flight -= 1
-            self._busy.discard(connection)
-            self._last_request_s[connection] = self._clock.monotonic_s()
 
     async def _request(self, request: web.Request) -> web.StreamResponse:
         if self.draining:
--- a/src/curranthill/settings/records.py
+++ b/src/curranthill/settings/records.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from curranthill.ingress.limits import MachineLimits
 from curranthill.telemetry.logs import LogStyle
 
 
@@ -114,6 +115,7 @@
     membership: MembershipSettings = MembershipSettings()
     callers: CallerSettings = CallerSettings()
     quick: QuickSettings = QuickSettings()
+    machine: MachineLimits = MachineLimits()
     logs: LogSettings = LogSettings()
     metrics_port: int = 0
 
@@ -204,6 +206,7 @@
     'HostSettings',
     'LeaseSettings',
     'LogSettings',
+    'MachineLimits',
     'MembershipSettings',
     'OperatorSettings',
     'PlacementSettings',
