--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -10,7 +10,7 @@
 #: The layers, lowest first; a package may import from its own and lower ones.
 LAYERS = (
     {'errors', 'clock', 'registry', 'application', 'connections'},
-    {'settings', 'protocol', 'telemetry'},
+    {'settings', 'protocol', 'ingress', 'telemetry'},
     {'jobs', 'configuration', 'workers', 'storage', 'tasks'},
     {'routing', 'membership', 'placement', 'admission'},
     {'gateway', 'scheduler', 'dispatch', 'entry'},
