Count every limit on callers, also in gateways, and read the rest of refused chunked bodies

What callers saw: a chunked body that was refused for want of room lost its answer beyond 64 KB. What operators saw: no metric for refused bodies in a gateway, nor for connections that were ended while they lingered. Cause: only refusals outside of handlers were counted, and hosts counted the others by themselves; the length of a chunked body is unknown. Change: the connection counts its refusals by reason; a refused chunked body is read for 256 KB more, unless its framing was at fault.

--- a/src/curranthill/ingress/connection.py
+++ b/src/curranthill/ingress/connection.py
@@ -50,6 +50,9 @@
 #: Up to this size the rest of a refused body is read, in bytes.
 MAX_DISCARDED_BYTES: Final = 1_048_576
 
+#: The same for a body of unknown length, in bytes.
+CHUNKED_DISCARDED_BYTES: Final = 262_144
+
 RETRY_AFTER_S: Final = 1.0
 
 
@@ -121,7 +124,7 @@
         self._body_wire_bytes = 0
         self._extra_bytes = 0
         self._discard_bytes = 0
-        self._may_hold_more = False
+        self._is_pipelined = False
         self._flushed: asyncio.Future[None] | None = None
         self._writing_paused = False
 
@@ -155,6 +158,7 @@
         self._received_bytes += nbytes
         if self.stage is Stage.LINGERING:
             if self._received_bytes > self._discard_bytes:
+                self._owner.refused('lingering')
                 self.abort()
             return
         piece = bytes(self._owner.buffer[:nbytes])
@@ -196,15 +200,18 @@
         """
         self._content = request.content
         self._extra_bytes = 0
+        rest_bytes = request.content_length
+        if rest_bytes is None and not request.content.is_eof():
+            rest_bytes = CHUNKED_DISCARDED_BYTES
         self._discard_bytes = self._owner.limits.linger_bytes + min(
-            request.content_length or 0, MAX_DISCARDED_BYTES
+            rest_bytes or 0, MAX_DISCARDED_BYTES
         )
         self._enter(Stage.HANDLING)
         if self._head_bytes:
             behind = self._head_bytes - _min_bytes(request)
-            self._may_hold_more = behind > _HEAD_SLACK_BYTES
+            self._is_pipelined = behind > _HEAD_SLACK_BYTES
         size_bytes = REQUEST_BYTES
-        if self._may_hold_more:
+        if self._is_pipelined:
             size_bytes += PIPELINE_BYTES
         if not self._owner.reserve(self, max(self.held_bytes, size_bytes)):
             raise crowded('requests')
@@ -219,17 +226,13 @@
         :raises RefusedError: if it is too long, too slow, can't be decoded, or
             there is no room for it.
         """
-        length = request.content_length or 0
-        if length > limit_bytes:
-            raise _too_long(limit_bytes)
-        self._enter(Stage.BODY)
-        if 'Content-Encoding' in request.headers:
-            self._extra_bytes = DECODER_BYTES
-        self._hold_body(length)
-        body = bytearray()
         try:
-            await self._receive(request, body, limit_bytes)
+            body = await self._receive(request, limit_bytes)
+        except RefusedError as refused:
+            self._owner.refused(refused.step)
+            raise
         except (web.RequestPayloadError, ValueError) as error:
+            self._owner.refused('read')
             raise RefusedError(
                 'The body cannot be read.',
                 step='read',
@@ -252,7 +255,7 @@
         if not request.content.is_eof():
             return
         self._content = None
-        if self._may_hold_more:
+        if self._is_pipelined:
             self._owner.reserve(self, PIPELINE_BYTES)
             self._owner.turns.after_handler(self._resume)
         else:
@@ -326,7 +329,7 @@
             return
         if self.stage is Stage.HEAD:
             self._discard_bytes = self._owner.limits.linger_bytes
-        is_read = self._content is None and not self._may_hold_more
+        is_read = self._content is None and not self._is_pipelined
         if is_read and not self._head_bytes:
             self._enter(Stage.LINGERING)
             self.transport.close()
@@ -343,7 +346,7 @@
         """Reserve memory for more of a head; refuse it if there is none."""
         if self.stage is not Stage.HEAD:
             self._enter(Stage.HEAD)
-            self._may_hold_more = False
+            self._is_pipelined = False
         self._head_bytes += added_bytes
         size_bytes = max(REQUEST_BYTES, self._head_bytes * HEAD_COST)
         if self._owner.reserve(self, size_bytes):
@@ -379,6 +382,7 @@
         self._http.data_received(piece)
         framing_bytes = self._body_wire_bytes - content.total_raw_bytes
         if framing_bytes > _FRAMING_BYTES + content.total_raw_bytes // 4:
+            self._discard_bytes = self._owner.limits.linger_bytes
             self._content.set_exception(
                 RefusedError(
                     'The framing of the body exceeds a quarter of it.',
@@ -392,16 +396,23 @@
     async def _receive(
         self,
         request: web.BaseRequest,
-        body: bytearray,
         limit_bytes: int,
-    ) -> None:
+    ) -> bytearray:
+        length = request.content_length or 0
+        if length > limit_bytes:
+            raise _too_long(limit_bytes)
+        self._enter(Stage.BODY)
+        if 'Content-Encoding' in request.headers:
+            self._extra_bytes = DECODER_BYTES
+        self._hold_body(length)
         self._body_wire_bytes = 0
         if not request.content.is_eof():
             self._owner.turns.wait(self._resume)
+        body = bytearray()
         while True:
             received = await request.content.readany()
             if not received:
-                return
+                return body
             if len(body) + len(received) > limit_bytes:
                 raise _too_long(limit_bytes)
             self._hold_body(len(body) + len(received))
--- a/src/curranthill/ingress/server.py
+++ b/src/curranthill/ingress/server.py
@@ -37,16 +37,11 @@
 #: How many more connections are refused with a response at the same time.
 _REFUSED_SHARE: Final = 0.125
 
-#: Refusals that no handler has seen are logged together, in seconds.
+#: The interval in which refusals are logged together, in seconds.
 REFUSAL_LOG_INTERVAL_S: Final = 10.0
 
 _BUFFER_BYTES: Final = 65_536
 
-#: Stages that a check may end.
-_TIMED: Final = frozenset(
-    (Stage.LINGERING, Stage.HEAD, Stage.BODY, Stage.ANSWER),
-)
-
 #: Stages without a request.
 _WITHOUT_REQUEST: Final = (
     Stage.ACCEPTED,
@@ -87,6 +82,12 @@
         self._by_stage: dict[Stage, dict[Connection, None]] = {
             stage: {} for stage in Stage
         }
+        self._limits_s: dict[Stage, int] = {
+            Stage.HEAD: limits.head_s,
+            Stage.BODY: limits.body_s,
+            Stage.ANSWER: limits.answer_s,
+            Stage.LINGERING: limits.linger_s,
+        }
         self._runner: web.BaseRunner | None = None
         self._listener: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
@@ -206,7 +207,7 @@
         if connection.stage is Stage.CLOSED:
             return
         self._by_stage[connection.stage][connection] = None
-        if connection.stage in _TIMED and self._sweep is None:
+        if connection.stage in self._limits_s and self._sweep is None:
             self._sweep = asyncio.get_running_loop().call_later(
                 SWEEP_INTERVAL_S, self._check
             )
@@ -229,7 +230,7 @@
         return granted
 
     def refused(self, reason: str) -> None:
-        """Count a refusal that no handler has seen."""
+        """Count a refusal or a disconnection."""
         metrics.callers_refused.add(1, {'reason': reason})
         if not self._refusals:
             asyncio.get_running_loop().call_later(
@@ -288,29 +289,22 @@
     def _check(self) -> None:
         """End what has taken too long; check again while anything is timed."""
         self._sweep = None
-        for stage in _TIMED:
+        for stage in self._limits_s:
             for connection in tuple(self._by_stage[stage]):
                 self._check_connection(connection)
-        if any(self._by_stage[stage] for stage in _TIMED):
+        if any(self._by_stage[stage] for stage in self._limits_s):
             self._sweep = asyncio.get_running_loop().call_later(
                 SWEEP_INTERVAL_S, self._check
             )
 
     def _check_connection(self, connection: Connection) -> None:
         stage = connection.stage
-        limit_s = {
-            Stage.LINGERING: self.limits.linger_s,
-            Stage.HEAD: self.limits.head_s,
-            Stage.BODY: self.limits.body_s,
-            Stage.ANSWER: self.limits.answer_s,
-        }[stage]
-        if connection.sweep() <= limit_s:
+        if connection.sweep() <= self._limits_s.get(stage, 0):
             return
         if stage in _RECEIVING:
             connection.give_up(_too_slow(stage))
         else:
-            if stage is Stage.ANSWER:
-                self.refused('answer')
+            self.refused(stage.name.lower())
             connection.abort()
 
 
