An error of one connection does not hold up the turns of the others

What callers would see: no head is read any more, or no body goes on, until the host restarts. Change: the next turn is scheduled whatever happens in this one, and the place is released by a call that is made before. Two refusals have names of their own. Result: TurnsTest fails before and passes.

--- a/src/curranthill/ingress/server.py
+++ b/src/curranthill/ingress/server.py
@@ -221,7 +221,7 @@
         granted = self._budget.resize(held_bytes, size_bytes)
         for other in () if granted else self._stalled(*_RECEIVING):
             if other is not connection:
-                other.give_up(_stalled(other.stage))
+                other.give_up(_stalled_refusal(other.stage))
                 granted = self._budget.resize(held_bytes, size_bytes)
             if granted:
                 break
@@ -302,7 +302,7 @@
         if connection.sweep() <= self._limits_s.get(stage, 0):
             return
         if stage in _RECEIVING:
-            connection.give_up(_too_slow(stage))
+            connection.give_up(_slow_refusal(stage))
         else:
             self.refused(stage.name.lower())
             connection.abort()
@@ -355,7 +355,7 @@
     return transport.connection
 
 
-def _stalled(stage: Stage) -> RefusedError:
+def _stalled_refusal(stage: Stage) -> RefusedError:
     return RefusedError(
         'The request arrives too slowly while others wait for its room.',
         step=f'stalled {stage.name.lower()}',
@@ -364,7 +364,7 @@
     )
 
 
-def _too_slow(stage: Stage) -> RefusedError:
+def _slow_refusal(stage: Stage) -> RefusedError:
     return RefusedError(
         f'The {stage.name.lower()} of the request did not arrive in time.',
         step=f'slow {stage.name.lower()}',
--- a/src/curranthill/ingress/turns.py
+++ b/src/curranthill/ingress/turns.py
@@ -40,8 +40,8 @@
         """
         if self._unconfirmed < MAX_UNCONFIRMED:
             self._unconfirmed += 1
-            pass_on()
             self.after_handler(self._confirm)
+            pass_on()
         else:
             self._heads.append(pass_on)
 
@@ -68,11 +68,14 @@
             self.pass_head(self._heads.popleft())
 
     def _run(self) -> None:
-        for _ in range(min(READS_PER_TURN, len(self._waiting))):
-            self._waiting.popleft()()
-        self._scheduled = bool(self._waiting)
-        if self._scheduled:
-            self._loop.call_soon(self._run)
+        try:
+            for _ in range(min(READS_PER_TURN, len(self._waiting))):
+                self._waiting.popleft()()
+        finally:
+            # An error of one connection does not hold up the others.
+            self._scheduled = bool(self._waiting)
+            if self._scheduled:
+                self._loop.call_soon(self._run)
 
 
 __all__ = ('Turns',)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -19,6 +19,11 @@
 )
 from curranthill.ingress.budget import LARGE_BYTES, MemoryBudget
 from curranthill.ingress.limits import FILE_DESCRIPTORS, REQUEST_BYTES
+from curranthill.ingress.turns import (
+    MAX_UNCONFIRMED,
+    READS_PER_TURN,
+    Turns,
+)
 from tests.support import run
 
 IP: Final = '127.0.0.1'
@@ -352,6 +357,37 @@
                 self.assertGreater(limits.connections, 50)
 
 
+class TurnsTest(unittest.TestCase):
+    """An error of one connection does not hold up the others."""
+
+    def test_others_have_their_turn(self) -> None:
+        """Many of them fail, in reading and in the HTTP library."""
+        done: list[str] = []
+
+        def fail() -> None:
+            raise RuntimeError('failed')
+
+        async def case() -> None:
+            asyncio.get_running_loop().set_exception_handler(
+                lambda loop, context: done.append('reported'),
+            )
+            turns = Turns()
+            for _ in range(3 * READS_PER_TURN):
+                turns.wait(fail)
+            turns.wait(lambda: done.append('read'))
+            with suppress(RuntimeError):
+                turns.pass_head(fail)
+            for _ in range(3 * MAX_UNCONFIRMED):
+                turns.pass_head(lambda: None)
+            turns.pass_head(fail)
+            turns.pass_head(lambda: done.append('passed'))
+            await asyncio.sleep(0.1)
+
+        run(case())
+        self.assertEqual(done.count('read'), 1)
+        self.assertEqual(done.count('passed'), 1)
+
+
 class BudgetTest(unittest.TestCase):
     """Reservations of memory."""
 
