Log an error of the event loop in one line, once a second

Cause: errors that no caller handles went to asyncio's default handler, without a limit of their volume. Change: the application logs one a second, without the trace.

--- a/src/curranthill/application.py
+++ b/src/curranthill/application.py
@@ -3,12 +3,15 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 from loguru import logger
 
 from curranthill.clock import Clock, SystemClock
 
+#: The interval in which one error of the event loop is logged, in seconds.
+LOOP_ERROR_INTERVAL_S: Final = 1.0
+
 Hook = Callable[[], Awaitable[None]]
 
 
@@ -30,6 +33,7 @@
         self._stop_hooks: list[Hook] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
+        self._next_loop_error_s = 0.0
 
     def on_start(self, hook: Hook) -> None:
         """Add a coroutine function to call at start, in order of addition."""
@@ -70,12 +74,30 @@
     async def run(self) -> None:
         """Start, wait for SIGTERM or SIGINT, then stop gracefully."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._on_loop_error)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         await self.start()
         await self._stopping.wait()
         await self.stop()
 
+    def _on_loop_error(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        context: dict[str, Any],
+    ) -> None:
+        """Log an error that no caller handles, one a second without a trace.
+
+        Clients can cause errors in the HTTP library on each connection.
+        """
+        now_s = self.clock.monotonic_s()
+        if now_s < self._next_loop_error_s:
+            return
+        self._next_loop_error_s = now_s + LOOP_ERROR_INTERVAL_S
+        logger.bind(step='event loop').error(
+            '{}: {!r}', context.get('message'), context.get('exception')
+        )
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,14 +1,18 @@
 """The limits on callers' connections, on loopback sockets."""
 
 import asyncio
+import os
+import signal
 import unittest
 import zlib
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Final, NamedTuple
+from unittest.mock import patch
 
 from aiohttp import web
 
+from curranthill.application import Application
 from curranthill.errors import RefusedError
 from curranthill.ingress import (
     IngressLimits,
@@ -24,7 +28,7 @@
     READS_PER_TURN,
     Turns,
 )
-from tests.support import run
+from tests.support import ManualClock, run
 
 IP: Final = '127.0.0.1'
 BODY_BYTES: Final = 262_144
@@ -387,6 +391,26 @@
         self.assertEqual(done.count('read'), 1)
         self.assertEqual(done.count('passed'), 1)
 
+    def test_errors_of_the_event_loop_are_logged_once_a_second(self) -> None:
+        """Without a trace, as clients can cause them."""
+        clock = ManualClock()
+
+        async def case() -> None:
+            app = Application(name='test', clock=clock)
+            loop = asyncio.get_running_loop()
+            with patch('curranthill.application.logger') as log:
+                running = asyncio.create_task(app.run())
+                await asyncio.sleep(0)
+                for _ in range(5):
+                    loop.call_exception_handler({'message': 'failed'})
+                await clock.advance(1)
+                loop.call_exception_handler({'message': 'failed'})
+                os.kill(os.getpid(), signal.SIGTERM)
+                await running
+                self.assertEqual(log.bind.return_value.error.call_count, 2)
+
+        run(case())
+
 
 class BudgetTest(unittest.TestCase):
     """Reservations of memory."""
