--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -62,6 +62,7 @@
         self.began_s = time.time()
         self.store = ''
         self.session = None
+        self.max_hold_ms = 6000
 
     def note(self, text, at_s=None):
         at_s = (at_s or time.time()) - self.began_s
@@ -109,6 +110,7 @@
             worker_id,
             self.store,
             str(self.log),
+            MAX_HOLD_MS=str(self.max_hold_ms),
         )
         self.workers[worker_id] = f'127.0.0.1:{port}'
         return worker_id
@@ -151,7 +153,7 @@
                 'grace_s': 6,
                 'loss_slack_ms': 200,
                 'config_apply_ms': 2000,
-                'max_hold_ms': 6000,
+                'max_hold_ms': self.max_hold_ms,
                 'stop_ms': 200,
                 'gang_timeout_ms': 3000,
                 'cancel_ms': 3000,
--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -5,12 +5,14 @@
 the build of the deploy file installs. A worker runs each task for the time
 that its text names (``run_ms=2000``; ``run_ms=0`` runs until it is stopped),
 and appends what it starts and ends to a log file. After SIGUSR1 it is unhealthy:
-it answers 503 to every start and does nothing, until SIGUSR2.
+it answers 503 to every start and does nothing, until SIGUSR2. After SIGTERM it
+drains: it reports so, serves on for a while, and leaves.
 """
 
 import asyncio
 import base64
 import json
+import os
 import signal
 import sys
 import time
@@ -23,8 +25,11 @@
 HEARTBEAT_S = 1.5
 EXPIRY_S = 3 * HEARTBEAT_S
 
-MAX_HOLD_MS = 6000
+MAX_HOLD_MS = int(os.environ.get('MAX_HOLD_MS', '6000'))
 STOP_S = 0.1
+#: How long a draining worker serves on at least, and how long it does.
+MIN_DRAIN_S = 2.0
+DRAIN_S = 3.0
 SAVE_S = 1.0
 SERVICE = 'service1'
 
@@ -196,6 +201,7 @@
         self.sequence = 0
         self.ended = asyncio.Event()
         self.unhealthy = False
+        self.draining = asyncio.Event()
 
     def set_unhealthy(self, unhealthy):
         self.unhealthy = unhealthy
@@ -331,36 +337,55 @@
 
     async def report(self):
         async with aiohttp.ClientSession() as session:
-            while True:
-                self.sequence += 1
-                fields = {
-                    'service': SERVICE,
-                    'address': self.address,
-                    'zone': 'zone-a',
-                    'version': 'v1',
-                    'capacity': 8,
-                    'state': 'ready',
-                    'cold_remaining_ms': 0,
-                    'headroom': {'cpu': 32000, 'mem_mb': 65536, 'gpu': 8},
-                    'labels': ['a', 'r1-1'],
-                    'clock_ms': self.clock_ms(),
-                    'sequence': self.sequence,
-                }
+            while not self.draining.is_set():
+                await self.post(session, fields=self.entry(), expires=True)
                 try:
-                    async with session.post(
-                        f'http://{self.store}/platform',
-                        json={
-                            'table': 'servers',
-                            'key': self.worker_id,
-                            'fields': fields,
-                            'expires': True,
-                        },
-                        timeout=aiohttp.ClientTimeout(total=1),
-                    ):
-                        pass
-                except (aiohttp.ClientError, TimeoutError):
+                    await asyncio.wait_for(
+                        self.draining.wait(), HEARTBEAT_S
+                    )
+                except TimeoutError:
                     pass
-                await asyncio.sleep(HEARTBEAT_S)
+            self.leaves_s = time.monotonic() + MIN_DRAIN_S
+            until_s = time.monotonic() + DRAIN_S
+            while time.monotonic() < until_s:
+                await self.post(session, fields=self.entry(), expires=True)
+                await asyncio.sleep(0.5)
+            for task, attempt in self.runs:
+                self.log('end', task, attempt, 'with its worker, which left')
+            # The entry goes with the worker.
+            await self.post(session)
+            os._exit(0)
+
+    def entry(self):
+        self.sequence += 1
+        fields = {
+            'service': SERVICE,
+            'address': self.address,
+            'zone': 'zone-a',
+            'version': 'v1',
+            'capacity': 8,
+            'state': 'draining' if self.draining.is_set() else 'ready',
+            'cold_remaining_ms': 0,
+            'headroom': {'cpu': 32000, 'mem_mb': 65536, 'gpu': 8},
+            'labels': ['a', 'r1-1'],
+            'clock_ms': self.clock_ms(),
+            'sequence': self.sequence,
+        }
+        if self.draining.is_set():
+            left_s = max(0.0, self.leaves_s - time.monotonic())
+            fields['remaining_ms'] = int(left_s * 1000)
+        return fields
+
+    async def post(self, session, **fields):
+        try:
+            async with session.post(
+                f'http://{self.store}/platform',
+                json={'table': 'servers', 'key': self.worker_id, **fields},
+                timeout=aiohttp.ClientTimeout(total=1),
+            ):
+                pass
+        except (aiohttp.ClientError, TimeoutError):
+            pass
 
 
 async def serve(handler, port):
@@ -389,6 +414,7 @@
 async def run_worker(port, worker_id, store, log):
     worker = Worker(worker_id, f'127.0.0.1:{port}', store, log)
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, worker.draining.set)
     loop.add_signal_handler(signal.SIGUSR1, worker.set_unhealthy, True)
     loop.add_signal_handler(signal.SIGUSR2, worker.set_unhealthy, False)
     await serve(worker.handle, port)
@@ -398,7 +424,6 @@
 def main():
     kind, port, *others = sys.argv[1:]
     run = {'store': run_store, 'worker': run_worker}[kind]
-    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     asyncio.run(run(int(port), *others))
 
 
