--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -39,9 +40,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port outside of the range of outgoing connections."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
 
 
 def new_id():
