--- a/src/curranthill/dispatch/consistency.py
+++ b/src/curranthill/dispatch/consistency.py
@@ -177,8 +177,9 @@
         for job in self._term.jobs.values():
             # A job that has ended is tracked until its runs have ended.
             kinds = (RUN_UNTRACKED,) if job.ended else finders
-            for kind in kinds:
-                yield from finders.get(kind)(job, sessions)
+            if not job.set_aside:
+                for kind in kinds:
+                    yield from finders.get(kind)(job, sessions)
 
     def _log(self, finding: Finding) -> None:
         if finding in self._logged:
--- a/src/curranthill/dispatch/crashes.py
+++ b/src/curranthill/dispatch/crashes.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from contextlib import AbstractContextManager
 from typing import Final
 
 from curranthill.clock import Clock
@@ -70,6 +71,8 @@
 
     :param jobs: the jobs of the term.
     :param give_up: ends a job with a final state and a reason.
+    :param isolated: returns a context in which an error affects only the job
+        with an id.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         jobs: Mapping[str, ActiveJob],
         writer: ProgressWriter,
         give_up: Callable[[ActiveJob, JobState, str], None],
+        isolated: Callable[[str], AbstractContextManager[None]],
     ) -> None:
         """Initialize the counter of a term."""
+        self._isolated = isolated
         self._clock = clock
         self._jobs = jobs
         self._writer = writer
@@ -168,13 +173,13 @@
             job = self._jobs.get(key.job_id)
             if job is None or job.ended:
                 continue
-            for loss in self._pop_unconfirmed(job, key, worker_id):
-                if loss.incarnation and incarnation:
+            with self._isolated(key.job_id):
+                for loss in self._pop_unconfirmed(job, key, worker_id):
+                    known = loss.incarnation and incarnation
+                    restarted = loss.incarnation != incarnation
                     self._resolve(
-                        job, key, loss, loss.incarnation != incarnation
+                        job, key, loss, restarted if known else crashed
                     )
-                else:
-                    self._resolve(job, key, loss, crashed)
 
     def clear_if_perpetual(self, run: Run) -> None:
         """Clear the losses of a perpetual task that has run long enough."""
@@ -198,7 +203,8 @@
                 self._withheld_since_s.pop(key)
             elif now_s - since_s >= CONFIRMATION_S:
                 self._withheld_since_s.pop(key)
-                self._end(job, key)
+                with self._isolated(key.job_id):
+                    self._end(job, key)
 
     def _add_unconfirmed(
         self, job: ActiveJob, run: Run, *, is_prompt: bool
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -17,11 +17,12 @@
 from curranthill.storage.rows import MalformedRecordError, RowStore, StoredRow
 from curranthill.tasks import (
     JobProgress,
-    JobSpec,
     Resources,
     TaskKey,
     Timing,
+    check_task_names,
     decode,
+    decode_job,
     tables,
 )
 from curranthill.telemetry import metrics
@@ -171,6 +172,8 @@
             except MalformedRecordError as error:
                 # A job whose progress is unknown must not start.
                 self._log_bad_row(row, 'job', error)
+            except Exception as error:
+                self._term.isolation.set_aside(row.key, error)
         self._term.changed.set()
 
     def _log_bad_row(
@@ -260,7 +263,7 @@
             probe_limiter=self._probe_limiter,
         )
         self._term.sessions[entry.worker_id] = session
-        self._spawner.spawn(session.run())
+        self._spawner.spawn_isolated(session.run(), name='session')
         return session
 
     def _apply_intake(self, row: StoredRow) -> None:
@@ -272,7 +275,7 @@
         if row.key in self._term.jobs or row.key in self._term.ended_at_s:
             self._term.drop_duplicate(row.key)
             return
-        spec = decode(row.content, JobSpec)
+        spec = decode_job(row)
         state = JobProgress(queue=spec.queue.name)
         progress = self._progress.get(spec.job_id)
         layout = None
@@ -280,6 +283,7 @@
             own_row = decode(progress, JobProgress)
             layout = own_row.layout
             state = self._parts.join(spec.job_id, own_row)
+        check_task_names(spec, state)
         job = self._term.add_job(spec, state)
         if layout is not None:
             self._writer.adopt(job, layout)
--- a/src/curranthill/dispatch/progress_writer.py
+++ b/src/curranthill/dispatch/progress_writer.py
@@ -77,9 +77,12 @@
         self._wake = asyncio.Event()
         self._next_write: asyncio.Future[None] | None = None
         self._rejected: set[str] = set()
+        self._set_aside: set[str] = set()
 
     def record(self, job: ActiveJob) -> None:
         """Queue a job's progress for the next write."""
+        if job.spec.job_id in self._set_aside:
+            return
         self._dirty[job.spec.job_id] = job
         self._wake.set()
 
@@ -87,12 +90,18 @@
         """Take over the rows over which the progress of a job is spread."""
         self._rows.adopt(job, layout)
 
+    def set_aside(self, job_id: str) -> None:
+        """Leave a job stored as it is, for the rest of the term."""
+        self._set_aside.add(job_id)
+        self._dirty.pop(job_id, None)
+
     def is_stored(self, job_id: str) -> bool:
-        """Return whether the store did not reject the last write of a job.
+        """Return whether all that was recorded of a job is or will be stored.
 
-        Nothing that depends on such a write may happen.
+        It is not after a write that the store has rejected, or once the job has
+        been set aside. Nothing that depends on such a write may happen.
         """
-        return self._rows.is_stored(job_id)
+        return job_id not in self._set_aside and self._rows.is_stored(job_id)
 
     def record_pending(self, counts: dict[str, int]) -> None:
         """Set the queue lengths that the next write stores.
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -137,9 +137,8 @@
             await self._clock.sleep(ROUND_PAUSE_S)
             self._term.changed.clear()
             self._plan_round()
-            self._inherited.report()
             self._record_pending()
-            self._publish_forecast()
+            self._report()
 
     def _plan_round(self) -> None:
         self._reserved_for = ()
@@ -148,14 +147,14 @@
             # The steps of suspects are not asked for: that would start the
             # time for which they wait for an empty worker.
             jobs = self._term.jobs.values()
-            if _any_ready((job for job in jobs if not job.suspects), now_s):
+            if self._any_ready(job for job in jobs if not job.suspects):
                 self._suspended_reporter.suspended()
             return
         self._suspended_reporter.made()
         self._term.losses.check_withheld()
         self._term.evacuate_draining_workers()
         began_s = self._clock.monotonic_s()
-        waits = _any_ready(self._term.jobs.values(), now_s)
+        waits = self._any_ready(self._term.jobs.values())
         self._term.estimates.refresh(self._term.sessions.values(), began_s)
         self._migrator.check(idle=not waits)
         if not waits:
@@ -172,6 +171,7 @@
             backlog=self._backlog,
             disabled=self._disabled,
             ratio_of=self._term.estimates.ratio_of,
+            on_error=self._pause_job,
         )
         plan = planner.plan(self._term.jobs.values())
         self._request_next()
@@ -181,6 +181,24 @@
         for placement in plan.placements:
             self._assign(placement)
 
+    def _any_ready(self, jobs: Iterable[ActiveJob]) -> bool:
+        """Return whether some step may start now."""
+        now_s = self._clock.wall_s()
+        return any(self._is_ready(job, now_s) for job in jobs)
+
+    def _is_ready(self, job: ActiveJob, now_s: float) -> bool:
+        try:
+            return any(ready.tasks for ready in job.ready_steps(now_s))
+        except Exception as error:
+            self._pause_job(job, error)
+            return False
+
+    def _pause_job(self, job: ActiveJob, error: Exception) -> None:
+        """Leave a job out of the next rounds, as its placement has failed."""
+        job.pause(self._clock.wall_s())
+        metrics.background_errors.add(1, {'task': 'placement'})
+        events.log('placement_failed', job=job.spec.job_id, error=repr(error))
+
     def _preempt(self, plan: Plan) -> None:
         """Stop the victims; the stops of a job in one round count as one."""
         stopped = {run.key.job_id for run in plan.victims}
@@ -232,7 +250,9 @@
         request = self._ticket_cache.choose(self._requests)
         if request is not None:
             self._requesting = True
-            self._spawner.spawn(self._request_tickets(request))
+            self._spawner.spawn_isolated(
+                self._request_tickets(request), name='advice'
+            )
 
     async def _request_tickets(self, request: TicketRequest) -> None:
         try:
@@ -307,7 +327,7 @@
             attempt=shared_attempt,
         )
         self._writer.record(job)
-        self._spawner.spawn(self._start(job, runs))
+        self._spawner.spawn_isolated(self._start(job, runs), name='start')
 
     def _assign_runs(
         self,
@@ -391,6 +411,16 @@
         self._set_gauges(waiting)
         self._writer.record_pending(counts)
 
+    def _report(self) -> None:
+        """Log and publish what depends on the round; nothing depends on it."""
+        try:
+            self._inherited.report()
+            self._publish_forecast()
+        except Exception as error:
+            self._writer.publish_forecast(None)
+            metrics.background_errors.add(1, {'task': 'report'})
+            events.log('background_error', task='report', error=repr(error))
+
     def _publish_forecast(self) -> None:
         """Publish the forecast; log waiting jobs and unused workers."""
         if not self._forecasts.due:
@@ -405,9 +435,4 @@
         self._unused_reporter.report()
 
 
-def _any_ready(jobs: Iterable[ActiveJob], now_s: float) -> bool:
-    """Return whether some step may start at a wall-clock time."""
-    return any(ready.tasks for job in jobs for ready in job.ready_steps(now_s))
-
-
 __all__ = ('PlacementRounds', 'RevisionSource')
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
-from typing import Final
+from collections.abc import Coroutine
+from typing import Any, Final
 
 from curranthill.clock import Clock, wait_at_most
 from curranthill.dispatch.crashes import LEASE_EXPIRED, WORKER_REMOVED
 from curranthill.dispatch.ends import UNSTORED_RETRY_S
+from curranthill.dispatch.leadership import LeadershipLostError
 from curranthill.dispatch.lease import Lease
 from curranthill.dispatch.owner import ClosedDataCentreSource, SessionOwner
 from curranthill.dispatch.probing import ProbeLimiter
@@ -19,6 +21,7 @@
 from curranthill.dispatch.unused import (
     CLOSED,
     DRAINING,
+    ERROR,
     NOT_LISTED,
     NOT_SYNCED,
     OTHER_INCARNATION,
@@ -71,6 +74,14 @@
 REJECTION_PAUSE_S: Final = 0.5
 
 
+#: How long no start is sent to a worker after an error that is not foreseen,
+#: and the delay before it is called again, in seconds.
+ERROR_PAUSE_S: Final = 1.0
+
+#: Longer errors are truncated in the log, in characters.
+MAX_ERROR_CHARS: Final = 500
+
+
 class WorkerSession:
     """The session of one worker id, across all incarnations of the worker.
 
@@ -113,6 +124,8 @@
         self.failure_times_s: list[float] = []
         self.stalled_runs = 0
         self.rejected_s = -REJECTION_PAUSE_S
+        self.error_s = -ERROR_PAUSE_S
+        self._has_failed = False
         self._worker = worker
         self._owner = owner
         self._closed_data_centres = closed_data_centres
@@ -150,7 +163,8 @@
     @property
     def unused_reason(self) -> UnusedReason | None:
         """Return why no new task may be placed here, if so."""
-        rejected_s = self._clock.monotonic_s() - self.rejected_s
+        now_s = self._clock.monotonic_s()
+        rejected_s = now_s - self.rejected_s
         is_open = self._closed_data_centres.allows_starts(
             self.entry.data_centre
         )
@@ -159,6 +173,7 @@
             DRAINING: self.entry.leaving,
             UNREADABLE: not self.readable,
             REJECTED: rejected_s < REJECTION_PAUSE_S,
+            ERROR: now_s - self.error_s < ERROR_PAUSE_S,
             OTHER_INCARNATION: not _is_current(self),
             CLOSED: not is_open,
             NOT_LISTED: not self.listed,
@@ -199,15 +214,50 @@
         self._wake_event.set()
 
     async def run(self) -> None:
-        """Renew the lease while anything may run, until the id is removed."""
+        """Renew the lease while anything may run, until the id is removed.
+
+        An error that is not foreseen excludes this worker alone; it is called
+        again after a pause.
+        """
         try:
             while not self.removed:
-                await self._run_once()
+                done = await self._contained('renew', self._run_once())
+                self._has_failed = not done
         finally:
             self._run_list.ends.close()
 
+    async def _contained(
+        self, step: str, work: Coroutine[Any, Any, None]
+    ) -> bool:
+        """Complete work; return whether it raised no unforeseen error.
+
+        Such an error excludes the worker until it responds, and fences off
+        earlier orders.
+        """
+        try:
+            await work
+        except LeadershipLostError:
+            raise
+        except Exception as error:
+            self.error_s = self._clock.monotonic_s()
+            metrics.session_errors.add(1, {'step': step})
+            events.log(
+                'session_failed',
+                worker=self.worker_id,
+                step=step,
+                error=repr(error)[:MAX_ERROR_CHARS],
+            )
+            self._set_unreachable(error)
+            self.increment_token()
+            return False
+        return True
+
     async def _run_once(self) -> None:
-        if self._is_idle():
+        if self._has_failed:
+            await self._clock.sleep(ERROR_PAUSE_S)
+            self._check_expiry()
+        known = self.reachable and self.synced
+        if known and not self.runs and self._run_list.ends.all_confirmed:
             await self._wake_event.wait()
         self._wake_event.clear()
         await self._run_list.ends.delay_if_withheld()
@@ -217,7 +267,23 @@
             await self._probe_limiter.run(self._renew())
 
     async def start(self, run: Run, payload: str) -> None:
-        """Order one start; the state of the run then shows its outcome."""
+        """Order one start; the state of the run then shows its outcome.
+
+        After an unforeseen error the run is absent if its start was not sent,
+        and unknown otherwise.
+        """
+        done = await self._contained('start', self._start(run, payload))
+        if not done and run.state == ASSIGNED:
+            self._run_list.drop_absent(run, 'not ordered')
+
+    async def stop(self, run: Run) -> None:
+        """Order one stop; the run uses capacity until its end is listed.
+
+        After an unforeseen error a report that lists the run has it repeated.
+        """
+        await self._contained('stop', self._stop(run))
+
+    async def _start(self, run: Run, payload: str) -> None:
         async with self._order_lock:
             await self._orders_resolved.wait()
             if self._lease.is_clock_outdated and not self.removed:
@@ -265,8 +331,7 @@
             )
             await self._order_start(run, order)
 
-    async def stop(self, run: Run) -> None:
-        """Order one stop; the run uses capacity until its end is listed."""
+    async def _stop(self, run: Run) -> None:
         async with self._order_lock:
             await self._orders_resolved.wait()
             if self.runs.get(run.name) is not run or self._worker is None:
@@ -353,12 +418,6 @@
             return
         self._run_list.drop_absent(run, f'rejected: {rejected.reason}')
 
-    def _is_idle(self) -> bool:
-        if not self.reachable or not self.synced:
-            return False
-        ended = not self.runs and self._run_list.ends.all_confirmed
-        return ended and not self._wake_event.is_set()
-
     async def _renew(self) -> None:
         """Make one renewal and apply its response."""
         await self._run_list.ends.acknowledge()
@@ -376,13 +435,10 @@
         known_clock_s = self._lease.worker_clock_s
         try:
             report = await self._call(order)
-        except RejectedError as rejected:
-            self._renewal_rejected(order, rejected)
-            await self._clock.sleep(LOST_REPLY_DELAY_S)
         except WorkerReplacedError:
             self.remove(replaced=True)
         except WorkerError as error:
-            await self._handle_lost_reply(error)
+            await self._renewal_failed(order, error)
         else:
             if report is not None:
                 self._run_list.ends.confirm(order.acknowledged)
@@ -413,24 +469,11 @@
         renewal = asyncio.ensure_future(self._worker.renew(order))
         try:
             while not renewal.done() and order.token == self.token:
-                await self._wait_for_reply(renewal)
+                await _wait_for_reply(renewal, self._wake_event)
             return renewal.result() if renewal.done() else None
         finally:
             renewal.cancel()
 
-    async def _wait_for_reply(
-        self, renewal: asyncio.Future[LeaseReport]
-    ) -> None:
-        self._wake_event.clear()
-        woken = asyncio.ensure_future(self._wake_event.wait())
-        try:
-            await asyncio.wait(
-                (renewal, woken),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        finally:
-            woken.cancel()
-
     def _renewal_wait_s(self) -> float:
         """Return how long the worker may hold the next renewal for an end.
 
@@ -451,34 +494,28 @@
             return FIRST_PROGRESS_WAIT_S
         return RENEWAL_WAIT_S if self.runs else 0.0
 
-    def _renewal_rejected(
-        self,
-        order: LeaseOrder,
-        rejected: RejectedError,
+    async def _renewal_failed(
+        self, order: LeaseOrder, error: WorkerError
     ) -> None:
-        events.log(
-            'renewal_rejected',
-            worker=self.worker_id,
-            reason=rejected.reason,
-            token=order.token,
-        )
-        if rejected.reason != FENCE:
-            # Nothing was renewed, so the lease expires as it does for a worker
-            # that does not respond.
-            self._set_unreachable(rejected)
-            self._check_expiry()
-        elif order.token == self.token:
-            # This leader has used no higher token, so another leader has.
-            self._owner.fenced(self)
-
-    async def _handle_lost_reply(self, error: WorkerError) -> None:
-        """Handle a renewal without a response, whose effect is unknown."""
+        """Handle a renewal that was rejected, or whose effect is unknown."""
+        if isinstance(error, RejectedError):
+            _log_rejected(self, order, error)
+            if error.reason != FENCE:
+                # Nothing was renewed, so the lease expires as it does for a
+                # worker that does not respond.
+                self._set_unreachable(error)
+                self._check_expiry()
+            elif order.token == self.token:
+                # This leader has used no higher token, so another leader has.
+                self._owner.fenced(self)
+            await self._clock.sleep(LOST_REPLY_DELAY_S)
+            return
         self._set_unreachable(error)
         self.increment_token()
         await self._clock.sleep(self._lease.probe_pause_s(LOST_REPLY_DELAY_S))
         self._check_expiry()
 
-    def _set_unreachable(self, error: WorkerError) -> None:
+    def _set_unreachable(self, error: Exception) -> None:
         """Exclude the worker from placement until it responds.
 
         The second call without a response in between stores its lease.
@@ -489,7 +526,7 @@
         events.log(
             'worker_unreachable',
             worker=self.worker_id,
-            error=str(error),
+            error=str(error)[:MAX_ERROR_CHARS],
             runs=len(self.runs),
         )
         self.reachable = False
@@ -624,6 +661,21 @@
     return not both_known or listed == session.incarnation
 
 
+async def _wait_for_reply(
+    renewal: asyncio.Future[LeaseReport], wake_event: asyncio.Event
+) -> None:
+    """Wait until a renewal has a response or the session is woken."""
+    wake_event.clear()
+    woken = asyncio.ensure_future(wake_event.wait())
+    try:
+        await asyncio.wait(
+            (renewal, woken),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        woken.cancel()
+
+
 async def _await_stored(owner: SessionOwner, clock: Clock) -> None:
     """Wait a bounded time for a write of all that was recorded so far."""
     storing = asyncio.ensure_future(owner.ends_stored())
@@ -634,6 +686,17 @@
         storing.cancel()
 
 
+def _log_rejected(
+    session: WorkerSession, order: LeaseOrder, rejected: RejectedError
+) -> None:
+    events.log(
+        'renewal_rejected',
+        worker=session.worker_id,
+        reason=rejected.reason,
+        token=order.token,
+    )
+
+
 def _log_unanswered(
     order: str, run: Run, error: WorkerError, **fields: float
 ) -> None:
--- a/src/curranthill/dispatch/spawner.py
+++ b/src/curranthill/dispatch/spawner.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 from curranthill.dispatch.leadership import LeadershipLostError
+from curranthill.telemetry import metrics
 from curranthill.telemetry.events import events
 
 
 class Spawner:
-    """Runs background tasks; a failed task ends the term.
+    """Runs background tasks; the failure of a task that all need ends the term.
 
     :param over: set once the term is over.
     """
@@ -25,6 +26,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._forget)
 
+    def spawn_isolated(
+        self, work: Coroutine[Any, Any, None], *, name: str
+    ) -> None:
+        """Run a task of one worker or job, whose failure affects no other.
+
+        :param name: what the task does, for the log.
+        """
+        self.spawn(_isolated(work, name))
+
     async def end(self) -> None:
         """Cancel the remaining tasks and wait for them."""
         tasks = list(self._tasks)
@@ -44,4 +54,14 @@
         self.over.set()
 
 
+async def _isolated(work: Coroutine[Any, Any, None], name: str) -> None:
+    try:
+        await work
+    except LeadershipLostError:
+        raise
+    except Exception as error:
+        metrics.background_errors.add(1, {'task': name})
+        events.log('background_error', task=name, error=repr(error))
+
+
 __all__ = ('Spawner',)
--- a/src/curranthill/dispatch/term_state.py
+++ b/src/curranthill/dispatch/term_state.py
@@ -10,6 +10,7 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.cleanup import IntakeCleanup
 from curranthill.dispatch.crashes import LossCounter
+from curranthill.dispatch.isolation import JobIsolation, isolated
 from curranthill.dispatch.leadership import Leadership
 from curranthill.dispatch.progress_writer import ProgressWriter
 from curranthill.dispatch.run_estimates import RunEstimates
@@ -54,6 +55,7 @@
     :param ended_at_s: when jobs ended of which only the final state is kept,
         in wall-clock seconds.
     :param changed: set whenever a placement round may find something new.
+    :param isolation: sets jobs aside whose events can't be recorded.
     :param losses: counts the runs that are lost with their workers.
     :param is_stored: as :meth:`ProgressWriter.is_stored`.
     """
@@ -80,11 +82,13 @@
         self._spawner = spawner
         self.estimates = RunEstimates()
         self._cancelled: set[str] = set()
+        self.isolation = JobIsolation(jobs=self.jobs, writer=writer)
         self.losses = LossCounter(
             clock=clock,
             jobs=self.jobs,
             writer=writer,
             give_up=self._end_job,
+            isolated=self.isolation.of,
         )
 
     # The interface that worker sessions use, see `SessionOwner`.
@@ -107,12 +111,13 @@
         """Request a placement round."""
         self.changed.set()
 
+    @isolated
     def run_reported(self, session: WorkerSession, run: Run) -> None:
         """Store the newest checkpoint; stop runs of jobs that have ended."""
         job = self.jobs.get(run.key.job_id)
         if job is None or job.ended or job.runs.get(run.key) is not run:
             run.stop_wanted = True
-            self._spawner.spawn(session.stop(run))
+            self._spawner.spawn_isolated(session.stop(run), name='stop')
             return
         task = job.progress.find_task(run.key)
         if task is None:
@@ -129,8 +134,9 @@
 
     def resend_stop(self, session: WorkerSession, run: Run) -> None:
         """Order a stop again that has had no effect yet."""
-        self._spawner.spawn(session.stop(run))
+        self._spawner.spawn_isolated(session.stop(run), name='stop')
 
+    @isolated
     def run_ended(self, session: WorkerSession, end: EndReport) -> None:
         """Record the end of a run in its job's progress, if it counts."""
         job = self.jobs.get(end.task.job_id)
@@ -164,6 +170,7 @@
             self.changed.set()
         self._drop_if_ended(job)
 
+    @isolated
     def run_absent(
         self,
         session: WorkerSession,
@@ -444,7 +451,7 @@
         job = self.jobs.get(run.key.job_id)
         workspace = workspace_labels.label(job.spec.workspace if job else '')
         metrics.runs_stopped.add(1, {'workspace': workspace})
-        self._spawner.spawn(session.stop(run))
+        self._spawner.spawn_isolated(session.stop(run), name='stop')
 
 
 __all__ = ('TermState',)
--- a/src/curranthill/dispatch/unused.py
+++ b/src/curranthill/dispatch/unused.py
@@ -16,6 +16,7 @@
     'leaving',
     'unreadable entry',
     'rejected a start',
+    'an error in its session',
     'entry of another incarnation',
     'data centre not known to be open',
     'not listed',
@@ -28,6 +29,7 @@
 DRAINING: Final = 'leaving'
 UNREADABLE: Final = 'unreadable entry'
 REJECTED: Final = 'rejected a start'
+ERROR: Final = 'an error in its session'
 OTHER_INCARNATION: Final = 'entry of another incarnation'
 CLOSED: Final = 'data centre not known to be open'
 NOT_LISTED: Final = 'not listed'
@@ -105,6 +107,7 @@
 __all__ = (
     'CLOSED',
     'DRAINING',
+    'ERROR',
     'NOT_LISTED',
     'NOT_SYNCED',
     'OTHER_INCARNATION',
--- a/src/curranthill/entry/job_handler.py
+++ b/src/curranthill/entry/job_handler.py
@@ -38,6 +38,7 @@
     JobSpec,
     Queue,
     decode,
+    decode_job,
     encode,
     tables,
 )
@@ -184,19 +185,12 @@
         """Count the accepted jobs of which no leader has started a task."""
         accepted = await self._store.scan(tables.INTAKE)
         listed = await self._store.scan(tables.PROGRESS)
-        progress = {
-            row.key: decode(row.content, JobProgress) for row in listed.rows
-        }
-        waiting = 0
-        for row in accepted.rows:
-            if row.key.endswith(tables.CANCEL_SUFFIX):
-                continue
-            spec = decode(row.content, JobSpec)
-            known = progress.get(row.key, JobProgress(queue=spec.queue.name))
-            started = known.state != QUEUED or known.tasks
-            if spec.queue.name == queue and not started:
-                waiting += 1
-        return waiting
+        progress = {row.key: row.content for row in listed.rows}
+        return sum(
+            _is_waiting(row, progress.get(row.key), queue)
+            for row in accepted.rows
+            if not row.key.endswith(tables.CANCEL_SUFFIX)
+        )
 
     async def _store_cancel(self, job_id: str) -> None:
         put = RowPut(tables.INTAKE, tables.cancel_key(job_id), b'1')
@@ -381,4 +375,17 @@
         )
 
 
+def _is_waiting(row: StoredRow, progress: bytes | None, queue: str) -> bool:
+    """Return whether a row is a job of a queue of which no task has started.
+
+    Rows that can't be read count as none: other writers may have stored them.
+    """
+    try:
+        spec = decode_job(row)
+        state = decode(progress, JobProgress).state if progress else QUEUED
+    except MalformedRecordError:
+        return False
+    return spec.queue.name == queue and state == QUEUED
+
+
 __all__ = ('JobHandler',)
--- a/src/curranthill/entry/peers.py
+++ b/src/curranthill/entry/peers.py
@@ -39,7 +39,7 @@
 REMOVE_AFTER_S: Final = 600.0
 
 #: The content of a host's row: an IP address and a port.
-_ADDRESS: Final = re.compile(rb'[0-9.]+:\d{1,5}')
+_ADDRESS: Final = re.compile(rb'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
 
 
 class _Sighting(NamedTuple):
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -26,6 +26,10 @@
 MAX_AWAITED_S: Final = 1.0
 
 
+#: How long nothing of a job starts after an error in its placement, in seconds.
+ERROR_PAUSE_S: Final = 5.0
+
+
 class ReadyStep(NamedTuple):
     """Tasks of one step that may start now and of which no run can exist.
 
@@ -69,6 +73,8 @@
     :param suspects: tasks that are suspected of crashing their workers.
     :param unstored: whether the store rejects its progress, so that nothing may
         start.
+    :param set_aside: whether its state is in doubt after an error, so that
+        nothing may start before the next term.
     :param withheld: tasks that are not started until their losses are resolved.
     """
 
@@ -84,6 +90,8 @@
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
         self.unstored = False
+        self.set_aside = False
+        self._paused_until_s = 0.0
         self.withheld: set[TaskKey] = set()
         self._waiting_since_s: dict[TaskKey, float] = {}
         self._on_trial_since_s: dict[tuple[TaskKey, int], float] = {}
@@ -111,7 +119,7 @@
 
     @property
     def _may_start(self) -> bool:
-        return not self.ended and not self.unstored
+        return not (self.ended or self.unstored or self.set_aside)
 
     @property
     def stops(self) -> int:
@@ -120,7 +128,7 @@
 
     def ready_steps(self, now_s: float) -> Iterator[ReadyStep]:
         """Yield the steps that may start at a wall-clock time in seconds."""
-        if not self._may_start:
+        if not self._may_start or self._is_paused(now_s):
             return
         for occurrence in range(self.spec.occurrences):
             if self.spec.due_s(occurrence) > now_s:
@@ -134,6 +142,17 @@
                 else:
                     yield ready
 
+    def pause(self, now_s: float) -> None:
+        """Start nothing for some time, after an error in its placement.
+
+        :param now_s: wall-clock seconds.
+        """
+        self._paused_until_s = now_s + ERROR_PAUSE_S
+
+    def _is_paused(self, now_s: float) -> bool:
+        # A longer pause means that the clock was set back.
+        return 0 < self._paused_until_s - now_s <= ERROR_PAUSE_S
+
     def keys_of(self, occurrence: int, number: int) -> tuple[TaskKey, ...]:
         """Return the keys of one step's tasks."""
         step_id = (occurrence, number)
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -102,6 +102,10 @@
     covered: frozenset[str] = frozenset()
 
 
+#: Handles an error in the placement of a job.
+JobErrorHandler = Callable[[ActiveJob, Exception], None]
+
+
 def ratio_of_one(queue: str) -> float:
     """Return 1, the ratio of run time to estimate if none is known."""
     return 1.0
@@ -118,6 +122,8 @@
     :param windows: the reservation windows, shared by all rounds.
     :param backlog: the position in a long backlog, shared by all rounds.
     :param disabled: mechanisms that are switched off.
+    :param on_error: is called with a job that can't be placed due to an error;
+        the others are placed. Without it the error is raised.
     :param ratio_of: returns run time over estimate in a queue, by its name.
     """
 
@@ -132,8 +138,10 @@
         backlog: BacklogCursor | None = None,
         disabled: frozenset[str] = NONE_DISABLED,
         ratio_of: Callable[[str], float] = ratio_of_one,
+        on_error: JobErrorHandler | None = None,
     ) -> None:
         """Initialize a round in which nothing is decided."""
+        self._on_error = on_error
         self._ratio_of = ratio_of
         self._tickets = tickets
         self._windows = windows or ReservationWindows()
@@ -231,6 +239,15 @@
 
     def _place_job(self, job: ActiveJob) -> bool:
         """Place the ready steps of a job; return whether it has any."""
+        try:
+            return self._place_ready_steps(job)
+        except Exception as error:
+            if self._on_error is None:
+                raise
+            self._on_error(job, error)
+            return False
+
+    def _place_ready_steps(self, job: ActiveJob) -> bool:
         ready_steps = list(job.ready_steps(self._now_s))
         for ready in ready_steps:
             self._place_step(job, self._with_tickets(job, ready))
--- a/src/curranthill/platform/advisor.py
+++ b/src/curranthill/platform/advisor.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from curranthill.dispatch import Advice, AdvisorError
-from curranthill.platform.decoding import NonNegativeFloat, decode_fields
+from curranthill.platform.decoding import BoundedFloat, decode_fields
 from curranthill.platform.http_client import (
     HttpClient,
     RequestNotSentError,
@@ -27,7 +27,7 @@
     """The workers that may run a step, each with its ticket."""
 
     good: list[tuple[str, str]]
-    validity_ms: NonNegativeFloat
+    validity_ms: BoundedFloat
 
 
 class PlatformAdvisor:
@@ -49,6 +49,7 @@
                 f'http://{self._address}/curranthill/advise',
                 timeout_s=ADVICE_TIMEOUT_S,
                 fields={'step': step_name, 'workers': list(workers)},
+                body_timeout_s=ADVICE_TIMEOUT_S,
             )
         except (RequestNotSentError, ResponseLostError) as error:
             raise self._error(str(error)) from error
--- a/src/curranthill/platform/caller_api.py
+++ b/src/curranthill/platform/caller_api.py
@@ -23,6 +23,8 @@
     Queue,
     Revision,
     Step,
+    job_id_error,
+    schedule_errors,
     validation_errors,
 )
 from curranthill.telemetry import metrics
@@ -212,12 +214,15 @@
             steps = tuple(decode_step(encoded) for encoded in submitted.steps)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise _invalid_job(target, str(error)) from error
+        id_error = job_id_error(target.job_id)
+        if id_error:
+            raise _invalid_job(target, id_error)
         problems = validation_errors(
             submitted.spec, steps, times=submitted.times
         )
         if problems:
             raise _invalid_job(target, ' '.join(problems))
-        return JobSpec(
+        spec = JobSpec(
             job_id=target.job_id,
             queue=target.queue,
             workspace=target.workspace,
@@ -228,6 +233,10 @@
             start_at_s=submitted.start_at_ms / 1000,
             interval_s=submitted.interval_ms / 1000,
         )
+        problems = schedule_errors(spec)
+        if problems:
+            raise _invalid_job(target, ' '.join(problems))
+        return spec
 
 
 def _target(request: web.BaseRequest, revision: Revision) -> Target:
--- a/src/curranthill/platform/decoding.py
+++ b/src/curranthill/platform/decoding.py
@@ -1,6 +1,6 @@
 """Decodes JSON from other writers; any bad input raises one error type."""
 
-from typing import Annotated, TypeVar
+from typing import Annotated, Final, TypeVar
 
 import msgspec
 
@@ -8,22 +8,53 @@
 
 Fields = TypeVar('Fields')
 
+#: The largest integer of 64 bits.
+MAX_INT: Final = (1 << 63) - 1
+
+#: The latest reading of a clock, in milliseconds: some 30,000 years.
+MAX_CLOCK_MS: Final = 1e15
+
+_OCTET: Final = '(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
+
+_PORT: Final = (
+    '(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    '|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
+
 #: A non-empty name.
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 #: An integer that is at least 0.
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 
+#: The same with the range of 64 bits, which sums and conversions to floating
+#: point numbers never exceed.
+BoundedInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+
 #: A duration or another quantity that is at least 0.
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
-#: An IPv4 address and a port.
+#: The same for the readings of a clock in milliseconds.
+BoundedFloat = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOCK_MS)]
+
+#: An IPv4 address and a port. ``\Z`` matches only at the very end, and
+#: ``[0-9]`` no digits of other scripts.
 SocketAddress = Annotated[
     str,
-    msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'),
+    msgspec.Meta(
+        pattern=rf'\A{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z',
+    ),
 ]
 
 
+def is_header_text(text: str) -> bool:
+    """Return whether a text arrives unchanged as the value of a header.
+
+    Control characters can't be sent, and receivers remove blanks at the ends.
+    """
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
 def decode_fields(
     content: bytes,
     kind: type[Fields],
@@ -50,9 +81,12 @@
 
 
 __all__ = (
+    'BoundedFloat',
+    'BoundedInt',
     'Name',
     'NonNegativeFloat',
     'NonNegativeInt',
     'SocketAddress',
     'decode_fields',
+    'is_header_text',
 )
--- a/src/curranthill/platform/http_client.py
+++ b/src/curranthill/platform/http_client.py
@@ -1,13 +1,14 @@
 """HTTP requests to services of the platform and to workers."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import math
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, Final, NamedTuple
-from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from curranthill.clock import uptime_s
 from curranthill.connections import ConnectionPools
@@ -26,10 +27,21 @@
 #: chunk over a slow link within the stall timeout of the receiver.
 CHUNK_BYTES: Final = 32_768
 
+#: The most bytes of a response body, unless a request sets another limit.
+MAX_RESPONSE_BYTES: Final = 65_536
+
+#: Bodies beyond the default limit use this many bytes at most, all together.
+SHARED_BODY_BYTES: Final = 33_554_432
+
 #: aiohttp only bounds connecting; see :meth:`HttpClient.open` for the rest.
 _TIMEOUT: Final = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
 
 
+#: The errors of requests whose effect is unknown. The library raises ValueError
+#: for some malformed responses, and for headers that can't be sent.
+_LOSSES: Final = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
 class RequestNotSentError(Exception):
     """No connection was made, so the request was not sent."""
 
@@ -38,6 +50,10 @@
     """The request was sent, but no complete response arrived."""
 
 
+class ResponseTooLargeError(ResponseLostError):
+    """The response exceeds a limit; the rest of it was not read."""
+
+
 class HttpResponse(NamedTuple):
     """A complete response.
 
@@ -49,10 +65,61 @@
     first_byte_s: float
 
 
+class BodyShare:
+    """What the body of one response uses of the limit for all of them."""
+
+    def __init__(self, *, budget: 'BodyBudget') -> None:
+        """Initialize the share of an empty body."""
+        self._budget = budget
+        self._used_bytes = 0
+
+    def resize(self, size_bytes: int) -> None:
+        """Update the share; bodies of usual size use nothing.
+
+        :raises ResponseTooLargeError: if all bodies together exceed the limit.
+        """
+        used_bytes = max(size_bytes - MAX_RESPONSE_BYTES, 0)
+        self._budget.use(used_bytes - self._used_bytes)
+        self._used_bytes = used_bytes
+
+
+class BodyBudget:
+    """Bounds the bytes of all response bodies that are being received.
+
+    Usual bodies always fit, so that large ones can't keep them out.
+    """
+
+    def __init__(self) -> None:
+        """Initialize with nothing used."""
+        self._left_bytes = SHARED_BODY_BYTES
+
+    @contextmanager
+    def share(self) -> Iterator[BodyShare]:
+        """Provide the share of one body until it has been received."""
+        share = BodyShare(budget=self)
+        try:
+            yield share
+        finally:
+            share.resize(0)
+
+    def use(self, size_bytes: int) -> None:
+        """Use a number of bytes; a negative number returns them.
+
+        :raises ResponseTooLargeError: if they exceed the limit.
+        """
+        if size_bytes > self._left_bytes:
+            raise ResponseTooLargeError(
+                f'Large responses exceed {SHARED_BODY_BYTES} bytes together.'
+            )
+        self._left_bytes -= size_bytes
+
+
 class StreamingResponse:
     """A response whose headers have arrived and whose body may be streamed.
 
     :param limit: the timeout of the request, rescheduled for each chunk.
+    :param max_bytes: the limit of a body that is read whole.
+    :param until_s: when the body has to be complete, by the event loop's clock.
     :param first_byte_s: time until its headers arrived, in seconds.
     """
 
@@ -62,8 +129,14 @@
         response: aiohttp.ClientResponse,
         limit: asyncio.Timeout,
         first_byte_s: float,
+        budget: BodyBudget,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        until_s: float = math.inf,
     ) -> None:
         """Initialize with the request's timeout still running."""
+        self._budget = budget
+        self._max_bytes = max_bytes
+        self._until_s = until_s
         self.status = response.status
         self.length_bytes = response.content_length
         self.first_byte_s = first_byte_s
@@ -89,13 +162,29 @@
             raise
 
     async def read(self) -> HttpResponse:
-        """Read the whole body and return the complete response."""
-        chunks = [chunk async for chunk in self.chunks()]
-        return HttpResponse(self.status, b''.join(chunks), self.first_byte_s)
+        """Read the whole body and return the complete response.
+
+        :raises ResponseTooLargeError: if it exceeds the limit of the request,
+            or its share of the limit of all requests.
+        """
+        self._check_size(self.length_bytes or 0)
+        body = bytearray()
+        with self._budget.share() as share:
+            async for chunk in self.chunks():
+                body += chunk
+                self._check_size(len(body))
+                share.resize(len(body))
+        return HttpResponse(self.status, bytes(body), self.first_byte_s)
+
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > self._max_bytes:
+            raise ResponseTooLargeError(
+                f'The response has more than {self._max_bytes} bytes.'
+            )
 
     def _restart_stall_timeout(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._limit.reschedule(now_s + STALL_TIMEOUT_S)
+        self._limit.reschedule(min(now_s + STALL_TIMEOUT_S, self._until_s))
 
     def _report_interrupted(self, body_s: float, error: BaseException) -> None:
         metrics.truncated_responses.add(1)
@@ -116,6 +205,7 @@
     def __init__(self) -> None:
         """Initialize without open connections."""
         self._pools = ConnectionPools()
+        self._budget = BodyBudget()
 
     async def call(self, method: str, url: str, **options: Any) -> HttpResponse:
         """Send one request and return its complete response.
@@ -137,11 +227,17 @@
         fields: dict[str, Any] | msgspec.Raw | None = None,
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        body_timeout_s: float = math.inf,
     ) -> AsyncIterator[StreamingResponse]:
         """Send one request; enter once its response headers have arrived.
 
+        Redirections are not followed: the peer alone was meant.
+
         :param timeout_s: how long to wait for the headers, in seconds.
         :param fields: the request body, sent as JSON.
+        :param max_bytes: the most bytes of a response that is read whole.
+        :param body_timeout_s: how long its body may take, in seconds.
         :raises RequestNotSentError: if the request was not sent.
         :raises ResponseLostError: if the effect is unknown.
         """
@@ -150,31 +246,37 @@
         if fields is not None:
             body = msgspec.json.encode(fields)
             sent_headers['Content-Type'] = 'application/json'
+        target = _parse_url(url)
         sent_s = uptime_s()
         try:
             async with (
-                self._pools.session(urlsplit(url).netloc) as session,
+                self._pools.session(target.authority) as session,
                 asyncio.timeout(timeout_s) as limit,
                 session.request(
                     method,
-                    url,
+                    target,
                     data=body,
                     params=params,
                     headers=sent_headers,
                     timeout=_TIMEOUT,
+                    allow_redirects=False,
                 ) as response,
             ):
+                now_s = asyncio.get_running_loop().time()
                 yield StreamingResponse(
                     response=response,
                     limit=limit,
                     first_byte_s=uptime_s() - sent_s,
+                    budget=self._budget,
+                    max_bytes=max_bytes,
+                    until_s=now_s + body_timeout_s,
                 )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
             raise RequestNotSentError(repr(error)) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _LOSSES as error:
             raise ResponseLostError(repr(error)) from error
 
     async def close(self) -> None:
@@ -182,10 +284,23 @@
         await self._pools.close()
 
 
+def _parse_url(url: str) -> URL:
+    """Return a parsed URL.
+
+    :raises RequestNotSentError: if no request can be sent to it.
+    """
+    try:
+        return URL(url)
+    except ValueError as error:
+        raise RequestNotSentError(repr(error)) from error
+
+
 __all__ = (
+    'MAX_RESPONSE_BYTES',
     'HttpClient',
     'HttpResponse',
     'RequestNotSentError',
     'ResponseLostError',
+    'ResponseTooLargeError',
     'StreamingResponse',
 )
--- a/src/curranthill/platform/store.py
+++ b/src/curranthill/platform/store.py
@@ -22,6 +22,7 @@
     HttpResponse,
     RequestNotSentError,
     ResponseLostError,
+    ResponseTooLargeError,
     StreamingResponse,
 )
 from curranthill.platform.scan import TablePage, TableScan
@@ -61,6 +62,10 @@
 #: the pages of other partitions, read concurrently, may arrive before it.
 PAGE_TIMEOUT_S: Final = 1.5
 
+#: The most bytes of a response of the store. It limits a page to 1 MB of rows
+#: before they are encoded; changes may have more.
+MAX_RESPONSE_BYTES: Final = 8_388_608
+
 #: The path prefix of the store's API.
 PATH_PREFIX: Final = '/curranthill/'
 
@@ -98,6 +103,10 @@
     has_more: bool = False
 
 
+class ResponseLimitError(ReplyLostError):
+    """A response of the store is larger than any that is accepted."""
+
+
 class StoreRecoveredError(ReplyLostError):
     """A request was abandoned because an outage of the store has ended."""
 
@@ -214,6 +223,13 @@
                     'wait_ms': str(int(wait_s * 1000)),
                 },
             )
+        except ResponseLimitError as error:
+            # The pages of the whole table are limited.
+            raise HistoryLostError(
+                f'The changes of {table} after {after} are too large.',
+                step='changes',
+                peer=self._paths.address,
+            ) from error
         except ReplyLostError:
             self._feed_slack_s[table] = min(2 * slack_s, MAX_FEED_SLACK_S)
             raise
@@ -282,6 +298,10 @@
             response = await self._response_or_recovery(request, started, path)
         except StoreRecoveredError:
             raise
+        except ResponseLimitError:
+            self._paths.record_reply(address)
+            self.outage.record_reply()
+            raise
         except StorageError:
             self._paths.record_failure(address)
             self.outage.record_failure()
@@ -379,6 +399,7 @@
     :raises ReplyLostError: if the effect is unknown.
     """
     url = f'http://{address}{PATH_PREFIX}{path}'
+    options.setdefault('max_bytes', MAX_RESPONSE_BYTES)
     try:
         async with client.open(method, url, **options) as response:
             if response.status in _NO_OUTCOME:
@@ -392,6 +413,8 @@
             step=path,
             peer=address,
         ) from error
+    except ResponseTooLargeError as error:
+        raise ResponseLimitError(str(error), step=path, peer=address) from error
     except ResponseLostError as error:
         raise ReplyLostError(
             f'The store did not respond: {error}.',
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -20,14 +20,16 @@
 )
 from curranthill.placement import WorkerEntry
 from curranthill.platform.decoding import (
+    BoundedFloat,
+    BoundedInt,
     Fields,
     Name,
-    NonNegativeFloat,
-    NonNegativeInt,
     SocketAddress,
     decode_fields,
+    is_header_text,
 )
 from curranthill.platform.http_client import (
+    MAX_RESPONSE_BYTES,
     HttpClient,
     HttpResponse,
     RequestNotSentError,
@@ -50,17 +52,34 @@
 #: these are acknowledged.
 MAX_LISTED_ENDS: Final = 500
 
+#: The progress of a run that is done, in percent.
+MAX_PERCENT: Final = 100.0
+
+#: The most runs that a worker may list in one response.
+MAX_LISTED_RUNS: Final = 5000
+
+#: The most bytes of the response to a renewal: the largest number of ends, each
+#: with a checkpoint of 2 KB, and as many runs.
+MAX_RENEWAL_BYTES: Final = 2_500_000
+
+#: How long the body of a response may take, in seconds: the largest one takes
+#: 4 s over a link with 5 Mbit/s.
+BODY_TIMEOUT_S: Final = 4.0
+
 _OK: Final = 200
 _CONFLICT: Final = 409
 _OTHER_WORKER: Final = 421
 
+#: Statuses with which a worker rejects a request; it has then done nothing.
+_REJECTIONS: Final = frozenset((400, 404, _CONFLICT, 429, 503))
+
 
 class CapacityFields(msgspec.Struct):
     """The total resources of a worker, used or not."""
 
-    cpu: NonNegativeInt
-    mem_mb: NonNegativeInt
-    gpu: NonNegativeInt
+    cpu: BoundedInt
+    mem_mb: BoundedInt
+    gpu: BoundedInt
 
 
 class EntryFields(msgspec.Struct):
@@ -75,22 +94,22 @@
     address: SocketAddress
     zone: Name
     version: str
-    capacity: NonNegativeInt
+    capacity: BoundedInt
     state: Literal['ready', 'draining']
-    cold_remaining_ms: NonNegativeFloat
-    sequence: NonNegativeInt
+    cold_remaining_ms: BoundedFloat
+    sequence: BoundedInt
     headroom: CapacityFields
     labels: list[str]
-    clock_ms: NonNegativeFloat = 0.0
-    remaining_ms: NonNegativeFloat = 0.0
-    born: NonNegativeInt = 0
+    clock_ms: BoundedFloat = 0.0
+    remaining_ms: BoundedFloat = 0.0
+    born: BoundedInt = 0
 
 
 class RunRow(msgspec.Struct, array_like=True):
     """A run in the response to a renewal; further elements are ignored."""
 
     task: str
-    run: NonNegativeInt
+    run: BoundedInt
     saved: str
     percent: float
 
@@ -98,9 +117,9 @@
 class EndRow(msgspec.Struct, array_like=True):
     """A run end in the response to a renewal."""
 
-    number: NonNegativeInt
+    number: BoundedInt
     task: str
-    run: NonNegativeInt
+    run: BoundedInt
     how: EndKind
     saved: str = ''
 
@@ -108,16 +127,16 @@
 class RenewalFields(msgspec.Struct):
     """A worker's response to a lease renewal."""
 
-    clock_ms: NonNegativeFloat
+    clock_ms: BoundedFloat
     running: list[RunRow] = []
     ended: list[EndRow] = []
-    born: NonNegativeInt = 0
+    born: BoundedInt = 0
 
 
 class ClockFields(msgspec.Struct):
     """A worker's response to a start or stop."""
 
-    clock_ms: NonNegativeFloat
+    clock_ms: BoundedFloat
 
 
 class RejectionFields(msgspec.Struct):
@@ -134,8 +153,18 @@
     def decode(self, row: StoredRow) -> WorkerEntry:
         """Return a worker's entry.
 
-        :raises MalformedRecordError: if the row is not a valid entry.
+        The key is sent as a header. The service, the data centre and the labels
+        are only compared, so they may be any text.
+
+        :raises MalformedRecordError: if the row is not a valid entry, or if no
+            request can name its key.
         """
+        if not is_header_text(row.key):
+            raise MalformedRecordError(
+                'The key of the entry has characters that no request can have.',
+                step='entry',
+                peer=row.key,
+            )
         fields = decode_fields(
             row.content,
             EntryFields,
@@ -229,8 +258,13 @@
             'hold',
             fields,
             order.wait_s + RENEWAL_SLACK_S,
+            max_bytes=MAX_RENEWAL_BYTES,
         )
         report = self._decode(response, RenewalFields, 'hold')
+        listed = len(report.running)
+        if listed > MAX_LISTED_RUNS or len(report.ended) > MAX_LISTED_ENDS:
+            error = ValueError(f'It lists {listed} runs.')
+            raise self._malformed('hold', error)
         try:
             runs = tuple(_run(row) for row in report.running)
             ends = tuple(_end(row) for row in report.ended)
@@ -288,6 +322,7 @@
         path: str,
         fields: dict[str, Any],
         timeout_s: float,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
         try:
             response = await self._client.call(
@@ -296,6 +331,8 @@
                 timeout_s=timeout_s,
                 fields=fields,
                 headers=self._headers,
+                max_bytes=max_bytes,
+                body_timeout_s=BODY_TIMEOUT_S,
             )
         except RequestNotSentError as error:
             raise WorkerUnreachableError(
@@ -320,6 +357,12 @@
                 step=path,
                 peer=self._address,
             )
+        if response.status not in _REJECTIONS:
+            return WorkerReplyLostError(
+                f'The response has the unknown status {response.status}.',
+                step=path,
+                peer=self._address,
+            )
         reason = str(response.status)
         if response.status == _CONFLICT:
             given_reason = self._decode(response, RejectionFields, path).reason
@@ -332,19 +375,30 @@
         )
 
 
+def _task_of(name: str) -> TaskKey:
+    """Return the task of a name.
+
+    :raises ValueError: if it is not exactly the name of a task.
+    """
+    key = TaskKey.parse(name)
+    if str(key) != name or min(key[1:]) < 0:
+        raise ValueError(f'{name!r} is not the name of a task.')
+    return key
+
+
 def _run(row: RunRow) -> RunReport:
     return RunReport(
-        task=TaskKey.parse(row.task),
+        task=_task_of(row.task),
         attempt=row.run,
         checkpoint=row.saved,
-        done_percent=row.percent,
+        done_percent=min(max(row.percent, 0.0), MAX_PERCENT),
     )
 
 
 def _end(row: EndRow) -> EndReport:
     return EndReport(
         number=row.number,
-        task=TaskKey.parse(row.task),
+        task=_task_of(row.task),
         attempt=row.run,
         kind=row.how,
         checkpoint=row.saved,
--- a/src/curranthill/tasks/__init__.py
+++ b/src/curranthill/tasks/__init__.py
@@ -33,7 +33,13 @@
     WorkspaceGuarantee,
     total,
 )
-from curranthill.tasks.validation import MAX_STEPS, validation_errors
+from curranthill.tasks.stored_jobs import check_task_names, decode_job
+from curranthill.tasks.validation import (
+    MAX_STEPS,
+    job_id_error,
+    schedule_errors,
+    validation_errors,
+)
 
 __all__ = (
     'CANCELLED',
@@ -66,5 +72,9 @@
     'task_name',
     'total',
     'MAX_STEPS',
+    'check_task_names',
+    'decode_job',
+    'job_id_error',
+    'schedule_errors',
     'validation_errors',
 )
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -35,9 +35,19 @@
 #: several tasks. The task then resumes from an earlier one.
 MAX_CHECKPOINT_BYTES: Final = 2048
 
+#: The most bytes of a decompressed record; rows compress to a tenth at best.
+MAX_RECORD_BYTES: Final = 4_194_304
+
 #: The first byte of the zlib format, with which no JSON text begins.
 _ZLIB_START: Final = b'\x78'
 
+_DECODING_ERRORS: Final = (
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+    zlib.error,
+)
+
 Record = TypeVar('Record')
 
 
@@ -192,15 +202,27 @@
     """
     try:
         if content.startswith(_ZLIB_START):
-            content = zlib.decompress(content)
+            content = _decompress(content)
         return msgspec.json.decode(content, type=record)
-    except (msgspec.MsgspecError, ValueError, zlib.error) as error:
+    except _DECODING_ERRORS as error:
         raise MalformedRecordError(
             f'The stored record cannot be read: {error}.',
             step='decode',
         ) from error
 
 
+def _decompress(content: bytes) -> bytes:
+    """Return the decompressed content of a row.
+
+    :raises ValueError: if it is larger than that of any row of ours.
+    """
+    decompressor = zlib.decompressobj()
+    found = decompressor.decompress(content, MAX_RECORD_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f'it has more than {MAX_RECORD_BYTES} bytes')
+    return found
+
+
 __all__ = (
     'CANCELLED',
     'COMPLETED',
--- a/src/curranthill/tasks/validation.py
+++ b/src/curranthill/tasks/validation.py
@@ -1,9 +1,12 @@
 """Validates a submitted job before it is stored."""
 
+import math
 from collections.abc import Iterator
 from itertools import chain, islice
+from typing import Final
 
-from curranthill.tasks.records import Step
+from curranthill.tasks import tables
+from curranthill.tasks.records import JobSpec, Step
 
 #: The maximum length of the text that a job passes to its tasks, in characters.
 MAX_PAYLOAD_CHARS = 4000
@@ -16,6 +19,10 @@
 #: they fit into the 64 KB of a row, and larger jobs are refused.
 MAX_STEPS = 400
 
+#: The largest number of occurrences and amount of a resource: that of 64 bits.
+MAX_TIMES: Final = (1 << 63) - 1
+MAX_AMOUNT: Final = (1 << 63) - 1
+
 #: The most errors of steps that are reported.
 MAX_STEP_ERRORS = 10
 
@@ -52,11 +59,54 @@
     return (*errors, *islice(step_errors, MAX_STEP_ERRORS))
 
 
+def schedule_errors(spec: JobSpec) -> tuple[str, ...]:
+    """Return the errors of a job's times and durations, each as a sentence.
+
+    All times that are computed from them have to be finite numbers.
+    """
+    errors = []
+    if spec.interval_s < 0:
+        errors.append('The interval between its occurrences is negative.')
+    if spec.times > MAX_TIMES:
+        errors.append(f'The job runs more than {MAX_TIMES} times.')
+    elif not _is_finite(spec):
+        errors.append('Its times or its estimates are too large.')
+    return tuple(errors)
+
+
+def job_id_error(job_id: str) -> str:
+    """Return why a text can't be a job's id, as a sentence; empty if it can.
+
+    It is part of the keys of rows, and cancellations have keys of their own.
+    """
+    if not job_id.isprintable():
+        return 'The id has control characters.'
+    if job_id.endswith(tables.CANCEL_SUFFIX):
+        return f'The id ends with {tables.CANCEL_SUFFIX}.'
+    return ''
+
+
+def _is_finite(spec: JobSpec) -> bool:
+    last_due_s = spec.due_s(spec.occurrences - 1)
+    return all(
+        math.isfinite(time_s)
+        for time_s in (
+            spec.accepted_at_s,
+            last_due_s,
+            spec.objective_s,
+            spec.objective_s + last_due_s,
+            sum(step.width * step.estimate_s for step in spec.steps),
+        )
+    )
+
+
 def _step_errors(number: int, step: Step) -> Iterator[str]:
     if step.width < 1:
         yield f'Step {number} has no tasks.'
     if min(step.needs) < 0:
         yield f'Step {number} requests a negative amount of a resource.'
+    if max(step.needs) > MAX_AMOUNT:
+        yield f'Step {number} requests more than {MAX_AMOUNT} of a resource.'
     if len(step.after) > number:
         yield f'Step {number} requires more steps than there are before it.'
         return
@@ -65,4 +115,11 @@
             yield f'Step {number} requires step {earlier}, not an earlier one.'
 
 
-__all__ = ('MAX_PAYLOAD_CHARS', 'MAX_STEPS', 'MAX_TASKS', 'validation_errors')
+__all__ = (
+    'MAX_PAYLOAD_CHARS',
+    'MAX_STEPS',
+    'MAX_TASKS',
+    'job_id_error',
+    'schedule_errors',
+    'validation_errors',
+)
--- a/src/curranthill/telemetry/metrics.py
+++ b/src/curranthill/telemetry/metrics.py
@@ -85,6 +85,9 @@
         self.runs_stopped = meter.create_counter('runs_stopped')
         self.workers_unreachable = meter.create_gauge('workers_unreachable')
         self.workers_unused = meter.create_gauge('workers_unused')
+        self.session_errors = meter.create_counter('session_errors')
+        self.jobs_set_aside = meter.create_counter('jobs_set_aside')
+        self.background_errors = meter.create_counter('background_errors')
         self.workers_restarted = meter.create_counter('workers_restarted')
         self.runs_lost_with_worker = meter.create_counter(
             'runs_lost_with_worker'
