Count a job as begun once a worker has said so

What callers saw: `pending` was 0 and jobs were shown as running while a worker refused all of their starts, or answered none; under the next leader too.

Cause: a job counted as begun as soon as a task of it was assigned, as its progress then had a record; its stored state was set to running with the assignment.

Change: the state stays queued until a worker has confirmed a start, lists a run or reports an end. Counts, the shown state, the forecast, the gauges and a host that counts without a leader use that state alone. It is stored with the next write, no later than the queue lengths that depend on it, so it never becomes untrue; it causes no write of its own. What a leader did not store before it was lost the next one learns from the workers, and counts the job as waiting until then. Rows of earlier releases that say running remain so, as callers have been shown.

A test of spread progress read the state right after the assignment was stored; it now waits for a second, and checks the same state.

--- a/src/curranthill/dispatch/owner.py
+++ b/src/curranthill/dispatch/owner.py
@@ -31,6 +31,9 @@
     def may_order(self) -> bool:
         """Return whether the leader may still start and stop tasks."""
 
+    def run_started(self, job_id: str) -> None:
+        """Handle that a worker has started a task of a job."""
+
     def run_reported(self, session: 'WorkerSession', run: Run) -> None:
         """Handle a report of a run's progress."""
 
--- a/src/curranthill/dispatch/progress_writer.py
+++ b/src/curranthill/dispatch/progress_writer.py
@@ -79,12 +79,16 @@
         self._rejected: set[str] = set()
         self._set_aside: set[str] = set()
 
-    def record(self, job: ActiveJob) -> None:
-        """Queue a job's progress for the next write."""
+    def record(self, job: ActiveJob, *, wake: bool = True) -> None:
+        """Queue a job's progress for the next write.
+
+        :param wake: whether that is made at once, or with the next heartbeat.
+        """
         if job.spec.job_id in self._set_aside:
             return
         self._dirty[job.spec.job_id] = job
-        self._wake.set()
+        if wake:
+            self._wake.set()
 
     def adopt(self, job: ActiveJob, layout: RowLayout) -> None:
         """Take over the rows over which the progress of a job is spread."""
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -36,8 +36,6 @@
     newest_checkpoint,
 )
 from curranthill.tasks import (
-    QUEUED,
-    RUNNING,
     WORKER_DRAINING,
     JobSpec,
     Revision,
@@ -311,13 +309,6 @@
                 [job.progress.task(key) for key in tasks],
             )
         runs = self._assign_runs(placement, shared_attempt, checkpoint)
-        if job.progress.state == QUEUED:
-            job.progress.state = RUNNING
-            waited_s = self._clock.wall_s() - job.spec.accepted_at_s
-            metrics.first_start_s.record(
-                max(waited_s, 0.0),
-                {'priority': job.spec.queue.priority},
-            )
         events.log(
             'placed',
             job=job.spec.job_id,
--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -91,6 +91,19 @@
         ]
         return capacity.covers(total((run.needs, *others)))
 
+    def confirm_start(self, run: Run, clock_s: float) -> None:
+        """Record that the worker has confirmed the start of a run.
+
+        :param clock_s: the worker's clock.
+        """
+        run.confirmed_s = self._clock.monotonic_s()
+        run.set_start_clock(clock_s)
+        run.percent_changed_s = run.confirmed_s
+        if run.state == ORDERED:
+            run.state = RUNNING
+        self._owner.run_started(run.key.job_id)
+        self.expect_confirmation(run)
+
     def expect_confirmation(self, run: Run) -> None:
         """Expect a report to confirm a start, unless one has listed its end."""
         if self.runs.get(run.name) is run:
@@ -180,6 +193,7 @@
         if run.state in {ORDERED, UNKNOWN}:
             run.state = RUNNING
             run.confirmed_s = now_s
+            self._owner.run_started(run.key.job_id)
         if report.done_percent != run.done_percent:
             run.percent_changed_s = now_s
         run.done_percent = report.done_percent
@@ -196,6 +210,7 @@
 
     def _adopt_stray(self, report: RunReport, now_s: float) -> Run:
         """Track a run without a stored assignment, in order to stop it."""
+        self._owner.run_started(report.task.job_id)
         events.log(
             'stray_run',
             task=str(report.task),
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -45,7 +45,6 @@
 from curranthill.placement import (
     ASSIGNED,
     ORDERED,
-    RUNNING,
     UNKNOWN,
     Run,
     WorkerEntry,
@@ -381,13 +380,8 @@
             self.increment_token()
         else:
             self._read_clock(clock_s, known_clock_s)
-            run.confirmed_s = self._clock.monotonic_s()
-            run.set_start_clock(clock_s)
-            self._run_list.expect_confirmation(run)
+            self._run_list.confirm_start(run, clock_s)
             metrics.start_order_s.record(run.confirmed_s - sent_s)
-            run.percent_changed_s = run.confirmed_s
-            if run.state == ORDERED:
-                run.state = RUNNING
             self._wake_event.set()
 
     def _not_started(self, run: Run, error: WorkerError) -> None:
--- a/src/curranthill/dispatch/term_state.py
+++ b/src/curranthill/dispatch/term_state.py
@@ -10,6 +10,7 @@
 from curranthill.clock import Clock
 from curranthill.dispatch.cleanup import IntakeCleanup
 from curranthill.dispatch.crashes import LossCounter
+from curranthill.dispatch.first_starts import FirstStarts
 from curranthill.dispatch.isolation import JobIsolation, isolated
 from curranthill.dispatch.leadership import Leadership
 from curranthill.dispatch.progress_writer import ProgressWriter
@@ -57,6 +58,7 @@
     :param changed: set whenever a placement round may find something new.
     :param isolation: sets jobs aside whose events can't be recorded.
     :param losses: counts the runs that are lost with their workers.
+    :param run_started: as :meth:`FirstStarts.record`.
     :param is_stored: as :meth:`ProgressWriter.is_stored`.
     """
 
@@ -82,6 +84,9 @@
         self._spawner = spawner
         self.estimates = RunEstimates()
         self._cancelled: set[str] = set()
+        self.run_started = FirstStarts(
+            clock=clock, jobs=self.jobs, writer=writer
+        ).record
         self.isolation = JobIsolation(jobs=self.jobs, writer=writer)
         self.losses = LossCounter(
             clock=clock,
@@ -139,6 +144,7 @@
     @isolated
     def run_ended(self, session: WorkerSession, end: EndReport) -> None:
         """Record the end of a run in its job's progress, if it counts."""
+        self.run_started(end.task.job_id)
         job = self.jobs.get(end.task.job_id)
         counts = job is not None and self._end_counts(
             job, end, session.worker_id
--- a/src/curranthill/entry/job_handler.py
+++ b/src/curranthill/entry/job_handler.py
@@ -33,7 +33,6 @@
 )
 from curranthill.tasks import (
     ENDED,
-    QUEUED,
     JobProgress,
     JobSpec,
     Queue,
@@ -382,10 +381,10 @@
     """
     try:
         spec = decode_job(row)
-        state = decode(progress, JobProgress).state if progress else QUEUED
+        begun = progress is not None and decode(progress, JobProgress).begun
     except MalformedRecordError:
         return False
-    return spec.queue.name == queue and state == QUEUED
+    return spec.queue.name == queue and not begun
 
 
 __all__ = ('JobHandler',)
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -114,8 +114,8 @@
 
     @property
     def begun(self) -> bool:
-        """Return whether any task ever started."""
-        return bool(self.progress.tasks or self.progress.done_steps)
+        """Return whether a worker has said that it started a task."""
+        return self.progress.begun
 
     @property
     def _may_start(self) -> bool:
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -117,6 +117,8 @@
 class JobProgress(msgspec.Struct, array_like=True):
     """The progress of one job; tasks that never started are not included.
 
+    :param state: queued until a worker has said that it started a task.
+        Earlier releases set it to running when they assigned one.
     :param tasks: progress by occurrence, step and rank, joined by dots.
     :param ended_at_s: when the job ended, in wall-clock seconds; 0 before.
     :param done_steps: occurrence and step, joined by a dot, of the steps whose
@@ -139,6 +141,11 @@
     unconfirmed_losses: dict[str, list[UnconfirmedLoss]] = {}
     layout: RowLayout | None = None
 
+    @property
+    def begun(self) -> bool:
+        """Return whether a worker has said that it started a task."""
+        return self.state != QUEUED or bool(self.done_steps)
+
     def record_step_done(self, occurrence: int, step: int, width: int) -> None:
         """Record that a step is done, and drop the progress of its tasks."""
         name = f'{occurrence}.{step}'
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -77,6 +77,9 @@
         """Allow orders."""
         return True
 
+    def run_started(self, job_id: str) -> None:
+        """Ignore a start."""
+
     def run_reported(self, session: WorkerSession, run: Run) -> None:
         """Ignore progress."""
 
--- a/tests/test_spread_progress.py
+++ b/tests/test_spread_progress.py
@@ -348,6 +348,8 @@
             await domain.clock.until(lambda: bool(parts_in(domain)))
             with self.assertRaises(MalformedRecordError):
                 _as_former_release(domain)
+            # Until a worker has confirmed a start, and that is stored.
+            await domain.clock.advance(1)
             first = domain.rows.rows[tables.PROGRESS, 'wide'].content
             self.assertEqual(decode(first, JobProgress).state, 'running')
             await domain.ended('wide')
