Bound the work and memory of a job by what is at work of it

What callers saw: one job of 525,600 occurrences that were due stopped every host in turn; other accepted jobs had nothing running for as long as it existed.

Cause: each round, each end, the consistency check, the timeliness and the log of blocked jobs went through all occurrences that are due, and again through all that are done; the names of done steps were searched in a list that grew with each occurrence, and all of it was in the stored row.

Change: done occurrences are kept and stored as ranges, by step. Occurrences that have not started are not kept but counted by their due times. A round considers the first ones that may start of each step and others in rotation; steps whose tasks all run are left out until a run ends. What has started and is not done is bounded. The objective, the lateness and the infeasibility of a job are those of its first occurrence that is not done. A job with a later occurrence at work does not preempt, is not covered by a guarantee, and is not served before others once it is infeasible. While ranges are stored the leader's row has a form that earlier releases can't read, so none of their hosts takes over.

--- a/src/curranthill/dispatch/advice.py
+++ b/src/curranthill/dispatch/advice.py
@@ -21,6 +21,9 @@
 #: How many first requests may be sent while a repeated one waits.
 FIRST_REQUESTS_PER_REPEAT: Final = 4
 
+#: The most steps whose tickets are cached: a job may have many occurrences.
+MAX_CACHED_STEPS: Final = 4096
+
 #: The delay after a request without a response, in seconds.
 RETRY_S: Final = 0.3
 
@@ -151,6 +154,7 @@
 
     async def request(self, request: TicketRequest) -> None:
         """Request tickets for some workers and cache those in the response."""
+        self._drop_oldest()
         self._record_request(request)
         name, workers = request.ready.name, request.workers
         try:
@@ -189,6 +193,18 @@
                 if name.split('.', 1)[0] not in job_ids:
                     cache.pop(name)
 
+    def _drop_oldest(self) -> None:
+        """Bound the steps with cached tickets; others are asked for again."""
+        caches: tuple[dict[str, Any], ...] = (
+            self._tickets,
+            self._requested,
+            self._failed,
+            self._request_numbers,
+        )
+        for cache in caches:
+            while len(cache) > MAX_CACHED_STEPS:
+                cache.pop(next(iter(cache)))
+
     def _record_request(self, request: TicketRequest) -> None:
         """Record a request for the order of the following ones."""
         self._request_numbers[request.ready.name] = next(self._next_numbers)
--- a/src/curranthill/dispatch/blockers.py
+++ b/src/curranthill/dispatch/blockers.py
@@ -4,13 +4,20 @@
 tasks have a run or a stored assignment, or nothing of it is due yet.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
+from itertools import islice
 from typing import Final, Literal, NamedTuple, TypedDict
 
 from curranthill.clock import Clock
 from curranthill.dispatch.inherited_leases import InheritedLeases
 from curranthill.dispatch.session import WorkerSession
-from curranthill.placement import RUNNING, ActiveJob, Run, RunState
+from curranthill.placement import (
+    RUNNING,
+    ActiveJob,
+    Run,
+    RunState,
+    StepId,
+)
 from curranthill.tasks import TaskKey
 
 #: Why a job is not ready, as logged for operators.
@@ -36,6 +43,10 @@
 _DONE_TASK: Final = 'done'
 
 
+#: The most runs of a job whose steps are considered.
+MAX_CONSIDERED_RUNS: Final = 256
+
+
 class BlockingTask(TypedDict):
     """A task that a run or an assignment blocks, and its worker's state.
 
@@ -139,15 +150,14 @@
         session = self._sessions.get(run.worker_id)
         return session is not None and session.reachable
 
-    def _startable_steps(self, job: ActiveJob) -> Iterator[tuple[int, int]]:
-        """Yield the steps that are due, not done and wait for no other step."""
-        now_s = self._clock.wall_s()
-        for occurrence in range(job.spec.occurrences):
-            if job.spec.due_s(occurrence) > now_s:
-                return
-            for number in _undone_steps(job, occurrence):
-                if not _awaits_step(job, occurrence, number):
-                    yield (occurrence, number)
+    def _startable_steps(self, job: ActiveJob) -> list[StepId]:
+        """Return steps that are due, not done and wait for no other step."""
+        step_ids = {
+            (key.occurrence, key.step)
+            for key in islice(job.runs, MAX_CONSIDERED_RUNS)
+        }
+        step_ids.update(job.occurrences.startable(self._clock.wall_s()))
+        return sorted(one for one in step_ids if not job.step_done(*one))
 
     def _blocking_task(
         self, job: ActiveJob, key: TaskKey
@@ -202,15 +212,11 @@
     def _idle_blocker(self, job: ActiveJob) -> Blocker:
         """Return what blocks a job whose due steps are all done."""
         now_s = self._clock.wall_s()
-        for occurrence in range(job.spec.occurrences):
-            due_s = job.spec.due_s(occurrence)
-            if due_s > now_s:
-                return Blocker(
-                    DUE,
-                    occurrence,
-                    due_in_s=round(due_s - now_s, 1),
-                )
-        return Blocker(ALL_DONE)
+        occurrence = job.occurrences.due_count(now_s)
+        if occurrence == job.spec.occurrences:
+            return Blocker(ALL_DONE)
+        due_in_s = job.spec.due_s(occurrence) - now_s
+        return Blocker(DUE, occurrence, due_in_s=round(due_in_s, 1))
 
 
 def _waits_only_for_gang(blocking: BlockingTask) -> bool:
--- a/src/curranthill/dispatch/consistency.py
+++ b/src/curranthill/dispatch/consistency.py
@@ -118,11 +118,10 @@
     """Yield a job that has not ended although all its tasks are done."""
     if job.perpetual or job.runs or not job.begun:
         return
-    steps = len(job.spec.steps)
-    for occurrence in range(job.spec.occurrences):
-        if not all(job.step_done(occurrence, one) for one in range(steps)):
-            return
-    yield Finding(END_NOT_RECORDED, TaskKey(job.spec.job_id, 0, 0, 0), 0, '')
+    job.occurrences.unsettle_some()
+    if job.all_done:
+        key = TaskKey(job.spec.job_id, 0, 0, 0)
+        yield Finding(END_NOT_RECORDED, key, 0, '')
 
 
 class ConsistencyCheck:
--- a/src/curranthill/dispatch/feeds.py
+++ b/src/curranthill/dispatch/feeds.py
@@ -20,7 +20,7 @@
     Resources,
     TaskKey,
     Timing,
-    check_task_names,
+    check_progress,
     decode,
     decode_job,
     tables,
@@ -283,10 +283,12 @@
             own_row = decode(progress, JobProgress)
             layout = own_row.layout
             state = self._parts.join(spec.job_id, own_row)
-        check_task_names(spec, state)
+        check_progress(spec, state)
         job = self._term.add_job(spec, state)
         if layout is not None:
             self._writer.adopt(job, layout)
+        if state.done_ranges:
+            self._writer.adopt_ranges(job)
         self._recover_runs(job)
         self._term.resume_job(job)
 
--- a/src/curranthill/dispatch/job_rows.py
+++ b/src/curranthill/dispatch/job_rows.py
@@ -169,6 +169,7 @@
         self._smaller: dict[str, int] = {}
         self._retry_s: dict[str, float] = {}
         self._unstored: set[str] = set()
+        self._with_ranges: set[str] = set()
 
     @property
     def any_spread(self) -> bool:
@@ -180,13 +181,22 @@
         """Return of how many jobs the progress could not be stored."""
         return len(self._unstored)
 
+    @property
+    def any_ranges(self) -> bool:
+        """Return whether some job stores its done occurrences as ranges."""
+        return bool(self._with_ranges)
+
+    def adopt_ranges(self, job: ActiveJob) -> None:
+        """Record that the stored progress of a job may have ranges."""
+        self._with_ranges.add(job.spec.job_id)
+
     def adopt(self, job: ActiveJob, layout: RowLayout) -> None:
         """Take over the rows of a job as an earlier leader has written them."""
         self._spread[job.spec.job_id] = SpreadRows(
             job_id=job.spec.job_id,
             layout=layout,
             clock=self._clock,
-            entries=_entries(job.progress),
+            entries=job.progress.entries,
             in_force=True,
         )
 
@@ -202,6 +212,8 @@
     def plan(self, job: ActiveJob) -> JobWrite:
         """Return the rows that store the progress of a job."""
         job_id = job.spec.job_id
+        if job.progress.done_ranges:
+            self._with_ranges.add(job_id)
         spread = self._spread.get(job_id)
         row_bytes = self._smaller.get(job_id, self._row_bytes)
         single = self._single_row(job, spread, row_bytes)
@@ -222,6 +234,8 @@
             write.spread.confirm()
             self._spread[job_id] = write.spread
         self._unstored.discard(job_id)
+        if not write.job.progress.done_ranges:
+            self._with_ranges.discard(job_id)
         if self._retry_s.pop(job_id, 0.0) or write.job.ended:
             self._smaller.pop(job_id, None)
         write.job.unstored = False
@@ -254,14 +268,14 @@
         max_bytes = row_bytes
         if spread is not None:
             # Whether it fits again is only tried after each halving.
-            entries = _entries(job.progress)
+            entries = job.progress.entries
             if entries > spread.entries // 2:
                 return None
             spread.entries = entries
             max_bytes = int(REJOIN_SHARE * row_bytes)
         content = encode_progress(job.progress)
         # Without tasks and done steps, further rows would be empty.
-        is_final = job.ended and not _entries(job.progress)
+        is_final = job.ended and not job.progress.entries
         if len(content) > max_bytes and not is_final:
             return None
         return RowPut(tables.PROGRESS, job.spec.job_id, content)
@@ -288,7 +302,7 @@
             job_id=job.spec.job_id,
             layout=layout,
             clock=self._clock,
-            entries=_entries(job.progress),
+            entries=job.progress.entries,
             in_force=False,
         )
 
@@ -302,6 +316,7 @@
         reason=progress.reason,
         stops=progress.stops,
         layout=layout,
+        done_ranges=progress.done_ranges,
     )
 
 
@@ -328,8 +343,4 @@
     return fields[:_CHECKPOINT] + fields[_CHECKPOINT + 1 :]
 
 
-def _entries(progress: JobProgress) -> int:
-    return len(progress.tasks) + len(progress.done_steps)
-
-
 __all__ = ('MIN_ROW_BYTES', 'REJECTED_RETRY_S', 'JobRows', 'JobWrite')
--- a/src/curranthill/dispatch/leadership.py
+++ b/src/curranthill/dispatch/leadership.py
@@ -91,6 +91,11 @@
         """Return whether the progress of some job is spread over rows."""
         return False
 
+    @property
+    def has_ranges(self) -> bool:
+        """Return whether some job stores its done occurrences as ranges."""
+        return False
+
     def previous_after_s(self, seen_for_s: float) -> float:
         """Return for how long any leader up to this row's may renew leases.
 
@@ -128,17 +133,40 @@
         return True
 
 
-class _SpreadForm(msgspec.Struct):
-    """The stored form of a :class:`SpreadLeaderRow`."""
+class RangesLeaderRow(LeaderRow, array_like=True):
+    """The leader's row while some job stores its done occurrences as ranges.
+
+    Releases that do not read ranges can't read its stored form, as above.
+    """
+
+    @property
+    def has_ranges(self) -> bool:
+        """Return whether some job stores its done occurrences as ranges."""
+        return True
+
+
+class SpreadRangesLeaderRow(SpreadLeaderRow, array_like=True):
+    """The leader's row while both is the case."""
+
+    @property
+    def has_ranges(self) -> bool:
+        """Return whether some job stores its done occurrences as ranges."""
+        return True
+
 
-    row: SpreadLeaderRow
+#: The names under which these rows are stored; a plain one is stored as it is.
+_NAMES: Final[dict[type[LeaderRow], str]] = {
+    SpreadLeaderRow: 'row',
+    RangesLeaderRow: 'row_with_ranges',
+    SpreadRangesLeaderRow: 'spread_row_with_ranges',
+}
+_KINDS: Final = {name: kind for kind, name in _NAMES.items()}
 
 
 def encode_leader_row(row: LeaderRow) -> bytes:
     """Serialize the leader's row for the store."""
-    if isinstance(row, SpreadLeaderRow):
-        return encode(_SpreadForm(row))
-    return encode(row)
+    kind = type(row)
+    return encode({_NAMES[kind]: row} if kind in _NAMES else row)
 
 
 def renew_without_store_s(lease_s: float) -> float:
@@ -159,15 +187,17 @@
     try:
         return decode(stored.content, LeaderRow)
     except MalformedRecordError:
-        return _spread_leader_row(stored)
+        return _named_leader_row(stored)
 
 
-def _spread_leader_row(stored: StoredRow) -> LeaderRow:
+def _named_leader_row(stored: StoredRow) -> LeaderRow:
     try:
-        return decode(stored.content, _SpreadForm).row
-    except MalformedRecordError as error:
+        named = decode(stored.content, dict[str, Any])
+        name = next(iter(named), '')
+        return msgspec.convert(named[name], _KINDS[name])
+    except (MalformedRecordError, LookupError, ValueError) as error:
         raise StorageError(
-            f"The leader's row is unreadable: {error.message}",
+            f"The leader's row is unreadable: {error}",
             step='leader',
         ) from error
 
@@ -188,6 +218,7 @@
         hosts read this row anyway, so the forecast costs no further call.
     :param silent: the workers that do not respond, stored with each write.
     :param spreads: whether the progress of some job is spread over rows.
+    :param has_ranges: whether some job stores its done occurrences as ranges.
     """
 
     def __init__(
@@ -214,6 +245,7 @@
         self.forecast: Any = None
         self.silent = SilentWorkers(clock=clock, inherited=row.silent)
         self.spreads = row.spreads
+        self.has_ranges = row.has_ranges
 
     @property
     def epoch(self) -> int:
@@ -269,7 +301,7 @@
             any, the leader's own row is retried: another host takes over if
             that cannot be written either.
         """
-        row = _row_type(spreads=self.spreads)(
+        row = _row_type(spreads=self.spreads, has_ranges=self.has_ranges)(
             holder=self._row.holder if holder is None else holder,
             epoch=self._row.epoch,
             operation=uuid.uuid4().hex,
@@ -366,7 +398,7 @@
     :raises StorageError: if the outcome of the write is not known.
     """
     previous = LeaderRow() if seen is None else leader_row_of(seen)
-    row = _row_type(spreads=previous.spreads)(
+    row = _row_type(spreads=previous.spreads, has_ranges=previous.has_ranges)(
         holder=holder,
         epoch=previous.epoch + 1,
         operation=uuid.uuid4().hex,
@@ -400,7 +432,9 @@
     )
 
 
-def _row_type(*, spreads: bool) -> type[LeaderRow]:
+def _row_type(*, spreads: bool, has_ranges: bool) -> type[LeaderRow]:
+    if has_ranges:
+        return SpreadRangesLeaderRow if spreads else RangesLeaderRow
     return SpreadLeaderRow if spreads else LeaderRow
 
 
--- a/src/curranthill/dispatch/progress_writer.py
+++ b/src/curranthill/dispatch/progress_writer.py
@@ -90,6 +90,10 @@
         if wake:
             self._wake.set()
 
+    def adopt_ranges(self, job: ActiveJob) -> None:
+        """Record that the stored progress of a job may have ranges."""
+        self._rows.adopt_ranges(job)
+
     def adopt(self, job: ActiveJob, layout: RowLayout) -> None:
         """Take over the rows over which the progress of a job is spread."""
         self._rows.adopt(job, layout)
@@ -177,6 +181,8 @@
         if any(write.spread for write in writes):
             # Before any such row exists, other releases must not take over.
             self._leadership.spreads = True
+        if any(job.progress.done_ranges for job in due.values()):
+            self._leadership.has_ranges = True
         pending = self._pending
         removals = self._removals[:MAX_REMOVALS_PER_WRITE]
         self._removals = self._removals[len(removals) :]
@@ -194,8 +200,9 @@
         self._rejected.clear()
         metrics.jobs_unstored.set(self._rows.unstored)
         any_parts = self._rows.any_spread or _parts_of(self._removals)
-        if self.are_jobs_read and not any_parts:
-            self._leadership.spreads = False
+        if self.are_jobs_read:
+            self._leadership.spreads &= bool(any_parts)
+            self._leadership.has_ranges &= self._rows.any_ranges
 
     async def _store(self, entries: list[_Entry]) -> None:
         """Write entries in order; those that are rejected are left out.
--- a/src/curranthill/dispatch/rounds.py
+++ b/src/curranthill/dispatch/rounds.py
@@ -217,7 +217,7 @@
                 for_job=for_job,
                 beyond_guarantee=for_job not in plan.covered,
                 workspace=job.spec.workspace if job else '',
-                stops=job.stops if job else 0,
+                stops=job.progress.stops if job else 0,
             )
             self._term.stop_run(run)
 
@@ -318,6 +318,9 @@
             attempt=shared_attempt,
         )
         self._writer.record(job)
+        if job.is_recurring:
+            # The next round considers further occurrences.
+            self._term.changed.set()
         self._spawner.spawn_isolated(self._start(job, runs), name='start')
 
     def _assign_runs(
--- a/src/curranthill/dispatch/term_state.py
+++ b/src/curranthill/dispatch/term_state.py
@@ -370,6 +370,7 @@
         self.ended_at_s[job_id] = job.progress.ended_at_s
         job.progress.tasks.clear()
         job.progress.done_steps.clear()
+        job.progress.done_ranges.clear()
         self._writer.record(job)
         self._cleanup.add(job_id)
 
@@ -387,6 +388,7 @@
             run = job.runs.get(member)
             if run is not None and run.attempt != attempt:
                 self.stop_run(run)
+        job.step_done(key.occurrence, key.step)
         self.check_completion(job)
 
     def check_completion(self, job: ActiveJob) -> None:
--- a/src/curranthill/dispatch/unready.py
+++ b/src/curranthill/dispatch/unready.py
@@ -102,7 +102,12 @@
 def _is_surely_unblocked(job: ActiveJob, now_s: float) -> bool:
     """Return whether a cheap check shows that nothing blocks a job."""
     progress = job.progress
-    if job.runs or progress.done_steps or job.first_due_s > now_s:
+    if (
+        job.runs
+        or progress.done_steps
+        or progress.done_ranges
+        or job.first_due_s > now_s
+    ):
         return False
     return not any(task.worker or task.done for task in progress.tasks.values())
 
--- a/src/curranthill/placement/__init__.py
+++ b/src/curranthill/placement/__init__.py
@@ -22,6 +22,7 @@
     mechanisms,
     validate_mechanisms,
 )
+from curranthill.placement.occurrences import StepId
 from curranthill.placement.order import (
     covered_jobs,
     in_service_order,
@@ -87,6 +88,7 @@
     'ReadyStep',
     'ReservationWindows',
     'Run',
+    'StepId',
     'RunKind',
     'RunState',
     'Speed',
--- a/src/curranthill/placement/jobs.py
+++ b/src/curranthill/placement/jobs.py
@@ -4,6 +4,13 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
+from curranthill.placement.occurrences import (
+    MAX_LISTED_OCCURRENCES,
+    Occurrences,
+    StepId,
+)
+from curranthill.placement.preemptions import Preemptions
+from curranthill.placement.run_table import RunTable
 from curranthill.placement.runs import RUNNING, Run
 from curranthill.placement.suspects import (
     EXCLUSIVE_MAX_WAIT_S,
@@ -21,10 +28,8 @@
     TaskProgress,
 )
 
-#: The longest time for which a step waits for runs that should end at once, in
-#: seconds: reports may be late and progress may slow down.
-MAX_AWAITED_S: Final = 1.0
-
+#: The keys of tasks that are cached at most, besides those of one step.
+MAX_CACHED_KEYS: Final = 8192
 
 #: How long nothing of a job starts after an error in its placement, in seconds.
 ERROR_PAUSE_S: Final = 5.0
@@ -63,10 +68,14 @@
     round uses them for every job.
 
     :param runs: the newest run of each task that may exist.
+    :param preemptions: what its steps have used of their rights to preempt.
     :param perpetual: whether some of its tasks run until it is cancelled.
-    :param objective_s: when it should be done, in wall-clock seconds.
-    :param first_due_s: from when the time of the objective counts, in
+    :param occurrences: which of its steps are done, at work, or may start.
+    :param objective_s: when its first occurrence that is not done should be, in
+        wall-clock seconds.
+    :param first_due_s: from when the time of that objective counts, in
         wall-clock seconds.
+    :param is_recurring: whether it has several occurrences.
     :param critical_path_s: the estimated time of its longest chain of steps,
         in seconds.
     :param gpus: the accelerators that all its tasks use together.
@@ -82,10 +91,17 @@
         """Initialize a job from its stored specification and progress."""
         self.spec = spec
         self.progress = progress
-        self.runs: dict[TaskKey, Run] = {}
+        self.occurrences = Occurrences(spec=spec, progress=progress)
+        self._run_table = RunTable(occurrences=self.occurrences)
+        self.runs: dict[TaskKey, Run] = self._run_table
         self.perpetual = any(step.perpetual for step in spec.steps)
-        self.objective_s = spec.objective_s
-        self.first_due_s = max(spec.accepted_at_s, spec.due_s(0))
+        self._allowed_s = spec.objective_s - max(
+            spec.accepted_at_s, spec.due_s(0)
+        )
+        self.first_due_s = 0.0
+        self.objective_s = 0.0
+        self._update_objective()
+        self.is_recurring = spec.times > 1
         self.critical_path_s = spec.critical_path_s
         self.gpus = spec.gpus
         self.suspects: set[TaskKey] = set()
@@ -96,16 +112,19 @@
         self._waiting_since_s: dict[TaskKey, float] = {}
         self._on_trial_since_s: dict[tuple[TaskKey, int], float] = {}
         self._idle_since_s: float | None = None
-        self._awaiting_ends_since_s: dict[tuple[int, int], float] = {}
-        self._preempted_for: set[tuple[int, int]] = set()
-        self._done_steps: set[tuple[int, int]] = set()
+        self.preemptions = Preemptions()
         # The rank of the first task of a step that may not be done yet: all
         # tasks before it are done and stay done.
         self._unfinished_ranks: dict[tuple[int, int], int] = {}
+        self._cached_keys = 0
         self._keys: dict[tuple[int, int], tuple[TaskKey, ...]] = {}
         for name, task in progress.tasks.items():
+            key = TaskKey.parse(f'{spec.job_id}.{name}')
             if is_suspect(task):
-                self.suspects.add(TaskKey.parse(f'{spec.job_id}.{name}'))
+                self.suspects.add(key)
+            self.occurrences.open(key.occurrence, key.step)
+        for step_id in self.occurrences.open_steps():
+            self.step_done(*step_id)
 
     @property
     def ended(self) -> bool:
@@ -121,26 +140,20 @@
     def _may_start(self) -> bool:
         return not (self.ended or self.unstored or self.set_aside)
 
-    @property
-    def stops(self) -> int:
-        """Return how often runs of it were preempted."""
-        return self.progress.stops
-
     def ready_steps(self, now_s: float) -> Iterator[ReadyStep]:
         """Yield the steps that may start at a wall-clock time in seconds."""
-        if not self._may_start or self._is_paused(now_s):
+        # A longer pause means that the clock was set back.
+        is_paused = 0 < self._paused_until_s - now_s <= ERROR_PAUSE_S
+        if is_paused or not self._may_start:
             return
-        for occurrence in range(self.spec.occurrences):
-            if self.spec.due_s(occurrence) > now_s:
-                return
-            for number, step in enumerate(self.spec.steps):
-                ready = self._ready_step(occurrence, number, step)
-                if ready is None:
-                    continue
-                if self.suspects:
-                    yield from self._isolate_suspects(ready, now_s)
-                else:
-                    yield ready
+        for occurrence, number in self.occurrences.startable(now_s):
+            ready = self._ready_step(occurrence, number)
+            if ready is None:
+                continue
+            if self.suspects:
+                yield from self._isolate_suspects(ready, now_s)
+            else:
+                yield ready
 
     def pause(self, now_s: float) -> None:
         """Start nothing for some time, after an error in its placement.
@@ -149,10 +162,6 @@
         """
         self._paused_until_s = now_s + ERROR_PAUSE_S
 
-    def _is_paused(self, now_s: float) -> bool:
-        # A longer pause means that the clock was set back.
-        return 0 < self._paused_until_s - now_s <= ERROR_PAUSE_S
-
     def keys_of(self, occurrence: int, number: int) -> tuple[TaskKey, ...]:
         """Return the keys of one step's tasks."""
         step_id = (occurrence, number)
@@ -162,6 +171,10 @@
                 TaskKey(self.spec.job_id, occurrence, number, rank)
                 for rank in range(self.spec.steps[number].width)
             )
+            self._cached_keys += len(keys)
+            if self._cached_keys > MAX_CACHED_KEYS:
+                self._keys.clear()
+                self._cached_keys = len(keys)
             self._keys[step_id] = keys
         return keys
 
@@ -182,31 +195,50 @@
 
     def step_done(self, occurrence: int, number: int) -> bool:
         """Return whether all tasks of a step are done."""
-        step_id = (occurrence, number)
-        if step_id in self._done_steps:
-            return True
-        if self.progress.is_step_done(occurrence, number):
-            self._record_step_done(step_id)
+        if self.occurrences.is_done(occurrence, number):
             return True
+        step_id = (occurrence, number)
         keys = self.keys_of(occurrence, number)
         rank = self._unfinished_ranks.get(step_id, 0)
         while rank < len(keys) and self._is_done(keys[rank]):
             rank += 1
-        self._unfinished_ranks[step_id] = rank
         if rank < len(keys):
+            if rank:
+                self._unfinished_ranks[step_id] = rank
             return False
-        self._record_step_done(step_id)
-        self.progress.record_step_done(occurrence, number, len(keys))
+        self.occurrences.record_done(occurrence, number)
+        self._forget_step(step_id, keys)
+        self._update_objective()
         return True
 
+    @property
+    def is_ahead(self) -> bool:
+        """Return whether a later occurrence runs than its current one.
+
+        It is not starving then, so nothing is stopped for it, and others that
+        have nothing running come first.
+        """
+        if not self.is_recurring:
+            return False
+        return self._run_table.any_beside(self.occurrences.current)
+
+    @property
+    def all_done(self) -> bool:
+        """Return whether all its tasks are done."""
+        if self.spec.occurrences > MAX_LISTED_OCCURRENCES:
+            return self.occurrences.all_done
+        return all(
+            self.step_done(occurrence, number)
+            for occurrence in range(self.spec.occurrences)
+            for number, _ in enumerate(self.spec.steps)
+        )
+
     def check_completed(self, now_s: float) -> bool:
         """Set the job's state once every task is done."""
         if self.ended or self.perpetual:
             return False
-        for occurrence in range(self.spec.occurrences):
-            for number, _ in enumerate(self.spec.steps):
-                if not self.step_done(occurrence, number):
-                    return False
+        if not self.all_done:
+            return False
         self.progress.state = COMPLETED
         self.progress.ended_at_s = now_s
         return True
@@ -289,36 +321,9 @@
             if key in self.suspects and run.age_s < SUSPECT_TRIAL_S
         )
 
-    def claim_preemption(self, ready: ReadyStep) -> bool:
-        """Use up a step's one preemption for speed; return whether it had one.
-
-        Without this limit a gang would preempt others again in each round.
-        """
-        step_id = (ready.occurrence, ready.number)
-        if step_id in self._preempted_for:
-            return False
-        self._preempted_for.add(step_id)
-        return True
-
-    def may_await_ends(self, ready: ReadyStep, now_s: float) -> bool:
-        """Return whether a step may wait for runs that should end at once.
-
-        :param now_s: wall-clock seconds.
-        """
-        since_s = self._awaiting_ends_since_s.get(
-            (ready.occurrence, ready.number), now_s
-        )
-        return 0 <= now_s - since_s < MAX_AWAITED_S
-
-    def record_awaited_ends(self, ready: ReadyStep, now_s: float) -> None:
-        """Record that a step waits for runs that should end at once."""
-        self._awaiting_ends_since_s.setdefault(
-            (ready.occurrence, ready.number), now_s
-        )
-
     def reset_wait(self, key: TaskKey) -> None:
         """Reset the waiting time of a job and of a suspect of it."""
-        self._awaiting_ends_since_s.pop((key.occurrence, key.step), None)
+        self.preemptions.end_wait((key.occurrence, key.step))
         self._waiting_since_s.pop(key, None)
         self._idle_since_s = None
 
@@ -334,10 +339,24 @@
             return True
         return now_s - since_s < max_wait_s
 
-    def _record_step_done(self, step_id: tuple[int, int]) -> None:
-        self._done_steps.add(step_id)
+    def _forget_step(self, step_id: StepId, keys: tuple[TaskKey, ...]) -> None:
+        """Forget what is known of a step besides that it is done."""
         self._unfinished_ranks.pop(step_id, None)
-        self._keys.pop(step_id, None)
+        self._cached_keys -= len(self._keys.pop(step_id, ()))
+        self.preemptions.forget(step_id)
+        for by_key in (self.suspects, self.withheld):
+            by_key.difference_update(keys if by_key else ())
+        for key in keys if self._waiting_since_s else ():
+            self._waiting_since_s.pop(key, None)
+        for name in list(self._on_trial_since_s):
+            if (name[0].occurrence, name[0].step) == step_id:
+                self._on_trial_since_s.pop(name)
+
+    def _update_objective(self) -> None:
+        """Set the times of the current occurrence."""
+        due_s = self.spec.due_s(self.occurrences.current)
+        self.first_due_s = max(self.spec.accepted_at_s, due_s)
+        self.objective_s = self.first_due_s + self._allowed_s
 
     def _is_done(self, key: TaskKey) -> bool:
         task = self.progress.find_task(key)
@@ -349,25 +368,33 @@
         task = self.progress.find_task(key)
         return task is None or not (task.done or task.worker)
 
-    def _ready_step(
-        self,
-        occurrence: int,
-        number: int,
-        step: Step,
-    ) -> ReadyStep | None:
+    def _ready_step(self, occurrence: int, number: int) -> ReadyStep | None:
+        """Return the waiting tasks of a step that may start, if it has any."""
         if self.step_done(occurrence, number):
             return None
-        if not all(self.step_done(occurrence, one) for one in step.after):
-            return None
+        step = self.spec.steps[number]
         keys = self.keys_of(occurrence, number)
         if step.gang and any(key in self.runs for key in keys):
+            self._settle_if_running(occurrence, number, keys)
             return None
-        unfinished = keys[self._unfinished_ranks[occurrence, number] :]
+        unfinished = keys[self._unfinished_ranks.get((occurrence, number), 0) :]
         waiting = tuple(key for key in unfinished if self._is_waiting(key))
-        if not waiting or (step.gang and len(waiting) < len(keys)):
+        if not waiting:
+            self._settle_if_running(occurrence, number, unfinished)
+            return None
+        if step.gang and len(waiting) < len(keys):
             return None
         return ReadyStep(occurrence, number, step, waiting)
 
+    def _settle_if_running(
+        self, occurrence: int, number: int, keys: tuple[TaskKey, ...]
+    ) -> None:
+        """Leave a step out of the next rounds while all its tasks run."""
+        if self.is_recurring and all(
+            key in self.runs or self._is_done(key) for key in keys
+        ):
+            self.occurrences.settle(occurrence, number)
+
 
 def newest_checkpoint(tasks: list[TaskProgress]) -> str:
     """Return the newest checkpoint of the tasks, empty if none has one."""
--- a/src/curranthill/placement/order.py
+++ b/src/curranthill/placement/order.py
@@ -39,7 +39,9 @@
         total = used.get(workspace, 0) + job.gpus
         if total <= guaranteed.get(workspace, 0):
             used[workspace] = total
-            covered.add(job.spec.job_id)
+            # A guarantee covers one occurrence at a time.
+            if not job.is_ahead:
+                covered.add(job.spec.job_id)
     return covered
 
 
--- a/src/curranthill/placement/planner.py
+++ b/src/curranthill/placement/planner.py
@@ -223,7 +223,7 @@
         return EvictionRules(
             max_restarts=MAX_RESTARTS if bounded else math.inf,
             awaits_ends=AWAITED_ENDS not in self._disabled
-            and job.may_await_ends(ready, self._now_s),
+            and job.preemptions.may_await_ends(ready, self._now_s),
         )
 
     def _place_first_jobs(
@@ -251,6 +251,7 @@
         ready_steps = list(job.ready_steps(self._now_s))
         for ready in ready_steps:
             self._place_step(job, self._with_tickets(job, ready))
+        job.occurrences.advance_position()
         return bool(ready_steps)
 
     def _in_service_order(self, waiting: list[ActiveJob]) -> list[ActiveJob]:
@@ -298,7 +299,7 @@
         if urgent:
             self._preempt_for_capacity(job, ready, remaining, groups, required)
             return
-        if not advised:
+        if not (advised or _is_limited_by_own(job, ready)):
             self._not_fitting.add(shape)
         if ready.step.gang and self._reservations_left:
             self._reserve(job, ready, groups)
@@ -364,7 +365,8 @@
 
     def _may_preempt(self, job: ActiveJob) -> bool:
         """Return whether runs may be stopped for a job."""
-        return is_urgent(job) and job.spec.job_id not in self._infeasible
+        feasible = job.spec.job_id not in self._infeasible
+        return is_urgent(job) and feasible and not job.is_ahead
 
     def _place(self, job: ActiveJob, ready: ReadyStep, chosen: Fit) -> None:
         if chosen:
@@ -421,7 +423,7 @@
         )
         best = self._best_eviction(job, ready, ready.tasks, groups, max_loss)
         # Only an eviction with victims uses up the step's one preemption.
-        if best is None or (best.victims and not job.claim_preemption(ready)):
+        if best is None or (best.victims and not job.preemptions.claim(ready)):
             return False
         self._evict(best, job, ready)
         return True
@@ -501,7 +503,7 @@
     ) -> None:
         self._reserved_for[job.spec.job_id] = None
         if eviction.awaited:
-            job.record_awaited_ends(ready, self._now_s)
+            job.preemptions.record_awaited_ends(ready, self._now_s)
         self._victims.extend(eviction.victims)
         self._stopped_for.extend(job.spec.job_id for _ in eviction.victims)
         for run in (*eviction.victims, *eviction.awaited):
@@ -512,6 +514,15 @@
             claimed.claim(resources_needed(ready.step))
 
 
+def _is_limited_by_own(job: ActiveJob, ready: ReadyStep) -> bool:
+    """Return whether tasks of the same occurrence may be in a step's way."""
+    if not ready.step.max_per_worker:
+        return False
+    return job.is_recurring and job.occurrences.is_open(
+        ready.occurrence, ready.number
+    )
+
+
 def _work_core_s(step: Step, tasks: int) -> float:
     """Return the work of a number of tasks of a step, in core-seconds."""
     return tasks * step.needs.weight_cores * step.estimate_s
--- a/src/curranthill/placement/stop_costs.py
+++ b/src/curranthill/placement/stop_costs.py
@@ -67,7 +67,7 @@
         restarts = run.attempt - 1
         job = self._jobs.get(run.key.job_id)
         if job is not None and job.step_of(run.key).gang:
-            return max(restarts, job.stops)
+            return max(restarts, job.progress.stops)
         return restarts
 
     def _cost(self, run: Run) -> float:
--- a/src/curranthill/placement/timeliness.py
+++ b/src/curranthill/placement/timeliness.py
@@ -40,7 +40,7 @@
     if done_s <= job.objective_s or not allowed_s:
         # The common case, which avoids the cost of the checks below.
         return IN_TIME
-    took_s = done_s - _objective_starts_s(job)
+    took_s = done_s - job.first_due_s
     if took_s > MAX_LATE_FACTOR * allowed_s:
         return INFEASIBLE
     return LATE if took_s > allowed_s else IN_TIME
@@ -63,10 +63,12 @@
 def has_aged(job: ActiveJob, now_s: float) -> bool:
     """Return whether a job has been infeasible for long enough.
 
-    It is then served in its usual position again.
+    It is then served in its usual position again, unless it is at work.
 
     :param now_s: wall-clock seconds.
     """
+    if job.is_ahead:
+        return False
     return timeliness(job, now_s - INFEASIBLE_WAIT_S) == INFEASIBLE
 
 
@@ -81,16 +83,9 @@
     return timeliness(job, now_s + remaining_chain_s(job)) != IN_TIME
 
 
-def _objective_starts_s(job: ActiveJob) -> float:
-    """Return when the current occurrence of a job was due."""
-    if not job.spec.times:
-        return job.first_due_s
-    return max(job.first_due_s, job.spec.due_s(_occurrence(job)))
-
-
 def remaining_chain_s(job: ActiveJob) -> float:
     """Return the longest chain of steps that are not done, in seconds."""
-    occurrence = _occurrence(job)
+    occurrence = job.occurrences.current
     ends_s: list[float] = []
     for number, step in enumerate(job.spec.steps):
         before_s = max((ends_s[one] for one in step.after), default=0.0)
@@ -99,15 +94,6 @@
     return max(ends_s, default=0.0)
 
 
-def _occurrence(job: ActiveJob) -> int:
-    """Return the first occurrence that is not done yet, or the last one."""
-    steps = range(len(job.spec.steps))
-    for occurrence in range(job.spec.occurrences - 1):
-        if not all(job.step_done(occurrence, number) for number in steps):
-            return occurrence
-    return job.spec.occurrences - 1
-
-
 __all__ = (
     'INFEASIBLE',
     'INFEASIBLE_WAIT_S',
--- a/src/curranthill/tasks/__init__.py
+++ b/src/curranthill/tasks/__init__.py
@@ -21,6 +21,7 @@
     record_checkpoint,
     task_name,
 )
+from curranthill.tasks.ranges import RangeSet
 from curranthill.tasks.records import (
     JobSpec,
     Limits,
@@ -33,7 +34,7 @@
     WorkspaceGuarantee,
     total,
 )
-from curranthill.tasks.stored_jobs import check_task_names, decode_job
+from curranthill.tasks.stored_jobs import check_progress, decode_job
 from curranthill.tasks.validation import (
     MAX_STEPS,
     job_id_error,
@@ -55,6 +56,7 @@
     'JobState',
     'Limits',
     'Queue',
+    'RangeSet',
     'Resources',
     'Revision',
     'RowLayout',
@@ -72,7 +74,7 @@
     'task_name',
     'total',
     'MAX_STEPS',
-    'check_task_names',
+    'check_progress',
     'decode_job',
     'job_id_error',
     'schedule_errors',
--- a/src/curranthill/tasks/progress.py
+++ b/src/curranthill/tasks/progress.py
@@ -35,6 +35,9 @@
 #: several tasks. The task then resumes from an earlier one.
 MAX_CHECKPOINT_BYTES: Final = 2048
 
+#: The fields that are stored even if they are empty.
+LEAST_FIELDS: Final = 7
+
 #: The most bytes of a decompressed record; rows compress to a tenth at best.
 MAX_RECORD_BYTES: Final = 4_194_304
 
@@ -129,6 +132,9 @@
         losses that its worker may still show not to be crashes.
     :param layout: the rows with its tasks and done steps, if this is the job's
         own row beside them; never set once they are joined.
+    :param done_ranges: of a job with many occurrences, by step those in which
+        it is done, in place of ``done_steps``: the first of each range and the
+        first after it, all ascending.
     """
 
     queue: str
@@ -140,24 +146,32 @@
     stops: int = 0
     unconfirmed_losses: dict[str, list[UnconfirmedLoss]] = {}
     layout: RowLayout | None = None
+    done_ranges: dict[int, list[int]] = {}
 
     @property
     def begun(self) -> bool:
         """Return whether a worker has said that it started a task."""
-        return self.state != QUEUED or bool(self.done_steps)
+        done = self.done_steps or self.done_ranges
+        return self.state != QUEUED or bool(done)
+
+    @property
+    def entries(self) -> int:
+        """Return of how many tasks, steps and ranges it consists."""
+        bounds = sum(map(len, self.done_ranges.values()))
+        return len(self.tasks) + len(self.done_steps) + bounds // 2
 
     def record_step_done(self, occurrence: int, step: int, width: int) -> None:
         """Record that a step is done, and drop the progress of its tasks."""
+        self.done_steps.append(f'{occurrence}.{step}')
+        self.drop_tasks(occurrence, step, width)
+
+    def drop_tasks(self, occurrence: int, step: int, width: int) -> None:
+        """Drop the progress of all tasks of a step."""
         name = f'{occurrence}.{step}'
-        self.done_steps.append(name)
         for rank in range(width):
             self.tasks.pop(f'{name}.{rank}', None)
             self.unconfirmed_losses.pop(f'{name}.{rank}', None)
 
-    def is_step_done(self, occurrence: int, step: int) -> bool:
-        """Return whether a step is recorded as done."""
-        return f'{occurrence}.{step}' in self.done_steps
-
     def task(self, key: TaskKey) -> TaskProgress:
         """Return a task's progress; it is created on first use."""
         name = task_name(key)
@@ -185,7 +199,9 @@
     return f'{key.occurrence}.{key.step}.{key.rank}'
 
 
-def encode(record: msgspec.Struct | tuple[Any, ...]) -> bytes:
+def encode(
+    record: msgspec.Struct | tuple[Any, ...] | dict[str, Any],
+) -> bytes:
     """Serialize a record for the store; large ones are compressed."""
     content = msgspec.json.encode(record)
     if len(content) < COMPRESS_FROM_BYTES:
@@ -195,10 +211,10 @@
 
 def encode_progress(progress: JobProgress) -> bytes:
     """Serialize progress for the store, without empty fields at the end."""
-    fields = msgspec.structs.astuple(progress)
-    if progress.layout is None:
-        fields = fields[:-1] if progress.unconfirmed_losses else fields[:-2]
-    return encode(fields)
+    fields = list(msgspec.structs.astuple(progress))
+    while not fields[-1] and len(fields) > LEAST_FIELDS:
+        fields.pop()
+    return encode(tuple(fields))
 
 
 def decode(content: bytes, record: type[Record]) -> Record:
--- a/src/curranthill/tasks/stored_jobs.py
+++ b/src/curranthill/tasks/stored_jobs.py
@@ -1,7 +1,11 @@
 """Reads stored jobs, which other writers may have put into the table."""
 
+from collections.abc import Iterator
+from itertools import chain
+
 from curranthill.storage.rows import MalformedRecordError, StoredRow
 from curranthill.tasks.progress import JobProgress, decode
+from curranthill.tasks.ranges import are_bounds
 from curranthill.tasks.records import JobSpec, TaskKey
 from curranthill.tasks.validation import schedule_errors, validation_errors
 
@@ -26,18 +30,37 @@
     return spec
 
 
-def check_task_names(spec: JobSpec, progress: JobProgress) -> None:
-    """Check that the progress of a job names only tasks that it has.
+def check_progress(spec: JobSpec, progress: JobProgress) -> None:
+    """Check that the progress of a job names only steps and tasks that it has.
 
     :raises MalformedRecordError: if it names another one.
     """
+    problems = chain(
+        _task_errors(spec, progress), _range_errors(spec, progress)
+    )
+    problem = next(problems, '')
+    if problem:
+        raise MalformedRecordError(
+            f'The stored progress has {problem}.',
+            step='decode',
+            peer=spec.job_id,
+        )
+
+
+def _task_errors(spec: JobSpec, progress: JobProgress) -> Iterator[str]:
     for name in (*progress.tasks, *progress.unconfirmed_losses):
         if not _is_task(spec, name):
-            raise MalformedRecordError(
-                f'The stored progress names the task {name!r}.',
-                step='decode',
-                peer=spec.job_id,
-            )
+            yield f'the task {name!r}'
+    for step_name in progress.done_steps:
+        if not _is_task(spec, f'{step_name}.0'):
+            yield f'the step {step_name!r}'
+
+
+def _range_errors(spec: JobSpec, progress: JobProgress) -> Iterator[str]:
+    for number, bounds in progress.done_ranges.items():
+        is_step = 0 <= number < len(spec.steps)
+        if not is_step or not are_bounds(bounds, spec.occurrences):
+            yield f'the done ranges of step {number}'
 
 
 def _is_task(spec: JobSpec, name: str) -> bool:
@@ -52,4 +75,4 @@
     )
 
 
-__all__ = ('check_task_names', 'decode_job')
+__all__ = ('check_progress', 'decode_job')
--- a/tests/test_awaited_ends.py
+++ b/tests/test_awaited_ends.py
@@ -3,7 +3,7 @@
 import unittest
 
 from curranthill.placement import ActiveJob, Plan, Planner, Run
-from curranthill.placement.jobs import MAX_AWAITED_S
+from curranthill.placement.preemptions import MAX_AWAITED_S
 from curranthill.tasks import Step
 from tests.domain import SERVICE, make_spec
 from tests.test_planner import NOW_S, make_job, make_run, make_worker, needs
