Hand in the small job of a test when it is handed in

Its acceptance was set to the start of the test, so it counted as late, like the job of many occurrences beside it, and came after that one.

--- a/tests/test_many_occurrences.py
+++ b/tests/test_many_occurrences.py
@@ -304,7 +304,8 @@
             await domain.clock.until(lambda: bool(domain.any_run()))
             domain.start_host('h2')
             await domain.clock.advance(5)
-            await leader.accept(make_spec('small'))
+            small = make_spec('small', accepted_at_s=domain.clock.wall_s())
+            await leader.accept(small)
             await domain.clock.until(
                 lambda: bool(domain.starts(TaskKey('small', 0, 0, 0))),
                 within_s=2,
