Free the bytes of a response that is given up

Tasks of done occurrences that an older row still names are left out when the rows of spread progress are joined; the row of the ranges is written first.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -460,13 +460,15 @@
     async def _call(self, order: LeaseOrder) -> LeaseReport | None:
         """Return the report; None if the token was incremented meanwhile."""
         assert self._worker is not None  # noqa: S101
-        renewal = asyncio.ensure_future(self._worker.renew(order))
+        # Emptied at the end: an error of the renewal refers to this frame, and
+        # would otherwise form a cycle that keeps the response in memory.
+        renewals = [asyncio.ensure_future(self._worker.renew(order))]
         try:
-            while not renewal.done() and order.token == self.token:
-                await _wait_for_reply(renewal, self._wake_event)
-            return renewal.result() if renewal.done() else None
+            while not renewals[0].done() and order.token == self.token:
+                await _wait_for_reply(renewals[0], self._wake_event)
+            return renewals[0].result() if renewals[0].done() else None
         finally:
-            renewal.cancel()
+            renewals.pop().cancel()
 
     def _renewal_wait_s(self) -> float:
         """Return how long the worker may hold the next renewal for an end.
--- a/src/curranthill/platform/http_client.py
+++ b/src/curranthill/platform/http_client.py
@@ -169,12 +169,19 @@
         """
         self._check_size(self.length_bytes or 0)
         body = bytearray()
+        try:
+            await self._read_into(body)
+            return HttpResponse(self.status, bytes(body), self.first_byte_s)
+        finally:
+            # An error keeps this frame for as long as it is handled.
+            body.clear()
+
+    async def _read_into(self, body: bytearray) -> None:
         with self._budget.share() as share:
             async for chunk in self.chunks():
                 body += chunk
                 self._check_size(len(body))
                 share.resize(len(body))
-        return HttpResponse(self.status, bytes(body), self.first_byte_s)
 
     def _check_size(self, size_bytes: int) -> None:
         if size_bytes > self._max_bytes:
--- a/src/curranthill/tasks/parts.py
+++ b/src/curranthill/tasks/parts.py
@@ -21,6 +21,7 @@
     UnconfirmedLoss,
     encode,
 )
+from curranthill.tasks.ranges import RangeSet
 
 #: How many occurrences of a step one block of done steps covers.
 BLOCK_OCCURRENCES: Final = 256
@@ -132,13 +133,7 @@
         )
     found = [parts[number] for number in range(layout.rows)]
     done_steps = _done_steps(found)
-    done = frozenset(done_steps)
-    tasks = {
-        name: task
-        for part in found
-        for name, task in part.tasks.items()
-        if name.rsplit('.', 1)[0] not in done
-    }
+    tasks = _tasks_left(found, frozenset(done_steps), own_row.done_ranges)
     return msgspec.structs.replace(
         own_row,
         tasks=tasks,
@@ -153,6 +148,39 @@
     )
 
 
+def _tasks_left(
+    parts: Iterable[ProgressPart],
+    done_steps: frozenset[str],
+    done_ranges: Mapping[int, list[int]],
+) -> dict[str, TaskProgress]:
+    """Return the tasks of the steps that are not done."""
+    ranges = {
+        number: RangeSet(bounds) for number, bounds in done_ranges.items()
+    }
+    return {
+        name: task
+        for part in parts
+        for name, task in part.tasks.items()
+        if name.rsplit('.', 1)[0] not in done_steps and not _is_in(ranges, name)
+    }
+
+
+def _is_in(ranges: Mapping[int, RangeSet], name: str) -> bool:
+    """Return whether a task belongs to a step that is done by its ranges.
+
+    :raises MalformedRecordError: if it is not the name of a task.
+    """
+    if not ranges:
+        return False
+    try:
+        occurrence, step, _ = map(int, name.split('.'))
+    except ValueError as error:
+        raise MalformedRecordError(
+            f'{name!r} is not the name of a task.', step='decode'
+        ) from error
+    return step in ranges and occurrence in ranges[step]
+
+
 def fit_layout(
     progress: JobProgress, done: DoneBlocks, *, generation: int, row_bytes: int
 ) -> RowLayout:
--- a/tests/test_many_occurrences.py
+++ b/tests/test_many_occurrences.py
@@ -28,14 +28,17 @@
     JobSpec,
     RangeSet,
     Resources,
+    RowLayout,
     Step,
     TaskKey,
+    TaskProgress,
     check_progress,
     decode,
     encode_progress,
     schedule_errors,
     tables,
 )
+from curranthill.tasks.parts import ProgressPart, join
 from tests.domain import ONE_GPU, SERVICE, Domain, in_domain, make_spec
 from tests.test_planner import make_run, make_worker
 
@@ -261,6 +264,17 @@
         self.assertEqual(job.progress.done_steps, ['3.0'])
         self.assertEqual(job.progress.done_ranges, {})
 
+    def test_tasks_of_done_occurrences_are_left_out(self) -> None:
+        """The row of the ranges is written before those of the tasks."""
+        own_row = JobProgress(
+            'q', layout=RowLayout(1, 1, 1), done_ranges={0: [0, 5]}
+        )
+        tasks = {f'{number}.0.0': TaskProgress(1) for number in (4, 5)}
+        parts = {0: ProgressPart(), 1: ProgressPart(tasks=tasks)}
+        joined = join(own_row, parts)
+        self.assertEqual(list(joined.tasks), ['5.0.0'])
+        self.assertEqual(joined.done_ranges, {0: [0, 5]})
+
     def test_invalid_ranges_are_malformed(self) -> None:
         """Another writer may have stored them."""
         spec = recurring(100)
