Bound what a worker that lists odd runs or does not wait can cost

At most a hundred such runs are tracked at a worker, with one queued stop each; a worker that does not hold a renewal, or whose answers can't be read, is asked again after a pause. A run that a worker has confirmed and lists neither as running nor as ended counts as a failure there, so that other workers come first.

--- a/src/curranthill/dispatch/crashes.py
+++ b/src/curranthill/dispatch/crashes.py
@@ -33,6 +33,10 @@
 WORKER_RESTARTED: Final = 'worker restarted'
 LEASE_EXPIRED: Final = 'lease lapsed'
 
+#: The reason for dropping a run whose start was confirmed: its worker lists
+#: neither the run nor its end.
+UNLISTED: Final = 'not listed'
+
 _LOST: Final = frozenset((WORKER_REMOVED, WORKER_RESTARTED, LEASE_EXPIRED))
 
 #: How many runs of one task may be lost with their workers. The platform allows
@@ -316,6 +320,7 @@
     'MAX_LOSSES',
     'MAX_PROMPT_CRASHES',
     'PROMPT_CRASH_S',
+    'UNLISTED',
     'WORKER_REMOVED',
     'WORKER_RESTARTED',
     'LossCounter',
--- a/src/curranthill/dispatch/run_list.py
+++ b/src/curranthill/dispatch/run_list.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Final
 
 from curranthill.clock import Clock
-from curranthill.dispatch.crashes import WORKER_RESTARTED
+from curranthill.dispatch.crashes import UNLISTED, WORKER_RESTARTED
 from curranthill.dispatch.ends import EndTracker
 from curranthill.dispatch.owner import SessionOwner
 from curranthill.dispatch.workers import (
@@ -19,6 +19,17 @@
 if TYPE_CHECKING:
     from curranthill.dispatch.session import WorkerSession
 
+#: The most runs without a stored assignment that are tracked at a worker, in
+#: order to stop them. Others are ignored until some of these have ended.
+MAX_STRAYS: Final = 100
+
+#: The pause after a report that lists more of them, in seconds.
+STRAYS_PAUSE_S: Final = 1.0
+
+#: The least time between two renewals that wait for an end, in seconds, unless
+#: one is listed.
+LEAST_INTERVAL_S: Final = 0.25
+
 #: A stop without effect is sent again after this time, in seconds.
 STOP_REPEAT_S: Final = 0.5
 
@@ -32,6 +43,8 @@
 
     :param runs: by task and attempt.
     :param ends: of the worker's current incarnation.
+    :param pause_s: how long the worker is not asked again, in seconds, as it
+        responds at once without need or lists too many strays.
     :param unconfirmed: runs whose start got a response that no report has
         confirmed to come from the worker's current incarnation or a previous
         one.
@@ -49,6 +62,8 @@
         self.unconfirmed: set[tuple[TaskKey, int]] = set()
         self._previous_runs: set[tuple[TaskKey, int]] = set()
         self._reported_clock_s = 0.0
+        self._strays: set[tuple[TaskKey, int]] = set()
+        self.pause_s = 0.0
         self._session = session
         self._owner = owner
         self._clock = clock
@@ -140,8 +155,16 @@
         seen.update((end.task, end.attempt) for end in new_ends)
         self._confirm_starts(seen, sent_s)
         self._previous_runs.difference_update(seen)
-        for one in report.runs:
+        self._strays.intersection_update(self.runs)
+        tracked = [one for one in report.runs if self._is_tracked(one)]
+        for one in tracked:
             self._apply_run(one, report.clock_s)
+        if len(tracked) < len(report.runs):
+            self.pause_s = STRAYS_PAUSE_S
+        elif order.wait_s and not report.ends:
+            waited_s = self._clock.monotonic_s() - sent_s
+            least_s = min(order.wait_s, LEAST_INTERVAL_S)
+            self.pause_s = max(least_s - waited_s, 0.0)
         unlisted = [run for run in self.runs.values() if run.name not in seen]
         if new_ends and not report.lists_all_ends:
             self._log_held_back(report.ends, unlisted)
@@ -185,11 +208,20 @@
         }
         self.unconfirmed -= seen
 
+    def _is_tracked(self, report: RunReport) -> bool:
+        """Return whether a listed run is tracked; adopt it if there is room."""
+        name = (report.task, report.attempt)
+        if name in self.runs:
+            return True
+        if len(self._strays) >= MAX_STRAYS:
+            return False
+        self._strays.add(name)
+        self._adopt_stray(report, self._clock.monotonic_s())
+        return True
+
     def _apply_run(self, report: RunReport, clock_s: float) -> None:
-        run = self.runs.get((report.task, report.attempt))
+        run = self.runs[report.task, report.attempt]
         now_s = self._clock.monotonic_s()
-        if run is None:
-            run = self._adopt_stray(report, now_s)
         if run.state in {ORDERED, UNKNOWN}:
             run.state = RUNNING
             run.confirmed_s = now_s
@@ -202,13 +234,15 @@
             run.checkpoint = report.checkpoint
         run.update_progress_rate(clock_s)
         if run.stop_wanted:
-            if now_s - run.stop_sent_s > STOP_REPEAT_S:
+            overdue = now_s - run.stop_sent_s > STOP_REPEAT_S
+            if overdue and not run.is_stop_queued:
+                run.is_stop_queued = True
                 run.stop_sent_s = now_s
                 self._owner.resend_stop(self._session, run)
             return
         self._owner.run_reported(self._session, run)
 
-    def _adopt_stray(self, report: RunReport, now_s: float) -> Run:
+    def _adopt_stray(self, report: RunReport, now_s: float) -> None:
         """Track a run without a stored assignment, in order to stop it."""
         self._owner.run_started(report.task.job_id)
         events.log(
@@ -229,7 +263,6 @@
         )
         run.stop_wanted = True
         self.runs[run.name] = run
-        return run
 
     def _check_absent(self, run: Run, order: LeaseOrder, sent_s: float) -> None:
         """Drop a run that a report should have listed and did not."""
@@ -239,9 +272,7 @@
                 reason = WORKER_RESTARTED if previous else 'never started'
                 self.drop_absent(run, reason)
         elif run.state == RUNNING and run.confirmed_s < sent_s:
-            self.drop_absent(
-                run, WORKER_RESTARTED if previous else 'not listed'
-            )
+            self.drop_absent(run, WORKER_RESTARTED if previous else UNLISTED)
 
     def _is_previous(self, run: Run) -> bool:
         """Return whether a run was placed in a previous incarnation."""
--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -36,6 +36,7 @@
     FENCE,
     LeaseOrder,
     LeaseReport,
+    MalformedReplyError,
     RejectedError,
     StartOrder,
     TaskWorker,
@@ -255,6 +256,9 @@
         if self._has_failed:
             await self._clock.sleep(ERROR_PAUSE_S)
             self._check_expiry()
+        elif self._run_list.pause_s:
+            await self._clock.sleep(self._run_list.pause_s)
+        self._run_list.pause_s = 0.0
         known = self.reachable and self.synced
         if known and not self.runs and self._run_list.ends.all_confirmed:
             await self._wake_event.wait()
@@ -333,6 +337,7 @@
     async def _stop(self, run: Run) -> None:
         async with self._order_lock:
             await self._orders_resolved.wait()
+            run.is_stop_queued = False
             if self.runs.get(run.name) is not run or self._worker is None:
                 return
             if run.state == ASSIGNED:
@@ -508,7 +513,9 @@
             return
         self._set_unreachable(error)
         self.increment_token()
-        await self._clock.sleep(self._lease.probe_pause_s(LOST_REPLY_DELAY_S))
+        malformed = isinstance(error, MalformedReplyError)
+        pause_s = ERROR_PAUSE_S if malformed else LOST_REPLY_DELAY_S
+        await self._clock.sleep(self._lease.probe_pause_s(pause_s))
         self._check_expiry()
 
     def _set_unreachable(self, error: Exception) -> None:
--- a/src/curranthill/dispatch/term_state.py
+++ b/src/curranthill/dispatch/term_state.py
@@ -9,7 +9,7 @@
 
 from curranthill.clock import Clock
 from curranthill.dispatch.cleanup import IntakeCleanup
-from curranthill.dispatch.crashes import LossCounter
+from curranthill.dispatch.crashes import UNLISTED, LossCounter
 from curranthill.dispatch.first_starts import FirstStarts
 from curranthill.dispatch.isolation import JobIsolation, isolated
 from curranthill.dispatch.leadership import Leadership
@@ -195,6 +195,9 @@
             worker_leaving=session.entry.leaving,
         )
         self.changed.set()
+        if reason == UNLISTED:
+            # The worker has confirmed its start and does not run it.
+            session.failure_times_s.append(self._clock.monotonic_s())
         job = self.jobs.get(run.key.job_id)
         if job is None:
             return
--- a/src/curranthill/dispatch/workers.py
+++ b/src/curranthill/dispatch/workers.py
@@ -7,7 +7,7 @@
 
 from typing import Final, Literal, NamedTuple, Protocol
 
-from curranthill.errors import WorkerError
+from curranthill.errors import WorkerError, WorkerReplyLostError
 from curranthill.placement import WorkerEntry
 from curranthill.tasks import TaskKey
 
@@ -118,6 +118,10 @@
     """A worker with another id responded; the expected one runs nothing."""
 
 
+class MalformedReplyError(WorkerReplyLostError):
+    """A response arrived that is malformed, too large or unknown."""
+
+
 class TaskWorker(Protocol):
     """The client of one worker.
 
@@ -153,6 +157,7 @@
     'EndReport',
     'LeaseOrder',
     'LeaseReport',
+    'MalformedReplyError',
     'RejectedError',
     'Rejection',
     'RunReport',
--- a/src/curranthill/placement/runs.py
+++ b/src/curranthill/placement/runs.py
@@ -66,6 +66,7 @@
     :param checkpointable: whether a stop loses only the newest work.
     :param stop_wanted: whether it is to end, so that its resources count as
         becoming free. Only its state says whether it exists.
+    :param is_stop_queued: whether a repeated stop of it waits to be sent.
     :param estimate_s: the estimated run time; 0 for a perpetual task.
     :param perpetual: whether it runs until its job is cancelled.
     :param kind: whether it is latency-sensitive or best effort.
@@ -107,6 +108,7 @@
         'started_s',
         'state',
         'ticket',
+        'is_stop_queued',
         'stop_sent_s',
         'stop_wanted',
         'worker_id',
@@ -154,6 +156,7 @@
         self.confirmed_s = now_s
         self.stop_wanted = False
         self.stop_sent_s = 0.0
+        self.is_stop_queued = False
         self.ordered_token = 0
 
     @property
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -13,7 +13,7 @@
     StartOrder,
     WorkerReplacedError,
 )
-from curranthill.dispatch.workers import EndKind
+from curranthill.dispatch.workers import EndKind, MalformedReplyError
 from curranthill.errors import (
     WorkerReplyLostError,
     WorkerUnreachableError,
@@ -34,6 +34,7 @@
     HttpResponse,
     RequestNotSentError,
     ResponseLostError,
+    ResponseTooLargeError,
 )
 from curranthill.storage.rows import MalformedRecordError, StoredRow
 from curranthill.tasks import Resources, TaskKey
@@ -308,10 +309,10 @@
         self,
         path: str,
         error: Exception,
-    ) -> WorkerReplyLostError:
+    ) -> MalformedReplyError:
         events.log('reply_bad', peer=self._address, step=path, error=str(error))
         metrics.malformed_records.add(1, {'kind': 'reply'})
-        return WorkerReplyLostError(
+        return MalformedReplyError(
             f'The response of the worker is malformed: {error}',
             step=path,
             peer=self._address,
@@ -340,6 +341,8 @@
                 step=path,
                 peer=self._address,
             ) from error
+        except ResponseTooLargeError as error:
+            raise self._malformed(path, error) from error
         except ResponseLostError as error:
             raise WorkerReplyLostError(
                 f'The worker did not respond: {error}.',
@@ -358,7 +361,7 @@
                 peer=self._address,
             )
         if response.status not in _REJECTIONS:
-            return WorkerReplyLostError(
+            return MalformedReplyError(
                 f'The response has the unknown status {response.status}.',
                 step=path,
                 peer=self._address,
