Keep what earlier releases have accepted, and pause after odd answers

Read in the change: a stored job with a negative interval, which earlier releases accepted, would have been malformed; it is refused at the door only. A start that got a response of an unknown status was repeated at the same worker at once. The limit on a worker's list was below what a worker with many small tasks may run. The address of a peer could be a name for the resolver.

--- a/src/curranthill/dispatch/session.py
+++ b/src/curranthill/dispatch/session.py
@@ -382,6 +382,8 @@
             )
             if run.state == ORDERED:
                 run.state = UNKNOWN
+            if isinstance(error, MalformedReplyError):
+                self.rejected_s = self._clock.monotonic_s()
             self.increment_token()
         else:
             self._read_clock(clock_s, known_clock_s)
--- a/src/curranthill/entry/peers.py
+++ b/src/curranthill/entry/peers.py
@@ -1,8 +1,8 @@
 """Peer discovery through the store, in which each host registers itself."""
 
 import random
-import re
 from collections.abc import Awaitable, Callable
+from ipaddress import IPv4Address
 from typing import Final, NamedTuple
 
 from curranthill.clock import Clock
@@ -38,8 +38,8 @@
 #: any host that returns under the same name.
 REMOVE_AFTER_S: Final = 600.0
 
-#: The content of a host's row: an IP address and a port.
-_ADDRESS: Final = re.compile(rb'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
+#: The largest port.
+MAX_PORT: Final = 65_535
 
 
 class _Sighting(NamedTuple):
@@ -116,7 +116,7 @@
         """Return whether a row is another host's; report malformed rows."""
         if row.key == self._put.key:
             return False
-        if _ADDRESS.fullmatch(row.content):
+        if _is_address(row.content):
             return True
         if self._bad.get(row.key) != row.version:
             self._bad[row.key] = row.version
@@ -143,4 +143,15 @@
         events.log('peer_removed', host_gone=row.key)
 
 
+def _is_address(content: bytes) -> bool:
+    """Return whether the content of a row is an IP address and a port."""
+    address, _, port = content.decode('ascii', 'replace').rpartition(':')
+    try:
+        IPv4Address(address)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) < 6
+    return is_number and 0 < int(port) <= MAX_PORT
+
+
 __all__ = ('PeerList',)
--- a/src/curranthill/placement/occurrences.py
+++ b/src/curranthill/placement/occurrences.py
@@ -144,7 +144,7 @@
         spec = self._spec
         if spec.due_s(0) > now_s:
             return 0
-        if self._total == 1 or not spec.interval_s:
+        if self._total == 1 or spec.interval_s <= 0:
             return self._total
         passed = (now_s - spec.start_at_s) / spec.interval_s
         if passed >= self._total:
--- a/src/curranthill/platform/caller_api.py
+++ b/src/curranthill/platform/caller_api.py
@@ -23,6 +23,7 @@
     Queue,
     Revision,
     Step,
+    interval_error,
     job_id_error,
     schedule_errors,
     validation_errors,
@@ -214,14 +215,13 @@
             steps = tuple(decode_step(encoded) for encoded in submitted.steps)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise _invalid_job(target, str(error)) from error
-        id_error = job_id_error(target.job_id)
-        if id_error:
-            raise _invalid_job(target, id_error)
-        problems = validation_errors(
-            submitted.spec, steps, times=submitted.times
+        errors = (
+            job_id_error(target.job_id),
+            interval_error(submitted.interval_ms),
+            *validation_errors(submitted.spec, steps, times=submitted.times),
         )
-        if problems:
-            raise _invalid_job(target, ' '.join(problems))
+        if any(errors):
+            raise _invalid_job(target, ' '.join(filter(None, errors)))
         spec = JobSpec(
             job_id=target.job_id,
             queue=target.queue,
@@ -233,9 +233,9 @@
             start_at_s=submitted.start_at_ms / 1000,
             interval_s=submitted.interval_ms / 1000,
         )
-        problems = schedule_errors(spec)
-        if problems:
-            raise _invalid_job(target, ' '.join(problems))
+        errors = schedule_errors(spec)
+        if errors:
+            raise _invalid_job(target, ' '.join(errors))
         return spec
 
 
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -57,14 +57,14 @@
 MAX_PERCENT: Final = 100.0
 
 #: The most runs that a worker may list in one response.
-MAX_LISTED_RUNS: Final = 5000
+MAX_LISTED_RUNS: Final = 40_000
 
 #: The most bytes of the response to a renewal: the largest number of ends, each
-#: with a checkpoint of 2 KB, and as many runs.
-MAX_RENEWAL_BYTES: Final = 2_500_000
+#: with a checkpoint of 2 KB, and three times as many runs.
+MAX_RENEWAL_BYTES: Final = 4_194_304
 
-#: How long the body of a response may take, in seconds: the largest one takes
-#: 4 s over a link with 5 Mbit/s.
+#: How long the body of a response may take, in seconds: a lease is not renewed
+#: in time if its renewal takes longer.
 BODY_TIMEOUT_S: Final = 4.0
 
 _OK: Final = 200
--- a/src/curranthill/tasks/__init__.py
+++ b/src/curranthill/tasks/__init__.py
@@ -37,6 +37,7 @@
 from curranthill.tasks.stored_jobs import check_progress, decode_job
 from curranthill.tasks.validation import (
     MAX_STEPS,
+    interval_error,
     job_id_error,
     schedule_errors,
     validation_errors,
@@ -76,6 +77,7 @@
     'MAX_STEPS',
     'check_progress',
     'decode_job',
+    'interval_error',
     'job_id_error',
     'schedule_errors',
     'validation_errors',
--- a/src/curranthill/tasks/validation.py
+++ b/src/curranthill/tasks/validation.py
@@ -65,8 +65,6 @@
     All times that are computed from them have to be finite numbers.
     """
     errors = []
-    if spec.interval_s < 0:
-        errors.append('The interval between its occurrences is negative.')
     if spec.times > MAX_TIMES:
         errors.append(f'The job runs more than {MAX_TIMES} times.')
     elif not _is_finite(spec):
@@ -74,6 +72,14 @@
     return tuple(errors)
 
 
+def interval_error(interval_s: float) -> str:
+    """Return why an interval is invalid, as a sentence; empty if it is not.
+
+    Earlier releases accepted negative ones, so they may be stored.
+    """
+    return '' if interval_s >= 0 else 'The interval is negative.'
+
+
 def job_id_error(job_id: str) -> str:
     """Return why a text can't be a job's id, as a sentence; empty if it can.
 
@@ -119,6 +125,7 @@
     'MAX_PAYLOAD_CHARS',
     'MAX_STEPS',
     'MAX_TASKS',
+    'interval_error',
     'job_id_error',
     'schedule_errors',
     'validation_errors',
