Give the responses of workers a budget of their own

They could have used up the one that the store's responses needed as well, so that some ten entries with endless answers kept a host from reading tables.

--- a/src/curranthill/platform/http_client.py
+++ b/src/curranthill/platform/http_client.py
@@ -30,7 +30,8 @@
 #: The most bytes of a response body, unless a request sets another limit.
 MAX_RESPONSE_BYTES: Final = 65_536
 
-#: Bodies beyond the default limit use this many bytes at most, all together.
+#: The bodies that share a budget use this many bytes at most beyond the default
+#: limit, all together.
 SHARED_BODY_BYTES: Final = 33_554_432
 
 #: aiohttp only bounds connecting; see :meth:`HttpClient.open` for the rest.
@@ -84,9 +85,10 @@
 
 
 class BodyBudget:
-    """Bounds the bytes of all response bodies that are being received.
+    """Bounds the bytes of the responses of many peers, while they are received.
 
-    Usual bodies always fit, so that large ones can't keep them out.
+    Bodies up to the default limit always fit, so that large ones can't keep
+    them out.
     """
 
     def __init__(self) -> None:
@@ -118,6 +120,7 @@
     """A response whose headers have arrived and whose body may be streamed.
 
     :param limit: the timeout of the request, rescheduled for each chunk.
+    :param budget: what its body shares with those of other peers.
     :param max_bytes: the limit of a body that is read whole.
     :param until_s: when the body has to be complete, by the event loop's clock.
     :param first_byte_s: time until its headers arrived, in seconds.
@@ -129,12 +132,12 @@
         response: aiohttp.ClientResponse,
         limit: asyncio.Timeout,
         first_byte_s: float,
-        budget: BodyBudget,
+        budget: BodyBudget | None = None,
         max_bytes: int = MAX_RESPONSE_BYTES,
         until_s: float = math.inf,
     ) -> None:
         """Initialize with the request's timeout still running."""
-        self._budget = budget
+        self._budget = budget or BodyBudget()
         self._max_bytes = max_bytes
         self._until_s = until_s
         self.status = response.status
@@ -165,7 +168,7 @@
         """Read the whole body and return the complete response.
 
         :raises ResponseTooLargeError: if it exceeds the limit of the request,
-            or its share of the limit of all requests.
+            or what is left of its budget.
         """
         self._check_size(self.length_bytes or 0)
         body = bytearray()
@@ -212,7 +215,6 @@
     def __init__(self) -> None:
         """Initialize without open connections."""
         self._pools = ConnectionPools()
-        self._budget = BodyBudget()
 
     async def call(self, method: str, url: str, **options: Any) -> HttpResponse:
         """Send one request and return its complete response.
@@ -236,6 +238,7 @@
         headers: dict[str, str] | None = None,
         max_bytes: int = MAX_RESPONSE_BYTES,
         body_timeout_s: float = math.inf,
+        budget: BodyBudget | None = None,
     ) -> AsyncIterator[StreamingResponse]:
         """Send one request; enter once its response headers have arrived.
 
@@ -245,6 +248,7 @@
         :param fields: the request body, sent as JSON.
         :param max_bytes: the most bytes of a response that is read whole.
         :param body_timeout_s: how long its body may take, in seconds.
+        :param budget: what it shares with the responses of other peers.
         :raises RequestNotSentError: if the request was not sent.
         :raises ResponseLostError: if the effect is unknown.
         """
@@ -274,7 +278,7 @@
                     response=response,
                     limit=limit,
                     first_byte_s=uptime_s() - sent_s,
-                    budget=self._budget,
+                    budget=budget,
                     max_bytes=max_bytes,
                     until_s=now_s + body_timeout_s,
                 )
@@ -304,6 +308,7 @@
 
 __all__ = (
     'MAX_RESPONSE_BYTES',
+    'BodyBudget',
     'HttpClient',
     'HttpResponse',
     'RequestNotSentError',
--- a/src/curranthill/platform/workers.py
+++ b/src/curranthill/platform/workers.py
@@ -30,6 +30,7 @@
 )
 from curranthill.platform.http_client import (
     MAX_RESPONSE_BYTES,
+    BodyBudget,
     HttpClient,
     HttpResponse,
     RequestNotSentError,
@@ -196,6 +197,7 @@
     def __init__(self, *, client: HttpClient) -> None:
         """Initialize with the HTTP client that all workers share."""
         self._client = client
+        self._budget = BodyBudget()
 
     def connect(self, entry: WorkerEntry) -> 'PlatformWorker':
         """Return a client of a worker."""
@@ -203,6 +205,7 @@
             client=self._client,
             address=entry.address,
             worker_id=entry.worker_id,
+            budget=self._budget,
         )
 
 
@@ -215,8 +218,13 @@
         client: HttpClient,
         address: str,
         worker_id: str,
+        budget: BodyBudget | None = None,
     ) -> None:
-        """Initialize with the worker id that each request is addressed to."""
+        """Initialize with the worker id that each request is addressed to.
+
+        :param budget: what its responses share with those of other workers.
+        """
+        self._budget = budget
         self._client = client
         self._address = address
         self._headers = {'Target-Instance': worker_id}
@@ -334,6 +342,7 @@
                 headers=self._headers,
                 max_bytes=max_bytes,
                 body_timeout_s=BODY_TIMEOUT_S,
+                budget=self._budget,
             )
         except RequestNotSentError as error:
             raise WorkerUnreachableError(
--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -14,6 +14,7 @@
 from curranthill.dispatch.term_state import TermState
 from curranthill.placement import ActiveJob
 from curranthill.platform.http_client import (
+    BodyBudget,
     HttpClient,
     ResponseLostError,
     ResponseTooLargeError,
@@ -280,11 +281,17 @@
             async with peer(endless) as url, peer(ended_body) as small_url:
                 client = HttpClient()
                 with patch(SHARED_LIMIT, 1 << 20):
-                    client = HttpClient()
-                options: Any = {'timeout_s': 1.0, 'max_bytes': 1 << 30}
+                    budget = BodyBudget()
+                options: Any = {
+                    'timeout_s': 1.0,
+                    'max_bytes': 1 << 30,
+                    'budget': budget,
+                }
                 calls = [client.call('GET', url, **options) for _ in range(8)]
                 large = [asyncio.ensure_future(call) for call in calls]
-                response = await client.call('GET', small_url, timeout_s=1.0)
+                response = await client.call(
+                    'GET', small_url, timeout_s=1.0, budget=budget
+                )
                 self.assertEqual(response.body, b'{}')
                 ends = await asyncio.gather(*large, return_exceptions=True)
                 self.assertEqual(
