--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from curranthill.dispatch import StartOrder
+from curranthill.dispatch import (
+    LeaseOrder,
+    LeaseReport,
+    RunReport,
+    StartOrder,
+)
+from curranthill.dispatch.run_list import MAX_STRAYS
 from curranthill.dispatch.term_state import TermState
 from curranthill.placement import ActiveJob
 from curranthill.platform.http_client import (
@@ -152,6 +158,59 @@
         in_domain(case, workers=2, run_s=15.0)
 
 
+class OddReportTest(unittest.TestCase):
+    """A worker responds at once, or lists many runs that nobody started."""
+
+    def test_few_stray_runs_are_tracked(self) -> None:
+        """Each would have a stop queued."""
+
+        async def case(domain: Domain) -> None:
+            reports = Reports(strays=300)
+            await start_leader(domain)
+            with patch.object(domain.workers['w0'], 'renew', reports.renew):
+                domain.session('w0').wake()
+                await domain.clock.advance(10)
+                self.assertLessEqual(len(domain.session('w0').runs), MAX_STRAYS)
+                await domain.hosts['h1'].accept(make_spec('a1'))
+                self.assertEqual(await domain.ended('a1'), 'completed')
+            self.assertLess(reports.count, 40)
+
+        in_domain(case, workers=2)
+
+    def test_renewals_that_are_not_held_have_a_pause(self) -> None:
+        """Other workers hold them until a run ends, or for the whole wait."""
+
+        async def case(domain: Domain) -> None:
+            reports = Reports(strays=1)
+            await start_leader(domain)
+            with patch.object(domain.workers['w0'], 'renew', reports.renew):
+                domain.session('w0').wake()
+                await domain.clock.advance(10)
+            self.assertLess(reports.count, 80)
+
+        in_domain(case, workers=1)
+
+
+class Reports:
+    """Reports of some runs, without any wait.
+
+    :param count: how many renewals there were.
+    """
+
+    def __init__(self, *, strays: int) -> None:
+        """Initialize with the number of runs."""
+        self.count = 0
+        self._runs = tuple(
+            RunReport(TaskKey('zz', 0, 0, rank), 1, '', 5.0)
+            for rank in range(strays)
+        )
+
+    async def renew(self, order: LeaseOrder) -> LeaseReport:
+        """Respond at once."""
+        self.count += 1
+        return LeaseReport(clock_s=float(self.count), runs=self._runs, ends=())
+
+
 class JobErrorTest(unittest.TestCase):
     """The work on one job raises errors that nothing foresees."""
 
