Wait in a test until a start is confirmed and stored

The test read `running` right after the assignment. A job is shown as running once a worker has confirmed a start, which is stored with the next write, so the test waits for that, for a second at most, in each of its rounds.

--- a/tests/test_unconfirmed_losses.py
+++ b/tests/test_unconfirmed_losses.py
@@ -217,7 +217,10 @@
         async def case(domain: Domain) -> None:
             leader = await started_job(domain)
             for number in range(MAX_LOSSES):
-                self.assertEqual(domain.state('a1'), 'running')
+                # Stored once a worker has confirmed the start.
+                await domain.clock.until(
+                    lambda: domain.state('a1') == 'running', within_s=1
+                )
                 lost = await lose_run(domain)
                 domain.delist_worker(lost.entry.worker_id)
                 await leader.kill()
