--- a/tests/test_unconfirmed_losses.py
+++ b/tests/test_unconfirmed_losses.py
@@ -58,6 +58,13 @@
     return domain.progress(task.job_id).task(task).losses
 
 
+async def shown_as_running(domain: Domain) -> None:
+    """Wait until the confirmed start of the job is stored."""
+    await domain.clock.until(
+        lambda: domain.state('a1') == 'running', within_s=1
+    )
+
+
 async def started_job(domain: Domain, step: Step = LONG) -> TestHost:
     """Start three hosts and one job; return the leader."""
     for number in range(3):
@@ -217,10 +224,7 @@
         async def case(domain: Domain) -> None:
             leader = await started_job(domain)
             for number in range(MAX_LOSSES):
-                # Stored once a worker has confirmed the start.
-                await domain.clock.until(
-                    lambda: domain.state('a1') == 'running', within_s=1
-                )
+                await shown_as_running(domain)
                 lost = await lose_run(domain)
                 domain.delist_worker(lost.entry.worker_id)
                 await leader.kill()
